Lay down the vocabulary, protocols and tooling

Cause: nothing exists yet, and parts built side by side need one contract. Conclusion: enough to build the parts against.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: stand-ins, instances, load and faults."""
--- /dev/null
+++ b/sycamorebeam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/sycamorebeam/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: each owns one piece of state that filters read."""
--- /dev/null
+++ b/sycamorebeam/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Request filters: each takes one decision about a request."""
--- /dev/null
+++ b/sycamorebeam/filters/chain.py
@@ -0,0 +1,69 @@
+"""The filter chain that every request passes through."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam import clock
+
+Emit = Callable[[str, dict[str, Any]], Awaitable[None]]
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """A caller's request on its way through the filters.
+
+    ``emit`` sends one server-sent event to a streaming caller (name and
+    data); it is None for a plain request. Filters fill in ``team`` and
+    ``pipeline``; ``permit`` is the dispatch permit of a request that runs
+    at most once.
+    """
+
+    request_id: str
+    pipeline_name: str
+    body: dict[str, Any]
+    deadline: clock.Deadline | None = None
+    deadline_ms: int | None = None
+    token: str | None = None
+    idempotency_key: str | None = None
+    first_attempt: bool = False
+    emit: Emit | None = None
+    team_name: str = ''
+    team: catalogue.Team | None = None
+    pipeline: catalogue.Pipeline | None = None
+    permit: Any = None
+    emitted: int = 0
+
+
+Handler = Callable[[Request], Awaitable[answers.Answer]]
+
+
+class Filter(Protocol):
+    """One step of the chain; it answers itself or calls ``proceed``."""
+
+    async def __call__(
+        self, request: Request, proceed: Handler
+    ) -> answers.Answer:
+        """Return the answer to ``request``."""
+        ...
+
+
+def chain(filters: Sequence[Filter], last: Handler) -> Handler:
+    """Return a handler through ``filters`` that ends in ``last``."""
+    handler = last
+    for item in reversed(filters):
+        handler = _bind(item, handler)
+    return handler
+
+
+def _bind(item: Filter, proceed: Handler) -> Handler:
+    async def handle(request: Request) -> answers.Answer:
+        return await item(request, proceed)
+
+    return handle
--- /dev/null
+++ b/sycamorebeam/hashing.py
@@ -0,0 +1,43 @@
+"""Digests and rendezvous hashing."""
+
+from collections.abc import Iterable
+import hashlib
+import heapq
+
+import msgpack
+import xxhash
+
+
+def digest(data: bytes) -> bytes:
+    """Return the SHA-256 digest of ``data`` (32 bytes)."""
+    return hashlib.sha256(data).digest()
+
+
+def digest_value(value: object) -> bytes:
+    """Return the digest of a JSON-like value, whatever its key order."""
+    return digest(msgpack.packb(_sorted(value)))
+
+
+def _sorted(value: object) -> object:
+    match value:
+        case dict():
+            return {key: _sorted(value[key]) for key in sorted(value)}
+        case list() | tuple():
+            return [_sorted(item) for item in value]
+        case _:
+            return value
+
+
+def weight(key: str, node: str) -> int:
+    """Return the rendezvous weight of ``node`` for ``key``."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{node}".encode())
+
+
+def pick(key: str, nodes: Iterable[str]) -> str | None:
+    """Return the node with the highest weight for ``key``, if any."""
+    return max(nodes, key=lambda node: weight(key, node), default=None)
+
+
+def rank(key: str, nodes: Iterable[str], count: int) -> list[str]:
+    """Return the ``count`` nodes of highest weight for ``key``, in order."""
+    return heapq.nlargest(count, nodes, key=lambda node: weight(key, node))
--- /dev/null
+++ b/sycamorebeam/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""The pipeline runner: stages, routes, attempts and their checks."""
--- /dev/null
+++ b/sycamorebeam/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision functions: state and clock in, decision out."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: model checking, measurements and packaging."""
