--- a/sycamorebeam/clients/ports.py
+++ b/sycamorebeam/clients/ports.py
@@ -33,6 +33,7 @@
 
 
 OnToken = Callable[[int, str], Awaitable[None]]
+BeforeSend = Callable[[], None]
 
 
 @attrs.frozen(kw_only=True)
@@ -41,7 +42,9 @@
 
     ``on_token`` gets the index and text of each token of a generating
     stage, in order and each once. ``fresh_connection`` asks for a
-    connection on which nothing was sent before.
+    connection on which nothing was sent before. ``before_send`` runs when
+    the connection stands, right before the first byte of the call; when it
+    raises, nothing is sent.
     """
 
     id: str
@@ -53,6 +56,7 @@
     priority: int = 1
     on_token: OnToken | None = None
     fresh_connection: bool = False
+    before_send: BeforeSend | None = None
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/sycamorebeam/controllers/peers.py
@@ -0,0 +1,265 @@
+"""The overlay of instances: news of leaving targets, catalogue offsets.
+
+Each instance dials a few peers that rendezvous hashing picks, and takes
+the streams that others dial. News is passed on once by each instance that
+hears it first, so that it reaches all of them in a few hops while each
+sends a bounded number of messages, however many instances there are.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+import contextlib
+import itertools
+import random
+from typing import Protocol
+import uuid
+
+import attrs
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import hashing
+from sycamorebeam import telemetry
+from sycamorebeam.clients import results
+from sycamorebeam.peering import messages
+from sycamorebeam.peering import stream as streams
+
+DIALLED_PEERS = 4
+MAX_STREAMS = 16
+PING_MS = 4_000
+DIAL_RETRY_MS = 1_000
+FETCH_TIMEOUT_MS = 3_000
+MAX_NEWS_KEPT = 1_024
+
+
+class CatalogueSource(Protocol):
+    """Where peers get the catalogue from."""
+
+    def in_force(self) -> tuple[int, bytes]:
+        """Return the offset in force and the digest of its state."""
+        ...
+
+    def state(self) -> bytes:
+        """Return the folded state in force, as a peer verifies it."""
+        ...
+
+
+@attrs.frozen
+class PeerOffset:
+    """The catalogue that a peer has in force."""
+
+    peer_id: str
+    offset: int
+    digest: bytes
+
+
+class Peers:
+    """Streams to other instances and what they say."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        secret: bytes,
+        clock: clocks.Clock,
+        source: CatalogueSource,
+        on_leaving: Callable[[str], None],
+        generator: random.Random,
+    ) -> None:
+        self._instance_id = instance_id
+        self._secret = secret
+        self._clock = clock
+        self._source = source
+        self._on_leaving = on_leaving
+        self._random = generator
+        self._streams: dict[str, streams.PeerStream] = {}
+        self._offsets: dict[str, PeerOffset] = {}
+        self._news: OrderedDict[str, None] = OrderedDict()
+        self._calls: dict[int, asyncio.Future[messages.CatalogueState]] = {}
+        self._call_ids = itertools.count(1)
+        self._closed_bytes = 0
+        self._instances: Callable[[], dict[str, results.Replica]] = dict
+
+    @property
+    def connected(self) -> list[str]:
+        """The instances that a stream stands to."""
+        return sorted(self._streams)
+
+    @property
+    def sent_bytes(self) -> int:
+        """How many bytes were sent to peers."""
+        open_bytes = sum(item.sent_bytes for item in self._streams.values())
+        return self._closed_bytes + open_bytes
+
+    def follow(
+        self, instances: Callable[[], dict[str, results.Replica]]
+    ) -> None:
+        """Take the instances to dial from ``instances``."""
+        self._instances = instances
+
+    def tell_leaving(self, target_id: str) -> None:
+        """Tell all instances that a target is leaving."""
+        news = messages.Leaving(uuid.uuid4().hex, [target_id])
+        self._remember(news.news_id)
+        self._broadcast(news)
+
+    def highest(self) -> PeerOffset | None:
+        """Return the highest catalogue offset that a peer has in force."""
+        offsets = self._offsets.values()
+        return max(offsets, key=lambda item: item.offset, default=None)
+
+    async def fetch_state(
+        self, peer_id: str, above: int
+    ) -> messages.CatalogueState | None:
+        """Return a peer's folded catalogue, None when it gave none."""
+        stream = self._streams.get(peer_id)
+        if stream is None:
+            return None
+        call_id = next(self._call_ids)
+        future: asyncio.Future[messages.CatalogueState] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._calls[call_id] = future
+        stream.send(messages.FetchCatalogue(call_id, above))
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
+                answer = await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._calls[call_id]
+        return answer if answer.state else None
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one stream that a peer dialled."""
+        await self._serve(streams.PeerStream(reader, writer))
+
+    async def dial_forever(self) -> None:
+        """Keep streams to the peers that rendezvous hashing picks."""
+        dialling: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                wanted = self._wanted()
+                dialling = {
+                    name: task
+                    for name, task in dialling.items()
+                    if not task.done()
+                }
+                for name in wanted.keys() - dialling.keys():
+                    if name not in self._streams:
+                        address = wanted[name]
+                        dialling[name] = asyncio.create_task(
+                            self._dial(address)
+                        )
+                jitter_ms = self._random.uniform(0.5, 1.5) * DIAL_RETRY_MS
+                await self._clock.sleep_ms(jitter_ms)
+        finally:
+            for task in dialling.values():
+                task.cancel()
+
+    async def ping_forever(self) -> None:
+        """Send the offset in force to the peers, again and again."""
+        while True:
+            self.announce()
+            await self._clock.sleep_ms(PING_MS)
+
+    def announce(self) -> None:
+        """Send the offset in force now."""
+        offset, digest = self._source.in_force()
+        self._broadcast(messages.Ping(offset, digest))
+
+    def _wanted(self) -> dict[str, str]:
+        addresses = {
+            name: replica.peer_address
+            for name, replica in self._instances().items()
+            if replica.peer_address
+            and not replica.leaving
+            and name != self._instance_id
+        }
+        picked = hashing.rank(self._instance_id, addresses, DIALLED_PEERS)
+        return {name: addresses[name] for name in picked}
+
+    async def _dial(self, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(streams.HANDSHAKE_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+            await self._serve(streams.PeerStream(reader, writer))
+
+    async def _serve(self, stream: streams.PeerStream) -> None:
+        try:
+            await stream.handshake(self._instance_id, self._secret)
+            known = self._streams.get(stream.peer_id)
+            if len(self._streams) >= MAX_STREAMS and known is None:
+                return
+            self._streams[stream.peer_id] = stream
+            telemetry.log_event('peer_connected', peer=stream.peer_id)
+            offset, digest = self._source.in_force()
+            stream.send(messages.Ping(offset, digest))
+            async for message in stream.receive():
+                self._handle(stream, message)
+        except streams.HandshakeError as error:
+            telemetry.log_event('peer_refused', 'WARNING', reason=str(error))
+        finally:
+            await self._drop(stream)
+
+    async def _drop(self, stream: streams.PeerStream) -> None:
+        if self._streams.get(stream.peer_id) is stream:
+            del self._streams[stream.peer_id]
+            self._offsets.pop(stream.peer_id, None)
+            telemetry.log_event('peer_disconnected', peer=stream.peer_id)
+        self._closed_bytes += stream.sent_bytes
+        await stream.close()
+
+    def _handle(
+        self, stream: streams.PeerStream, message: messages.Message
+    ) -> None:
+        match message:
+            case messages.Ping(offset, digest):
+                self._offsets[stream.peer_id] = PeerOffset(
+                    stream.peer_id, offset, digest
+                )
+            case messages.Leaving(news_id, target_ids):
+                self._take_news(stream, message, news_id, target_ids)
+            case messages.FetchCatalogue(call_id, above):
+                stream.send(self._state_above(call_id, above))
+            case messages.CatalogueState(call_id):
+                future = self._calls.get(call_id)
+                if future is not None and not future.done():
+                    future.set_result(message)
+
+    def _take_news(
+        self,
+        source: streams.PeerStream,
+        message: messages.Message,
+        news_id: str,
+        target_ids: list[str],
+    ) -> None:
+        if news_id in self._news:
+            return
+        self._remember(news_id)
+        for target_id in target_ids:
+            self._on_leaving(target_id)
+        self._broadcast(message, without=source)
+
+    def _state_above(
+        self, call_id: int, above: int
+    ) -> messages.CatalogueState:
+        offset, _ = self._source.in_force()
+        state = self._source.state() if offset > above else b''
+        return messages.CatalogueState(call_id, offset, state)
+
+    def _broadcast(
+        self,
+        message: messages.Message,
+        without: streams.PeerStream | None = None,
+    ) -> None:
+        for stream in self._streams.values():
+            if stream is not without:
+                stream.send(message)
+
+    def _remember(self, news_id: str) -> None:
+        self._news[news_id] = None
+        if len(self._news) > MAX_NEWS_KEPT:
+            self._news.popitem(last=False)
--- /dev/null
+++ b/sycamorebeam/filters/admission.py
@@ -0,0 +1,67 @@
+"""Admits a request under the limits of its team and of the instance."""
+
+import attrs
+
+from sycamorebeam import answers
+from sycamorebeam.controllers import limits
+from sycamorebeam.controllers import targets
+from sycamorebeam.filters import chain
+
+
+@attrs.frozen
+class Admission:
+    """Refuses at once what is over a limit, and says when to come back."""
+
+    _limits: limits.LimitsController
+    _targets: targets.Targets
+
+    async def __call__(
+        self, request: chain.Request, proceed: chain.Handler
+    ) -> answers.Answer:
+        """Hold a slot while the request runs."""
+        assert request.team is not None
+        service_class = request.team.service_class
+        outcome = request.refused_outcome
+        admitted = self._limits.admit(
+            request.team_name,
+            request.team.limits,
+            service_class,
+            self._targets.live_instances,
+        )
+        match admitted:
+            case limits.OverTeamLimit(limit, retry_after_ms):
+                return _limited(
+                    request.team_name, limit, retry_after_ms, outcome
+                )
+            case limits.Overloaded(retry_after_ms):
+                return _overloaded(
+                    service_class.value, retry_after_ms, outcome
+                )
+        try:
+            return await proceed(request)
+        finally:
+            self._limits.release(request.team_name, service_class)
+
+
+def _limited(
+    team: str, limit: str, retry_after_ms: int, outcome: answers.Outcome
+) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.LIMITED,
+        outcome,
+        f'team {team!r} is over its limit {limit}',
+        'wait as long as Retry-After says, or ask for a higher limit',
+        retry_after_ms,
+    )
+
+
+def _overloaded(
+    service_class: str, retry_after_ms: int, outcome: answers.Outcome
+) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.OVERLOADED,
+        outcome,
+        f'this instance has no room for class {service_class!r}',
+        'wait as long as Retry-After says and send the request again',
+        retry_after_ms,
+    )
--- /dev/null
+++ b/sycamorebeam/filters/identity.py
@@ -0,0 +1,77 @@
+"""Finds out which team calls which pipeline."""
+
+import hashlib
+import hmac
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam.controllers import view
+from sycamorebeam.filters import chain
+
+
+class Identity:
+    """Sets the request's team and pipeline, or refuses it."""
+
+    def __init__(self, teams: view.CatalogueView) -> None:
+        self._view = teams
+
+    async def __call__(
+        self, request: chain.Request, proceed: chain.Handler
+    ) -> answers.Answer:
+        """Pass a request on only with a known team and pipeline."""
+        outcome = request.refused_outcome
+        team_name = self._team_of(request.token)
+        if team_name is None:
+            return _unauthenticated(outcome)
+        pipeline = self._view.catalogue.pipeline(request.pipeline_name)
+        if pipeline is None:
+            return _unknown_pipeline(request.pipeline_name, outcome)
+        if pipeline.teams and team_name not in pipeline.teams:
+            return _forbidden(team_name, request.pipeline_name, outcome)
+        request.team_name = team_name
+        request.team = self._view.catalogue.team(team_name)
+        request.pipeline = pipeline
+        return await proceed(request)
+
+    def _team_of(self, token: str | None) -> str | None:
+        if not token:
+            return None
+        found = hashlib.sha256(token.encode()).hexdigest()
+        name = self._view.team_by_digest(found)
+        team = self._view.catalogue.team(name) if name else None
+        return name if team and _has_token(team, found) else None
+
+
+def _has_token(team: catalogue.Team, found: str) -> bool:
+    """Compare with every digest, in a time that does not tell which fits."""
+    matches = [hmac.compare_digest(item, found) for item in team.token_sha256]
+    return any(matches)
+
+
+def _unauthenticated(outcome: answers.Outcome) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.UNAUTHENTICATED,
+        outcome,
+        'the request has no token of a known team',
+        'send "Authorization: Bearer TOKEN" with the token of your team',
+    )
+
+
+def _unknown_pipeline(name: str, outcome: answers.Outcome) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.UNKNOWN_PIPELINE,
+        outcome,
+        f'no accepted pipeline is called {name!r}',
+        'check the name, or publish the pipeline in the catalogue',
+    )
+
+
+def _forbidden(
+    team: str, pipeline: str, outcome: answers.Outcome
+) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.FORBIDDEN,
+        outcome,
+        f'team {team!r} is not listed for pipeline {pipeline!r}',
+        "ask the pipeline's owner to add the team to its entry",
+    )
--- /dev/null
+++ b/sycamorebeam/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of messages between instances."""
--- /dev/null
+++ b/sycamorebeam/peering/messages.py
@@ -0,0 +1,98 @@
+"""The messages between instances, and their form on the wire.
+
+A message is one msgpack array: its type, the version of its type, and its
+fields in order. A reader takes the fields it knows and ignores later ones,
+and skips types it does not know, so that instances of neighbouring versions
+understand each other during a rolling upgrade.
+"""
+
+from typing import Any
+
+import attrs
+import msgpack
+
+MESSAGE_VERSION = 1
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen
+class Hello:
+    """Opens a stream: who speaks, and a nonce for the other to prove on."""
+
+    instance_id: str
+    nonce: bytes
+
+
+@attrs.frozen
+class Proof:
+    """Shows knowledge of the shared secret for the other's nonce."""
+
+    digest: bytes
+
+
+@attrs.frozen
+class Ping:
+    """Keeps the stream alive and tells which catalogue is in force."""
+
+    catalogue_offset: int
+    catalogue_digest: bytes
+
+
+@attrs.frozen
+class Leaving:
+    """Targets that were observed to be leaving; ``news_id`` stops loops."""
+
+    news_id: str
+    target_ids: list[str]
+
+
+@attrs.frozen
+class FetchCatalogue:
+    """Asks for the folded catalogue, at ``above`` an offset or higher."""
+
+    call_id: int
+    above: int
+
+
+@attrs.frozen
+class CatalogueState:
+    """Answers ``FetchCatalogue``; ``state`` is empty when there is none."""
+
+    call_id: int
+    offset: int
+    state: bytes
+
+
+Message = Hello | Proof | Ping | Leaving | FetchCatalogue | CatalogueState
+
+_TYPES: dict[str, type[Any]] = {
+    'hello': Hello,
+    'proof': Proof,
+    'ping': Ping,
+    'leaving': Leaving,
+    'fetch': FetchCatalogue,
+    'state': CatalogueState,
+}
+_NAMES = {kind: name for name, kind in _TYPES.items()}
+
+
+def pack(message: Message) -> bytes:
+    """Return the bytes of one message."""
+    fields = attrs.astuple(message, recurse=False)
+    return msgpack.packb([_NAMES[type(message)], MESSAGE_VERSION, *fields])
+
+
+def unpack(item: object) -> Message | None:
+    """Return the message, None when this program does not know its type.
+
+    Raises ValueError when ``item`` is not a message.
+    """
+    if not isinstance(item, list) or len(item) < 2:
+        raise ValueError('a peer message is an array of type and version')
+    kind = _TYPES.get(item[0])
+    if kind is None:
+        return None
+    count = len(attrs.fields(kind))
+    if len(item) < count + 2:
+        raise ValueError(f'peer message {item[0]!r} lacks fields')
+    return kind(*item[2 : count + 2])
--- /dev/null
+++ b/sycamorebeam/peering/stream.py
@@ -0,0 +1,141 @@
+"""One authenticated stream of messages to another instance."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import hmac
+import os
+
+import msgpack
+
+from sycamorebeam.peering import messages
+
+NONCE_BYTES = 16
+READ_BYTES = 65_536
+MAX_QUEUED_MESSAGES = 256
+HANDSHAKE_TIMEOUT_S = 2.0
+# A peer pings several times in this period; silence means a dead stream.
+IDLE_TIMEOUT_S = 15.0
+
+
+class HandshakeError(Exception):
+    """The other end did not prove that it knows the shared secret."""
+
+
+class PeerStream:
+    """Sends and receives messages; never blocks the sender.
+
+    Messages beyond ``MAX_QUEUED_MESSAGES`` are dropped and counted: every
+    message is repeated or asked for again by its protocol.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=messages.MAX_MESSAGE_BYTES
+        )
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._sender: asyncio.Task[None] | None = None
+        self._peer_id = ''
+        self._sent_bytes = 0
+        self._dropped = 0
+
+    @property
+    def peer_id(self) -> str:
+        """The instance at the other end, known after the handshake."""
+        return self._peer_id
+
+    @property
+    def sent_bytes(self) -> int:
+        """How many bytes were sent on this stream."""
+        return self._sent_bytes
+
+    @property
+    def dropped(self) -> int:
+        """How many messages were dropped because the queue was full."""
+        return self._dropped
+
+    async def handshake(self, own_id: str, secret: bytes) -> None:
+        """Prove the secret to each other, or raise HandshakeError."""
+        nonce = os.urandom(NONCE_BYTES)
+        self._write(messages.Hello(own_id, nonce))
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                await self._prove(own_id, nonce, secret)
+        except (TimeoutError, OSError, ValueError) as error:
+            raise HandshakeError(f'handshake failed: {error!r}') from error
+        self._sender = asyncio.create_task(self._send_queued())
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message."""
+        try:
+            self._queue.put_nowait(messages.pack(message))
+        except asyncio.QueueFull:
+            self._dropped += 1
+
+    async def receive(self) -> AsyncIterator[messages.Message]:
+        """Yield messages until the stream ends or falls silent."""
+        with contextlib.suppress(TimeoutError, OSError, ValueError):
+            while True:
+                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                    message = await self._next()
+                if message is None:
+                    return
+                yield message
+
+    async def close(self) -> None:
+        """Close the stream; queued messages are dropped."""
+        if self._sender is not None:
+            self._sender.cancel()
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+    async def _prove(self, own_id: str, nonce: bytes, secret: bytes) -> None:
+        hello = await self._next()
+        if not isinstance(hello, messages.Hello):
+            raise HandshakeError('the first message is not a hello')
+        if hello.instance_id == own_id:
+            raise HandshakeError('the peer has the id of this instance')
+        own = _proof(secret, own_id, hello.nonce)
+        self._write(messages.Proof(own))
+        expected = _proof(secret, hello.instance_id, nonce)
+        proof = await self._next()
+        if not isinstance(proof, messages.Proof):
+            raise HandshakeError('the second message is not a proof')
+        if not hmac.compare_digest(proof.digest, expected):
+            raise HandshakeError('the peer has another secret')
+        self._peer_id = hello.instance_id
+
+    async def _next(self) -> messages.Message | None:
+        """Return the next known message, None at the end of the stream."""
+        while True:
+            for item in self._unpacker:
+                message = messages.unpack(item)
+                if message is not None:
+                    return message
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                return None
+            self._unpacker.feed(data)
+
+    def _write(self, message: messages.Message) -> None:
+        self._write_bytes(messages.pack(message))
+
+    def _write_bytes(self, data: bytes) -> None:
+        self._writer.write(data)
+        self._sent_bytes += len(data)
+
+    async def _send_queued(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                self._write_bytes(await self._queue.get())
+                await self._writer.drain()
+
+
+def _proof(secret: bytes, prover_id: str, nonce: bytes) -> bytes:
+    """Return the proof; it names its prover, so it cannot be reflected."""
+    return hmac.digest(secret, prover_id.encode() + b'\x00' + nonce, 'sha256')
--- /dev/null
+++ b/sycamorebeam/pipeline/attempt.py
@@ -0,0 +1,75 @@
+"""Carries out one attempt of a stage and keeps its books."""
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import targets
+
+
+@attrs.frozen
+class Attempts:
+    """Sends attempts and records what they tell about the replicas."""
+
+    _client: ports.TargetClient
+    _targets: targets.Targets
+    _clock: clocks.Clock
+    _metrics: telemetry.Metrics
+
+    async def send(
+        self,
+        request_id: str,
+        stage: catalogue.Stage,
+        kind: catalogue.TargetKind,
+        state: targets.ReplicaState,
+        attempt: ports.Attempt,
+    ) -> results.TargetResult:
+        """Send one attempt to the replica and return its result."""
+        started_ms = self._clock.monotonic_ms()
+        state.in_flight += 1
+        outcome = 'cancelled'
+        try:
+            result = await self._client.call(kind, state.replica, attempt)
+            outcome = self._learn(state, result, started_ms)
+        finally:
+            state.in_flight -= 1
+            duration_ms = self._clock.monotonic_ms() - started_ms
+            self._metrics.count(f'attempt.{outcome}')
+            self._metrics.timing(f'stage.{stage.name}.ms', duration_ms)
+            if outcome != 'complete':
+                telemetry.log_event(
+                    'attempt',
+                    request=request_id,
+                    stage=stage.name,
+                    attempt=attempt.id,
+                    target=state.replica.id,
+                    outcome=outcome,
+                    ms=duration_ms,
+                )
+        return result
+
+    def _learn(
+        self,
+        state: targets.ReplicaState,
+        result: results.TargetResult,
+        started_ms: int,
+    ) -> str:
+        now_ms = self._clock.monotonic_ms()
+        match result:
+            case results.TargetAnswer():
+                state.health.succeeded()
+                state.durations.add(now_ms - started_ms)
+                if result.draining:
+                    self._targets.mark_leaving(state.replica.id)
+                return 'complete'
+            case results.TargetNotRun():
+                state.health.failed(now_ms)
+                if result.draining:
+                    self._targets.mark_leaving(state.replica.id)
+                return 'not_run'
+            case results.TargetMaybeRun():
+                state.health.failed(now_ms)
+                return 'maybe_run'
--- /dev/null
+++ b/sycamorebeam/pipeline/progress.py
@@ -0,0 +1,51 @@
+"""The progress of one request through the stages of its pipeline."""
+
+from typing import Any
+
+import attrs
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clocks
+from sycamorebeam.filters import chain
+
+
+@attrs.define
+class Run:
+    """The progress of one request through its stages.
+
+    ``sent`` counts the attempts that may have run something, and
+    ``dispatched`` says that the non-idempotent call was sent.
+    """
+
+    request: chain.Request
+    pipeline: catalogue.Pipeline
+    deadline: clocks.Deadline
+    weighting: catalogue.Weighting
+    outputs: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    stage_ms: dict[str, int] = attrs.field(factory=dict)
+    stage_cost: dict[str, float] = attrs.field(factory=dict)
+    region_bytes: int = 0
+    tokens: int = 0
+    retries: int = 0
+    dispatched: bool = False
+    sent: int = 0
+
+    def usage(self) -> answers.Usage:
+        """Return what the request consumed so far."""
+        return answers.Usage(
+            self.stage_ms,
+            self.stage_cost,
+            self.region_bytes,
+            self.tokens,
+            self.retries,
+        )
+
+    @property
+    def interrupted_outcome(self) -> answers.Outcome:
+        """What is known of the run if it ends now, without its answer."""
+        if self.dispatched:
+            return answers.Outcome.UNKNOWN
+        if self.sent:
+            return answers.Outcome.PARTIAL
+        return self.request.refused_outcome
--- /dev/null
+++ b/sycamorebeam/pipeline/runner.py
@@ -0,0 +1,284 @@
+"""Runs the stages of a pipeline for one request."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import attrs
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import targets
+from sycamorebeam.controllers import view
+from sycamorebeam.filters import chain
+from sycamorebeam.pipeline import attempt
+from sycamorebeam.pipeline import inputs
+from sycamorebeam.pipeline import problems
+from sycamorebeam.pipeline import progress
+from sycamorebeam.pipeline import route
+from sycamorebeam.policy import bucket
+from sycamorebeam.policy import quantiles
+
+MAX_ATTEMPTS = 3
+# A stage is refused early when even this quantile of it would be too late.
+BUDGET_QUANTILE = 0.5
+PRIORITIES = {
+    catalogue.ServiceClass.URGENT: 0,
+    catalogue.ServiceClass.NORMAL: 1,
+    catalogue.ServiceClass.BULK: 2,
+}
+
+
+@attrs.define
+class StageError(Exception):
+    """Ends a run with the problem that its caller is told."""
+
+    problem: answers.Problem
+
+
+class Runner:
+    """Runs pipelines: for each stage route, attempt and verify."""
+
+    def __init__(
+        self,
+        catalogue_view: view.CatalogueView,
+        known: targets.Targets,
+        router: route.Router,
+        attempts: attempt.Attempts,
+        clock: clocks.Clock,
+        budget: bucket.RetryBudget,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._view = catalogue_view
+        self._targets = known
+        self._router = router
+        self._attempts = attempts
+        self._clock = clock
+        self._budget = budget
+        self._metrics = metrics
+        self._durations: dict[tuple[str, str], quantiles.RecentDurations] = {}
+        self._numbers = itertools.count(1)
+
+    async def run(self, request: chain.Request) -> answers.Answer:
+        """Return the whole answer to ``request``, or why there is none."""
+        assert request.pipeline is not None
+        assert request.deadline is not None
+        run = progress.Run(
+            request, request.pipeline, request.deadline, self._weighting()
+        )
+        self._budget.earn()
+        try:
+            timeout_s = run.deadline.remaining_ms(self._clock) / 1000
+            async with asyncio.timeout(timeout_s):
+                await self._run_stages(run)
+        except TimeoutError:
+            return problems.late(run)
+        except ExceptionGroup as failed:
+            return _first_problem(failed)
+        last = run.pipeline.stages[-1].name
+        return answers.Completed(run.outputs[last], run.usage())
+
+    async def _run_stages(self, run: progress.Run) -> None:
+        done = {stage.name: asyncio.Event() for stage in run.pipeline.stages}
+        async with asyncio.TaskGroup() as group:
+            for index in range(len(run.pipeline.stages)):
+                group.create_task(self._run_stage(run, index, done))
+
+    async def _run_stage(
+        self, run: progress.Run, index: int, done: dict[str, asyncio.Event]
+    ) -> None:
+        stage = run.pipeline.stages[index]
+        needed = inputs.needed_stages(run.pipeline, index)
+        for name in needed:
+            await done[name].wait()
+        target = self._view.catalogue.target(stage.target)
+        if target is None:
+            raise StageError(problems.no_target(run, stage))
+        self._check_budget(run, index)
+        started_ms = self._clock.monotonic_ms()
+        stage_input = inputs.stage_input(
+            target.kind,
+            run.request.body['input'],
+            {name: run.outputs[name] for name in needed},
+        )
+        answer = await self._try_stage(run, stage, target, stage_input)
+        duration_ms = self._clock.monotonic_ms() - started_ms
+        self._account(run, stage, target, answer, duration_ms)
+        done[stage.name].set()
+
+    async def _try_stage(
+        self,
+        run: progress.Run,
+        stage: catalogue.Stage,
+        target: catalogue.Target,
+        stage_input: dict[str, Any],
+    ) -> results.TargetAnswer:
+        tried: frozenset[str] = frozenset()
+        for number in range(MAX_ATTEMPTS):
+            chosen = self._router.choose(stage.target, run.weighting, tried)
+            if isinstance(chosen, route.NoReplica):
+                raise StageError(
+                    problems.no_replica(run, stage, chosen.reason)
+                )
+            sent = await self._send(run, stage, target, chosen, stage_input)
+            self._count_bytes(run, chosen, sent)
+            if isinstance(sent, results.TargetAnswer):
+                return sent
+            if not self._may_retry(run, stage, sent, number):
+                raise StageError(problems.failed(run, stage, sent))
+            run.retries += 1
+            tried |= {chosen.replica.id}
+        raise AssertionError('the loop returns or raises')
+
+    async def _send(
+        self,
+        run: progress.Run,
+        stage: catalogue.Stage,
+        target: catalogue.Target,
+        chosen: targets.ReplicaState,
+        stage_input: dict[str, Any],
+    ) -> results.TargetResult:
+        sending = ports.Attempt(
+            id=f'{run.request.request_id}.{next(self._numbers)}',
+            operation=stage.operation,
+            input=stage_input,
+            deadline=run.deadline,
+            model=stage.model,
+            max_tokens=stage.max_tokens,
+            priority=PRIORITIES[run.pipeline.service_class],
+            on_token=self._emitter(run, stage),
+            fresh_connection=not stage.idempotent,
+            before_send=None if stage.idempotent else _dispatcher(run),
+        )
+        run.sent += 1
+        result = await self._attempts.send(
+            run.request.request_id, stage, target.kind, chosen, sending
+        )
+        if isinstance(result, results.TargetNotRun):
+            run.sent -= 1
+        return result
+
+    def _may_retry(
+        self,
+        run: progress.Run,
+        stage: catalogue.Stage,
+        result: results.TargetNotRun | results.TargetMaybeRun,
+        number: int,
+    ) -> bool:
+        if number + 1 >= MAX_ATTEMPTS:
+            return False
+        if not stage.idempotent and run.dispatched:
+            return False
+        if run.request.emitted:
+            return False
+        if not self._budget.spend():
+            self._metrics.count('retry.denied')
+            return False
+        self._metrics.count('retry.sent')
+        return True
+
+    def _emitter(
+        self, run: progress.Run, stage: catalogue.Stage
+    ) -> ports.OnToken | None:
+        emit = run.request.emit
+        if emit is None or stage is not run.pipeline.stages[-1]:
+            return None
+
+        async def on_token(index: int, text: str) -> None:
+            run.request.emitted += 1
+            await emit('token', {'i': index, 'text': text})
+
+        return on_token
+
+    def _check_budget(self, run: progress.Run, index: int) -> None:
+        """Refuse a stage when what follows cannot end in time."""
+        if index and run.dispatched:
+            return
+        expected_ms = self._expected_ms(run.pipeline, index)
+        remaining_ms = run.deadline.remaining_ms(self._clock)
+        if expected_ms > remaining_ms:
+            self._metrics.count('refused.early')
+            raise StageError(problems.too_late(run, expected_ms, remaining_ms))
+
+    def _expected_ms(self, pipeline: catalogue.Pipeline, index: int) -> int:
+        """Return the median time of the longest path from ``index`` on."""
+        ends = [0] * len(pipeline.stages)
+        names = [stage.name for stage in pipeline.stages]
+        for later in range(index, len(pipeline.stages)):
+            needed = inputs.needed_stages(pipeline, later)
+            starts = [ends[names.index(name)] for name in needed]
+            own_ms = self._median_ms(pipeline.stages[later])
+            ends[later] = max(starts, default=0) + own_ms
+        return max(ends[index:])
+
+    def _median_ms(self, stage: catalogue.Stage) -> int:
+        durations = self._durations.get((stage.target, stage.operation))
+        found = durations and durations.quantile_ms(BUDGET_QUANTILE)
+        return found or 0
+
+    def _account(
+        self,
+        run: progress.Run,
+        stage: catalogue.Stage,
+        target: catalogue.Target,
+        answer: results.TargetAnswer,
+        duration_ms: int,
+    ) -> None:
+        run.outputs[stage.name] = answer.output
+        run.stage_ms[stage.name] = duration_ms
+        run.tokens += answer.tokens
+        token_cost = target.cost_per_token * answer.tokens
+        run.stage_cost[stage.name] = target.cost_per_call + token_cost
+        place = (stage.target, stage.operation)
+        durations = self._durations.get(place)
+        if durations is None:
+            durations = self._durations[place] = quantiles.RecentDurations()
+        durations.add(duration_ms)
+
+    def _count_bytes(
+        self,
+        run: progress.Run,
+        chosen: targets.ReplicaState,
+        result: results.TargetResult,
+    ) -> None:
+        if chosen.replica.region == self._targets.here.region:
+            return
+        if isinstance(result, results.TargetAnswer):
+            moved = result.sent_bytes + result.received_bytes
+            run.region_bytes += moved
+            self._metrics.count('region.bytes', moved)
+
+    def _weighting(self) -> catalogue.Weighting:
+        limits = self._view.catalogue.of_kind('limit').values()
+        for limit in limits:
+            if isinstance(limit, catalogue.SharedLimit):
+                return limit.weighting
+        return catalogue.Weighting.ATTAINMENT
+
+
+def _dispatcher(run: progress.Run) -> ports.BeforeSend:
+    """Return the step that spends the permit before the first byte."""
+
+    def spend() -> None:
+        permit = run.request.permit
+        assert permit is not None
+        permit.use()
+        run.dispatched = True
+
+    return spend
+
+
+def _first_problem(failed: ExceptionGroup) -> answers.Problem:
+    """Return the problem that ended the run; other errors are raised."""
+    ended, others = failed.split(StageError)
+    if ended is None or others is not None:
+        raise failed
+    found: BaseException = ended
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    assert isinstance(found, StageError)
+    return found.problem
--- /dev/null
+++ b/sycamorebeam/policy/ejection.py
@@ -0,0 +1,46 @@
+"""Takes replicas that fail or lag out of routing, for growing periods."""
+
+import attrs
+
+FAILURES_TO_EJECT = 3
+FIRST_PERIOD_MS = 1_000
+LONGEST_PERIOD_MS = 30_000
+# At least this share of a subset stays in use, however bad it looks.
+FLOOR = 0.5
+
+
+@attrs.define
+class Health:
+    """Recent results of one replica as one instance saw them."""
+
+    failures: int = 0
+    period_ms: int = 0
+    ejected_until_ms: int = 0
+
+    def succeeded(self) -> None:
+        """Count a whole answer."""
+        self.failures = 0
+        self.period_ms = 0
+
+    def failed(self, now_ms: int) -> None:
+        """Count a failure, and eject after several in a row."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_EJECT:
+            return
+        self.failures = 0
+        doubled_ms = self.period_ms * 2 or FIRST_PERIOD_MS
+        self.period_ms = min(doubled_ms, LONGEST_PERIOD_MS)
+        self.ejected_until_ms = now_ms + self.period_ms
+
+
+def usable(healths: dict[str, Health], now_ms: int) -> list[str]:
+    """Return the replicas in use, ejected ones only to keep the floor."""
+    by_return = sorted(
+        healths, key=lambda item: healths[item].ejected_until_ms
+    )
+    least = int(len(by_return) * FLOOR + 0.999)
+    return [
+        name
+        for position, name in enumerate(by_return)
+        if position < least or healths[name].ejected_until_ms <= now_ms
+    ]
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -13,10 +13,15 @@
 
 @attrs.frozen(kw_only=True)
 class Addresses:
-    """Where this instance listens: IP numbers with ports."""
+    """Where this instance listens: IP numbers with ports.
+
+    ``admin`` serves the operators' pages; None serves them with the
+    callers' interface.
+    """
 
     callers: str
     peers: str
+    admin: str | None = None
     advertised_callers: str | None = None
     advertised_peers: str | None = None
 
@@ -41,6 +46,7 @@
     body_timeout_ms: int = 5_000
     idle_timeout_ms: int = 30_000
     max_deadline_ms: int = 600_000
+    max_in_flight: int = 512
 
 
 @attrs.frozen(kw_only=True)
