--- /dev/null
+++ b/tests/fake_targets.py
@@ -0,0 +1,58 @@
+"""Targets in memory, at the interface ``ports.TargetClient``."""
+
+import asyncio
+
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+
+class FakeTargets:
+    """Answers attempts from a script and counts what ran.
+
+    ``script`` maps an operation to a list of steps for its next attempts,
+    each a result, a number (answer after that many ms) or a callable;
+    afterwards every attempt is answered at once. ``runs`` holds the ids
+    that ran, by operation.
+    """
+
+    def __init__(self, script=None):
+        self.script = script or {}
+        self.attempts = []
+        self.cancelled = []
+        self.runs = {}
+
+    async def call(self, kind, replica, attempt):
+        self.attempts.append((replica.id, attempt))
+        steps = self.script.get(attempt.operation)
+        step = steps.pop(0) if steps else None
+        if isinstance(step, results.TargetNotRun):
+            return step
+        if attempt.before_send is not None:
+            attempt.before_send()
+        self.runs.setdefault(attempt.operation, []).append(attempt.id)
+        try:
+            return await self._answer(step, replica, attempt)
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt.id)
+            raise
+
+    async def load(self, replica):
+        return ports.LoadReport(
+            running=0, waiting=0, capacity=4, draining=False, age_ms=0
+        )
+
+    async def _answer(self, step, replica, attempt):
+        if callable(step):
+            return await step(replica, attempt)
+        if isinstance(step, int | float):
+            await asyncio.sleep(step / 1000)
+        elif step is not None:
+            return step
+        if attempt.on_token is not None:
+            await attempt.on_token(0, 'whole')
+        return results.TargetAnswer(
+            {'operation': attempt.operation, 'of': attempt.id.split('.')[0]},
+            sent_bytes=100,
+            received_bytes=200,
+            tokens=1,
+        )
