--- a/sycamorebeam/server.py
+++ b/sycamorebeam/server.py
@@ -140,6 +140,8 @@
                 task.cancel()
             self._metrics.count('request.abandoned')
             raise
+        except Exception as error:
+            return _unexpected(error, request.request_id)
 
     def _refusal(self, http: web.Request) -> answers.Problem | None:
         state = self._ready.state
@@ -228,13 +230,7 @@
             return response
         except Exception as error:
             request_id = caller_requests.request_id_of(request)
-            telemetry.log_event(
-                'request_error',
-                'ERROR',
-                request=request_id,
-                error=repr(error),
-            )
-            return self._problem(_internal(), request_id)
+            return self._problem(_unexpected(error, request_id), request_id)
 
     async def _live(self, http: web.Request) -> web.Response:
         return web.Response(text='live\n')
@@ -283,7 +279,10 @@
     )
 
 
-def _internal() -> answers.Problem:
+def _unexpected(error: Exception, request_id: str) -> answers.Problem:
+    telemetry.log_event(
+        'request_error', 'ERROR', request=request_id, error=repr(error)
+    )
     return answers.Problem(
         answers.ProblemKind.INTERNAL,
         answers.Outcome.UNKNOWN,
