Check catalogue entries and their references

Cause: the fold of the catalogue and the catalogue file need one set of checks, so that what a file check accepts is what the log accepts.

--- /dev/null
+++ b/sycamorebeam/checking.py
@@ -0,0 +1,338 @@
+"""Builds attrs objects from plain values and finds every fault at once.
+
+The fields of the classes say which keys and types are allowed. Rules add
+what a type cannot say: ranges, formats and addresses. The walk goes on
+after a fault, so that one run of a check names all that is wrong.
+"""
+
+from collections.abc import Mapping
+import difflib
+import enum
+import ipaddress
+import json
+import math
+import re
+import types
+import typing
+from typing import Any
+
+import attrs
+
+Path = tuple[str | int, ...]
+MAX_PORT = 65_535
+MAX_SHOWN_CHARS = 60
+
+
+@attrs.frozen
+class Fault:
+    """One thing that is wrong, and what to do about it."""
+
+    path: Path
+    found: str
+    allowed: str
+    remedy: str
+
+    @property
+    def key(self) -> str:
+        """Return the path as people write it, ``a.b[0].c``."""
+        return render_path(self.path)
+
+    def __str__(self) -> str:
+        return (
+            f'{self.key}: found {self.found}, allowed {self.allowed}; '
+            f'{self.remedy}'
+        )
+
+
+@attrs.frozen
+class Range:
+    """A number from ``low`` to ``high``, both included."""
+
+    low: float
+    high: float
+
+
+@attrs.frozen
+class Positive:
+    """A number above zero."""
+
+
+@attrs.frozen
+class Pattern:
+    """A text that matches ``expression`` whole; ``meaning`` names it."""
+
+    expression: str
+    meaning: str
+
+
+@attrs.frozen
+class OneOf:
+    """One of some texts."""
+
+    values: tuple[str, ...]
+
+
+@attrs.frozen
+class Address:
+    """An IP number with a port."""
+
+
+@attrs.frozen
+class Url:
+    """An HTTP URL of an IP number with a port, with no path."""
+
+
+@attrs.frozen
+class NotEmpty:
+    """A list with at least one item; ``item`` is the rule of each."""
+
+    item: 'Rule | None' = None
+
+
+Rule = Range | Positive | Pattern | OneOf | Address | Url | NotEmpty
+Rules = Mapping[type, Mapping[str, Rule]]
+
+
+@attrs.frozen(kw_only=True)
+class Schema:
+    """Rules by class and field, and the keys of fields named otherwise."""
+
+    rules: Rules = attrs.field(factory=dict)
+    keys: Mapping[str, str] = attrs.field(factory=dict)
+
+    def key_of(self, field: str) -> str:
+        """Return the key under which a field is written."""
+        return self.keys.get(field, field)
+
+
+def render_path(path: Path) -> str:
+    """Return a path as text, ``a.b[0].c``; the empty path is the file."""
+    text = ''
+    for part in path:
+        match part:
+            case int():
+                text += f'[{part}]'
+            case str():
+                text += f'.{part}' if text else part
+    return text or '(whole)'
+
+
+def show(value: object) -> str:
+    """Return a value as JSON, shortened, for a message."""
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    if len(text) <= MAX_SHOWN_CHARS:
+        return text
+    return f'{text[:MAX_SHOWN_CHARS]}...'
+
+
+def unknown_key(path: Path, known: list[str]) -> Fault:
+    """Return the fault of an unknown key, with the nearest known one."""
+    near = difflib.get_close_matches(str(path[-1]), known, n=1)
+    remedy = f'write "{near[0]}"' if near else 'remove the key'
+    allowed = ', '.join(known) or 'no key'
+    return Fault(path, 'an unknown key', allowed, remedy)
+
+
+def not_among(path: Path, name: str, known: list[str], remedy: str) -> Fault:
+    """Return the fault of a name that is none of the known ones."""
+    near = difflib.get_close_matches(name, known, n=1)
+    if near:
+        remedy = f'write "{near[0]}", or {remedy}'
+    allowed = ', '.join(known) or 'none is known'
+    return Fault(path, show(name), allowed, remedy)
+
+
+def build(
+    cls: type, value: object, schema: Schema, path: Path = ()
+) -> tuple[Any, list[Fault]]:
+    """Return an object of ``cls``, None when faults were found, and those."""
+    walker = _Walker(schema)
+    built = walker.instance(cls, value, path)
+    return (None if walker.faults else built), walker.faults
+
+
+class _Walker:
+    """Walks classes and plain values side by side and collects faults."""
+
+    def __init__(self, schema: Schema) -> None:
+        self.faults: list[Fault] = []
+        self._schema = schema
+
+    def instance(self, cls: type, value: object, path: Path) -> Any:
+        """Return an object of an attrs class."""
+        if not isinstance(value, dict):
+            return self._wrong(path, value, 'an object')
+        before = len(self.faults)
+        hints = typing.get_type_hints(cls)
+        fields = {
+            self._schema.key_of(field.name): field
+            for field in attrs.fields(cls)
+        }
+        for key in value:
+            if key not in fields:
+                self.faults.append(unknown_key((*path, key), list(fields)))
+        built = {}
+        for key, field in fields.items():
+            if key in value:
+                built[field.name] = self._field(
+                    cls,
+                    field.name,
+                    hints[field.name],
+                    value[key],
+                    (*path, key),
+                )
+            elif field.default is attrs.NOTHING:
+                self._missing((*path, key), hints[field.name])
+        return None if len(self.faults) > before else cls(**built)
+
+    def _field(
+        self, cls: type, name: str, hint: Any, value: object, path: Path
+    ) -> Any:
+        before = len(self.faults)
+        built = self._typed(hint, value, path)
+        rule = self._schema.rules.get(cls, {}).get(name)
+        if rule and built is not None and len(self.faults) == before:
+            self._apply(rule, built, path)
+        return built
+
+    def _typed(self, hint: Any, value: object, path: Path) -> Any:
+        options = typing.get_args(hint)
+        if isinstance(hint, types.UnionType):
+            if value is None and types.NoneType in options:
+                return None
+            return self._typed(options[0], value, path)
+        if typing.get_origin(hint) is tuple:
+            return self._items(options[0], value, path)
+        if attrs.has(hint):
+            return self.instance(hint, value, path)
+        if issubclass(hint, enum.Enum):
+            return self._member(hint, value, path)
+        return self._scalar(hint, value, path)
+
+    def _items(self, hint: Any, value: object, path: Path) -> tuple[Any, ...]:
+        if not isinstance(value, list | tuple):
+            return self._wrong(path, value, 'a list')
+        return tuple(
+            self._typed(hint, item, (*path, index))
+            for index, item in enumerate(value)
+        )
+
+    def _member(
+        self, hint: type[enum.Enum], value: object, path: Path
+    ) -> enum.Enum | None:
+        values = [member.value for member in hint]
+        if isinstance(value, str) and value in values:
+            return hint(value)
+        near = difflib.get_close_matches(str(value), values, n=1)
+        remedy = f'write "{near[0]}"' if near else 'write one of these'
+        return self._wrong(path, value, _alternatives(values), remedy)
+
+    def _scalar(self, hint: type, value: object, path: Path) -> Any:
+        match value:
+            case bool() if hint is bool:
+                return value
+            case bool():
+                pass
+            case int() if hint is int:
+                return value
+            case int() | float() if hint is float and math.isfinite(value):
+                return float(value)
+            case str() if hint is str and value:
+                return value
+        return self._wrong(path, value, _describe_type(hint))
+
+    def _apply(self, rule: Rule, value: Any, path: Path) -> None:
+        match rule:
+            case NotEmpty(item=item) if value and item is not None:
+                for index, each in enumerate(value):
+                    self._apply(item, each, (*path, index))
+            case _ if not holds(rule, value):
+                self._wrong(path, value, describe_rule(rule))
+
+    def _missing(self, path: Path, hint: Any) -> None:
+        allowed = _describe_type(hint)
+        self.faults.append(Fault(path, 'nothing', allowed, 'add the key'))
+
+    def _wrong(
+        self, path: Path, value: object, allowed: str, remedy: str = ''
+    ) -> Any:
+        remedy = remedy or 'change the value'
+        self.faults.append(Fault(path, show(value), allowed, remedy))
+
+
+def holds(rule: Rule, value: Any) -> bool:
+    """Return whether a value of the right type keeps a rule."""
+    match rule:
+        case Range(low=low, high=high):
+            return low <= value <= high
+        case Positive():
+            return value > 0
+        case Pattern(expression=expression):
+            return re.fullmatch(expression, value) is not None
+        case OneOf(values=values):
+            return value in values
+        case Address():
+            return _is_address(value)
+        case Url():
+            return value.startswith('http://') and _is_address(value[7:])
+        case NotEmpty():
+            return bool(value)
+
+
+def _is_address(text: str) -> bool:
+    host, colon, port = text.rpartition(':')
+    if not colon or re.fullmatch('[0-9]{1,5}', port) is None:
+        return False
+    if host.startswith('[') and host.endswith(']'):
+        return _is_ip(host[1:-1], 6) and 0 < int(port) <= MAX_PORT
+    return _is_ip(host, 4) and 0 < int(port) <= MAX_PORT
+
+
+def _is_ip(text: str, version: int) -> bool:
+    try:
+        return ipaddress.ip_address(text).version == version
+    except ValueError:
+        return False
+
+
+def describe_rule(rule: Rule) -> str:
+    """Return what a rule allows, for messages and pages."""
+    match rule:
+        case Range(low=low, high=high):
+            return f'{low} to {high}'
+        case Positive():
+            return 'a number above 0'
+        case Pattern(meaning=meaning):
+            return meaning
+        case OneOf(values=values):
+            return _alternatives(values)
+        case Address():
+            return 'an IP number with a port, 10.0.0.1:8080'
+        case Url():
+            return 'http:// with an IP number and a port'
+        case NotEmpty(item=item) if item is not None:
+            return f'at least one of: {describe_rule(item)}'
+        case NotEmpty():
+            return 'at least one item'
+
+
+def _alternatives(values: typing.Iterable[str]) -> str:
+    return ' or '.join(f'"{value}"' for value in values)
+
+
+def _describe_type(hint: Any) -> str:
+    if isinstance(hint, types.UnionType):
+        return _describe_type(typing.get_args(hint)[0])
+    if typing.get_origin(hint) is tuple:
+        return 'a list'
+    if attrs.has(hint):
+        return 'an object'
+    if issubclass(hint, enum.Enum):
+        return _alternatives(member.value for member in hint)
+    names = {
+        str: 'a text that is not empty',
+        int: 'a whole number',
+        float: 'a finite number',
+        bool: 'true or false',
+    }
+    return names[hint]
--- /dev/null
+++ b/sycamorebeam/entries.py
@@ -0,0 +1,335 @@
+"""Catalogue entries as plain values, and the checks of a catalogue.
+
+The fold of the catalogue and the catalogue file share these checks, so
+that what a file check accepts is what the log accepts.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+from typing import Any
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import checking
+from sycamorebeam import errors
+
+NAME = checking.Pattern(
+    '[a-z0-9][a-z0-9-]{0,62}',
+    'lower-case letters, digits and hyphens, at most 63',
+)
+TOKEN_DIGEST = checking.Pattern(
+    '[0-9a-f]{64}', 'a SHA-256 digest, 64 lower-case hex digits'
+)
+MAX_DEADLINE_MS = 600_000
+MAX_TOKENS = 1_000_000
+MAX_COST = 1e9
+
+SCHEMA = checking.Schema(
+    keys={'service_class': 'class'},
+    rules={
+        catalogue.Limits: {
+            'requests_per_s': checking.Positive(),
+            'concurrency': checking.Positive(),
+            'tokens_per_s': checking.Positive(),
+            'bytes_per_s': checking.Positive(),
+        },
+        catalogue.Stage: {
+            'name': NAME,
+            'max_tokens': checking.Range(1, MAX_TOKENS),
+        },
+        catalogue.Pipeline: {
+            'deadline_ms': checking.Range(1, MAX_DEADLINE_MS),
+            'stages': checking.NotEmpty(),
+        },
+        catalogue.Target: {
+            'cost_per_call': checking.Range(0, MAX_COST),
+            'cost_per_token': checking.Range(0, MAX_COST),
+        },
+        catalogue.Team: {'token_sha256': checking.NotEmpty(TOKEN_DIGEST)},
+        catalogue.SharedLimit: {
+            'resource': checking.OneOf(('region_link', 'weight_store')),
+        },
+    },
+)
+
+OPERATIONS: dict[catalogue.TargetKind, tuple[str, ...]] = {
+    catalogue.TargetKind.ENGINE: ('generate',),
+    catalogue.TargetKind.POOL: ('encode', 'retrieve', 'rerank'),
+}
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return kind and name of an entry's key.
+
+    Raises SettingsError when the key is not ``kind/name``.
+    """
+    kind, slash, name = key.partition('/')
+    faults = check_name(name, (name,)) if slash else []
+    if kind in catalogue.KINDS and slash and not faults:
+        return kind, name
+    raise errors.SettingsError(
+        f'{checking.show(key)} is not the key of an entry',
+        f'write kind/name; kinds are {", ".join(catalogue.KINDS)}, a name is '
+        f'{NAME.meaning}',
+    )
+
+
+def check_name(name: str, path: checking.Path) -> list[checking.Fault]:
+    """Return the fault of an entry's name, if it has one."""
+    if checking.holds(NAME, name):
+        return []
+    fault = checking.Fault(
+        path, checking.show(name), NAME.meaning, 'choose another name'
+    )
+    return [fault]
+
+
+def to_plain(entry: catalogue.AnyEntry) -> dict[str, Any]:
+    """Return an entry as JSON-like values, with every field.
+
+    Fields at their default are written too: what was accepted stays the
+    same when a later version of the program has other defaults.
+    """
+    plain = attrs.asdict(entry, value_serializer=_serialise)
+    return {SCHEMA.key_of(name): value for name, value in plain.items()}
+
+
+def _serialise(_: type, __: 'attrs.Attribute[Any]', value: Any) -> Any:
+    match value:
+        case enum.Enum():
+            return value.value
+        case tuple():
+            return list(value)
+        case _:
+            return value
+
+
+def from_plain(kind: str, value: object) -> catalogue.AnyEntry:
+    """Return the entry of a kind from JSON-like values.
+
+    Raises SettingsError, which lists every problem of the entry.
+    """
+    entry, faults = build(kind, value)
+    if entry is None:
+        raise errors.SettingsError(
+            '; '.join(str(fault) for fault in faults),
+            f'correct the {kind} and publish it again',
+            tuple(str(fault) for fault in faults),
+        )
+    return entry
+
+
+def build(
+    kind: str, value: object, path: checking.Path = ()
+) -> tuple[catalogue.AnyEntry | None, list[checking.Fault]]:
+    """Return the entry, None when faults were found, and the faults."""
+    if kind not in catalogue.KINDS:
+        known = list(catalogue.KINDS)
+        return None, [checking.unknown_key((*path, kind), known)]
+    entry, faults = checking.build(catalogue.KINDS[kind], value, SCHEMA, path)
+    if entry is not None:
+        faults = [*_own_faults(entry, path)]
+    return (None if faults else entry), faults
+
+
+def _own_faults(
+    entry: catalogue.AnyEntry, path: checking.Path
+) -> Iterator[checking.Fault]:
+    match entry:
+        case catalogue.Pipeline():
+            yield from _stage_faults(entry.stages, (*path, 'stages'))
+        case catalogue.SharedLimit():
+            yield from _bound_faults(entry, (*path, 'limits'))
+
+
+def _stage_faults(
+    stages: Sequence[catalogue.Stage], path: checking.Path
+) -> Iterator[checking.Fault]:
+    earlier: list[str] = []
+    for index, stage in enumerate(stages):
+        if stage.name in earlier:
+            yield checking.Fault(
+                (*path, index, 'name'),
+                f'"{stage.name}" twice',
+                'names that differ within the pipeline',
+                'rename one of the stages',
+            )
+        for place, name in enumerate(stage.after or ()):
+            if name not in earlier:
+                yield checking.Fault(
+                    (*path, index, 'after', place),
+                    checking.show(name),
+                    f'earlier stages: {", ".join(earlier) or "none"}',
+                    'name an earlier stage or reorder the stages',
+                )
+        if not stage.idempotent and index < len(stages) - 1:
+            yield checking.Fault(
+                (*path, index, 'idempotent'),
+                'false before the last stage',
+                'false on the last stage only',
+                'move the stage to the end; split what follows it into '
+                'another pipeline',
+            )
+        earlier.append(stage.name)
+
+
+def _bound_faults(
+    limit: catalogue.SharedLimit, path: checking.Path
+) -> Iterator[checking.Fault]:
+    limits = limit.limits
+    if limit.resource == 'region_link' and limits.bytes_per_s is None:
+        yield checking.Fault(
+            (*path, 'bytes_per_s'),
+            'nothing',
+            'a number above 0 for a region_link',
+            'add the key',
+        )
+
+
+def check_references(
+    entries: Mapping[str, catalogue.AnyEntry], touched: Collection[str]
+) -> list[str]:
+    """Return the problems that changes to ``touched`` keys cause.
+
+    ``entries`` is the state with the changes made; a touched key that is
+    missing was removed. Only entries that a touched key can break are
+    looked at.
+    """
+    faults = reference_faults(entries, _affected(entries, set(touched)))
+    return [f'{key}: {fault}' for key, fault in faults]
+
+
+def reference_faults(
+    entries: Mapping[str, catalogue.AnyEntry], keys: Collection[str]
+) -> list[tuple[str, checking.Fault]]:
+    """Return each entry's key with each fault of its references."""
+    return [
+        (key, fault)
+        for key in sorted(keys)
+        for fault in _references(entries, entries[key])
+    ]
+
+
+def _affected(
+    entries: Mapping[str, catalogue.AnyEntry], touched: set[str]
+) -> set[str]:
+    return {
+        key
+        for key, entry in entries.items()
+        if key in touched or not touched.isdisjoint(_named(entry))
+    }
+
+
+def _named(entry: catalogue.AnyEntry) -> Iterator[str]:
+    """Yield the keys of the entries that an entry names."""
+    match entry:
+        case catalogue.Pipeline(stages=stages, teams=teams):
+            for stage in stages:
+                yield f'target/{stage.target}'
+                if stage.model is not None:
+                    yield f'model/{stage.model}'
+            for team in teams:
+                yield f'team/{team}'
+        case catalogue.Model(target=target):
+            yield f'target/{target}'
+
+
+def _references(
+    entries: Mapping[str, catalogue.AnyEntry], entry: catalogue.AnyEntry
+) -> Iterator[checking.Fault]:
+    match entry:
+        case catalogue.Pipeline(stages=stages, teams=teams):
+            for index, stage in enumerate(stages):
+                yield from _stage_references(entries, stage, ('stages', index))
+            for index, team in enumerate(teams):
+                if f'team/{team}' not in entries:
+                    yield _dangling(entries, 'team', team, ('teams', index))
+        case catalogue.Model(target=name):
+            yield from _model_references(entries, name)
+
+
+def _stage_references(
+    entries: Mapping[str, catalogue.AnyEntry],
+    stage: catalogue.Stage,
+    path: checking.Path,
+) -> Iterator[checking.Fault]:
+    target = entries.get(f'target/{stage.target}')
+    if not isinstance(target, catalogue.Target):
+        yield _dangling(entries, 'target', stage.target, (*path, 'target'))
+        return
+    allowed = OPERATIONS.get(target.kind)
+    if allowed is not None and stage.operation not in allowed:
+        yield checking.Fault(
+            (*path, 'operation'),
+            checking.show(stage.operation),
+            f'{", ".join(allowed)} of a target of kind {target.kind.value}',
+            'change the operation or the target',
+        )
+    if not stage.idempotent and target.kind != catalogue.TargetKind.SERVICE:
+        yield checking.Fault(
+            (*path, 'idempotent'),
+            f'false on a target of kind {target.kind.value}',
+            'false on a target of kind service',
+            'route the stage to a service',
+        )
+    yield from _stage_model(entries, stage, target, (*path, 'model'))
+
+
+def _stage_model(
+    entries: Mapping[str, catalogue.AnyEntry],
+    stage: catalogue.Stage,
+    target: catalogue.Target,
+    path: checking.Path,
+) -> Iterator[checking.Fault]:
+    is_engine = target.kind == catalogue.TargetKind.ENGINE
+    if stage.model is None:
+        if is_engine:
+            yield checking.Fault(
+                path, 'nothing', 'a model of the target', 'name a model'
+            )
+        return
+    model = entries.get(f'model/{stage.model}')
+    if not isinstance(model, catalogue.Model):
+        yield _dangling(entries, 'model', stage.model, path)
+    elif model.target != stage.target:
+        yield checking.Fault(
+            path,
+            f'{checking.show(stage.model)} of target {model.target}',
+            f'a model of target {stage.target}',
+            'name a model of that target or change the target',
+        )
+
+
+def _model_references(
+    entries: Mapping[str, catalogue.AnyEntry], name: str
+) -> Iterator[checking.Fault]:
+    target = entries.get(f'target/{name}')
+    if not isinstance(target, catalogue.Target):
+        yield _dangling(entries, 'target', name, ('target',))
+    elif target.kind != catalogue.TargetKind.ENGINE:
+        yield checking.Fault(
+            ('target',),
+            f'{checking.show(name)} of kind {target.kind.value}',
+            'a target of kind engine',
+            'name a target of engines',
+        )
+
+
+def _dangling(
+    entries: Mapping[str, catalogue.AnyEntry],
+    kind: str,
+    name: str,
+    path: checking.Path,
+) -> checking.Fault:
+    known = [
+        key.removeprefix(f'{kind}/')
+        for key in sorted(entries)
+        if key.startswith(f'{kind}/')
+    ]
+    return checking.not_among(
+        path, name, known, f'add the {kind} or name one that exists'
+    )
--- a/sycamorebeam/errors.py
+++ b/sycamorebeam/errors.py
@@ -24,7 +24,12 @@
 
 @attrs.define
 class SettingsError(SycamoreError):
-    """The settings or a catalogue file is not valid."""
+    """The settings or a catalogue file is not valid.
+
+    ``problems`` lists each thing that is wrong, when there are many.
+    """
+
+    problems: tuple[str, ...] = ()
 
 
 @attrs.define
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,154 @@
+"""Tests of the checks of catalogue entries."""
+
+import attrs
+import ddt
+
+from sycamorebeam import catalogue
+from sycamorebeam import entries
+from sycamorebeam import errors
+from tests import base
+
+HEAD = {'owner': 'ops', 'class': 'normal', 'limits': {}}
+DIGEST = 'ab' * 32
+
+
+def plain_stage(**changes):
+    stage = {'name': 'answer', 'target': 'engines', 'operation': 'generate'}
+    return stage | {'model': 'small'} | changes
+
+
+def plain_pipeline(*stages, **changes):
+    stages = list(stages) or [plain_stage()]
+    return HEAD | {'deadline_ms': 9000, 'stages': stages} | changes
+
+
+def new_state(**changes):
+    plain = {
+        'target/engines': HEAD | {'kind': 'engine'},
+        'target/pool': HEAD | {'kind': 'pool'},
+        'target/tickets': HEAD | {'kind': 'service'},
+        'model/small': HEAD | {'target': 'engines', 'version': '1'},
+        'team/ops': HEAD | {'token_sha256': [DIGEST]},
+        'limit/link': HEAD
+        | {'resource': 'region_link', 'limits': {'bytes_per_s': 1e6}},
+        'pipeline/notes': plain_pipeline(teams=['ops']),
+    }
+    return {
+        key: entries.from_plain(key.split('/')[0], value)
+        for key, value in plain.items()
+    }
+
+
+@ddt.ddt
+class PlainTest(base.TestCase):
+    @ddt.data(*new_state())
+    def test_every_kind_survives_the_way_to_plain_and_back(self, key):
+        entry = new_state()[key]
+        kind = key.split('/')[0]
+        plain = entries.to_plain(entry)
+        self.assertEqual(entry, entries.from_plain(kind, plain))
+        self.assertIn('class', plain)
+
+    @ddt.data(
+        ('pipeline', plain_pipeline(deadline_ms=0), 'deadline_ms: found 0'),
+        ('pipeline', plain_pipeline(deadline_ms=True), 'a whole number'),
+        ('pipeline', plain_pipeline() | {'stages': []}, 'at least one item'),
+        ('pipeline', plain_pipeline(deadlin_ms=1), 'write "deadline_ms"'),
+        ('pipeline', plain_pipeline(plain_stage(), plain_stage()), 'twice'),
+        (
+            'pipeline',
+            plain_pipeline(plain_stage(after=['later'])),
+            'stages[0].after[0]: found "later"',
+        ),
+        (
+            'pipeline',
+            plain_pipeline(
+                plain_stage(idempotent=False), plain_stage(name='b')
+            ),
+            'last stage only',
+        ),
+        ('target', HEAD | {'kind': 'engin'}, 'write "engine"'),
+        ('target', HEAD | {'kind': 'pool', 'class': 7}, 'class: found 7'),
+        (
+            'target',
+            HEAD | {'kind': 'pool', 'limits': {'concurrency': 0}},
+            'limits.concurrency: found 0',
+        ),
+        ('team', HEAD | {'token_sha256': ['AB']}, 'token_sha256[0]'),
+        ('team', HEAD, 'token_sha256: found nothing'),
+        ('limit', HEAD | {'resource': 'region_link'}, 'bytes_per_s'),
+        ('tean', HEAD, 'write "team"'),
+        ('team', 'text', '(whole): found "text", allowed an object'),
+    )
+    @ddt.unpack
+    def test_says_what_is_wrong(self, kind, value, message):
+        error = self.assertRaises(
+            errors.SettingsError, entries.from_plain, kind, value
+        )
+        self.assertIn(message, str(error))
+
+    def test_names_every_problem_at_once(self):
+        value = {'kind': 'x', 'limits': {'a': 1}, 'class': 'normal'}
+        error = self.assertRaises(
+            errors.SettingsError, entries.from_plain, 'target', value
+        )
+        self.assertEqual(3, len(error.problems), error.problems)
+
+    @ddt.data('team', 'team/', 'tean/ops', 'team/Ops', 'team/a/b')
+    def test_a_key_is_kind_and_name(self, key):
+        self.assertRaises(errors.SettingsError, entries.split_key, key)
+
+
+@ddt.ddt
+class ReferencesTest(base.TestCase):
+    def test_a_sound_state_has_no_problems(self):
+        state = new_state()
+        self.assertEqual([], entries.check_references(state, state))
+
+    @ddt.data(
+        ('target/engines', ['model/small', 'pipeline/notes']),
+        ('model/small', ['pipeline/notes']),
+        ('team/ops', ['pipeline/notes']),
+        ('limit/link', []),
+    )
+    @ddt.unpack
+    def test_a_removal_names_what_it_breaks(self, removed, broken):
+        state = new_state()
+        del state[removed]
+        problems = entries.check_references(state, [removed])
+        self.assertEqual(broken, [text.split(':')[0] for text in problems])
+
+    @ddt.data(
+        ({'target': 'engine'}, 'write "engines"'),
+        ({'operation': 'encode'}, 'of a target of kind engine'),
+        ({'idempotent': False}, 'false on a target of kind engine'),
+        ({'model': None}, 'name a model'),
+        ({'model': 'smal'}, 'write "small"'),
+        ({'target': 'pool', 'operation': 'encode'}, 'of target engines'),
+        ({'target': 'tickets', 'model': None, 'idempotent': False}, None),
+    )
+    @ddt.unpack
+    def test_a_stage_names_what_exists(self, changes, message):
+        state = new_state()
+        changed = plain_pipeline(plain_stage(**changes))
+        state['pipeline/notes'] = entries.from_plain('pipeline', changed)
+        problems = entries.check_references(state, ['pipeline/notes'])
+        self.assertEqual(1 if message else 0, len(problems), problems)
+        self.assertIn(message or '', ''.join(problems))
+
+    def test_looks_only_at_what_was_touched(self):
+        state = new_state()
+        state['pipeline/notes'] = attrs.evolve(
+            state['pipeline/notes'], teams=('gone',)
+        )
+        self.assertEqual(
+            [], entries.check_references(state, ['target/tickets'])
+        )
+
+    def test_a_model_needs_engines(self):
+        state = new_state()
+        state['target/engines'] = attrs.evolve(
+            state['target/engines'], kind=catalogue.TargetKind.POOL
+        )
+        problems = entries.check_references(state, ['target/engines'])
+        self.assertIn('a target of kind engine', problems[0])
