--- a/sycamorebeam/entries.py
+++ b/sycamorebeam/entries.py
@@ -28,6 +28,9 @@
 MAX_TOKENS = 1_000_000
 MAX_COST = 1e9
 
+Known = Mapping[str, catalogue.AnyEntry | None]
+"""Entries by key; None stands for one that exists but is not valid."""
+
 SCHEMA = checking.Schema(
     keys={'service_class': 'class'},
     rules={
@@ -204,7 +207,7 @@
 
 
 def reference_faults(
-    entries: Mapping[str, catalogue.AnyEntry], keys: Collection[str]
+    entries: Known, keys: Collection[str]
 ) -> list[tuple[str, checking.Fault]]:
     """Return each entry's key with each fault of its references."""
     return [
@@ -239,27 +242,28 @@
 
 
 def _references(
-    entries: Mapping[str, catalogue.AnyEntry], entry: catalogue.AnyEntry
+    entries: Known, entry: catalogue.AnyEntry | None
 ) -> Iterator[checking.Fault]:
     match entry:
         case catalogue.Pipeline(stages=stages, teams=teams):
             for index, stage in enumerate(stages):
                 yield from _stage_references(entries, stage, ('stages', index))
             for index, team in enumerate(teams):
-                if f'team/{team}' not in entries:
-                    yield _dangling(entries, 'team', team, ('teams', index))
+                yield from _dangling(entries, 'team', team, ('teams', index))
         case catalogue.Model(target=name):
             yield from _model_references(entries, name)
 
 
 def _stage_references(
-    entries: Mapping[str, catalogue.AnyEntry],
+    entries: Known,
     stage: catalogue.Stage,
     path: checking.Path,
 ) -> Iterator[checking.Fault]:
     target = entries.get(f'target/{stage.target}')
     if not isinstance(target, catalogue.Target):
-        yield _dangling(entries, 'target', stage.target, (*path, 'target'))
+        yield from _dangling(
+            entries, 'target', stage.target, (*path, 'target')
+        )
         return
     allowed = OPERATIONS.get(target.kind)
     if allowed is not None and stage.operation not in allowed:
@@ -280,7 +284,7 @@
 
 
 def _stage_model(
-    entries: Mapping[str, catalogue.AnyEntry],
+    entries: Known,
     stage: catalogue.Stage,
     target: catalogue.Target,
     path: checking.Path,
@@ -294,7 +298,7 @@
         return
     model = entries.get(f'model/{stage.model}')
     if not isinstance(model, catalogue.Model):
-        yield _dangling(entries, 'model', stage.model, path)
+        yield from _dangling(entries, 'model', stage.model, path)
     elif model.target != stage.target:
         yield checking.Fault(
             path,
@@ -304,12 +308,10 @@
         )
 
 
-def _model_references(
-    entries: Mapping[str, catalogue.AnyEntry], name: str
-) -> Iterator[checking.Fault]:
+def _model_references(entries: Known, name: str) -> Iterator[checking.Fault]:
     target = entries.get(f'target/{name}')
     if not isinstance(target, catalogue.Target):
-        yield _dangling(entries, 'target', name, ('target',))
+        yield from _dangling(entries, 'target', name, ('target',))
     elif target.kind != catalogue.TargetKind.ENGINE:
         yield checking.Fault(
             ('target',),
@@ -320,16 +322,17 @@
 
 
 def _dangling(
-    entries: Mapping[str, catalogue.AnyEntry],
-    kind: str,
-    name: str,
-    path: checking.Path,
-) -> checking.Fault:
+    entries: Known, kind: str, name: str, path: checking.Path
+) -> Iterator[checking.Fault]:
+    """Yield a fault when no entry of a kind has the name."""
+    if f'{kind}/{name}' in entries:
+        return
+    prefix = f'{kind}/'
     known = [
-        key.removeprefix(f'{kind}/')
+        key.removeprefix(prefix)
         for key in sorted(entries)
-        if key.startswith(f'{kind}/')
+        if key.startswith(prefix)
     ]
-    return checking.not_among(
+    yield checking.not_among(
         path, name, known, f'add the {kind} or name one that exists'
     )
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -1,7 +1,27 @@
-"""The settings of one instance."""
+"""The settings of one instance: a file, overridden by the environment.
+
+``SYCAMOREBEAM_PLATFORM__LOG`` overrides ``platform.log``. Secrets stand in
+files of their own, never in the settings or the environment.
+"""
+
+from collections.abc import Mapping
+import json
+import pathlib
+import types
+import typing
+from typing import Any
 
 import attrs
 
+from sycamorebeam import checking
+from sycamorebeam import entries
+from sycamorebeam import errors
+from sycamorebeam import jsonc
+
+ENVIRONMENT_PREFIX = 'SYCAMOREBEAM_'
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 4096
+
 
 @attrs.frozen(kw_only=True)
 class Placement:
@@ -80,3 +100,186 @@
     catalogue_stale_after_ms: int = 30_000
     claim_partitions: int = 16
     claim_window_ms: int = 3_600_000
+
+
+SECOND_MS = 1_000
+MINUTE_MS = 60 * SECOND_MS
+DAY_MS = 24 * 60 * MINUTE_MS
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+MAX_PARTITIONS = 1024
+MAX_APPENDS_PER_S = 1000
+
+SCHEMA = checking.Schema(
+    rules={
+        Placement: {'zone': entries.NAME, 'region': entries.NAME},
+        Addresses: {
+            'callers': checking.Address(),
+            'peers': checking.Address(),
+            'advertised_callers': checking.Address(),
+            'advertised_peers': checking.Address(),
+        },
+        Platform: {
+            'log': checking.Url(),
+            'instances': checking.Url(),
+            'log_timeout_ms': checking.Range(10, MINUTE_MS),
+            'log_appends_per_s': checking.Range(0.1, MAX_APPENDS_PER_S),
+            'batch_linger_ms': checking.Range(0, SECOND_MS),
+        },
+        Bounds: {
+            'body_bytes': checking.Range(1024, MAX_BODY_BYTES),
+            'header_bytes': checking.Range(1024, MAX_HEADER_BYTES),
+            'body_timeout_ms': checking.Range(100, 10 * MINUTE_MS),
+            'idle_timeout_ms': checking.Range(100, 60 * MINUTE_MS),
+            'max_deadline_ms': checking.Range(1, entries.MAX_DEADLINE_MS),
+        },
+        Shutdown: {
+            'balancer_lag_ms': checking.Range(0, 5 * MINUTE_MS),
+            'drain_timeout_ms': checking.Range(0, 60 * MINUTE_MS),
+        },
+        Statsd: {'address': checking.Address(), 'prefix': entries.NAME},
+        Settings: {
+            'instance_id': entries.NAME,
+            'region_link_share': checking.Range(0, 1),
+            'catalogue_stale_after_ms': checking.Range(
+                SECOND_MS, 60 * MINUTE_MS
+            ),
+            'claim_partitions': checking.Range(1, MAX_PARTITIONS),
+            'claim_window_ms': checking.Range(MINUTE_MS, 7 * DAY_MS),
+        },
+    }
+)
+
+
+def load_settings(
+    path: pathlib.Path | str, environ: Mapping[str, str]
+) -> Settings:
+    """Return the settings of a file under the overrides of ``environ``.
+
+    A relative ``peer_secret_file`` is taken from the directory of the
+    settings file. Raises SettingsError, which lists every problem.
+    """
+    path = pathlib.Path(path)
+    document, override_faults = _override(jsonc.load(path), environ)
+    settings, faults = checking.build(Settings, document.value, SCHEMA)
+    if settings is not None:
+        faults = _cross_check(settings)
+    jsonc.raise_faults(document, [*override_faults, *faults], 'settings')
+    secret_file = path.parent.absolute() / settings.peer_secret_file
+    return attrs.evolve(settings, peer_secret_file=str(secret_file))
+
+
+def read_secret(path: pathlib.Path | str) -> bytes:
+    """Return the secret in a file, without white space around it.
+
+    Raises SettingsError when it cannot be read, or is too short to be
+    a secret.
+    """
+    try:
+        secret = pathlib.Path(path).read_bytes().strip()
+    except OSError as error:
+        raise errors.SettingsError(
+            f'the secret file {path} cannot be read ({error.strerror})',
+            'name in peer_secret_file a file that this user may read',
+        ) from error
+    if MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
+        return secret
+    raise errors.SettingsError(
+        f'the secret in {path} has {len(secret)} bytes',
+        f'write {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} random bytes to it',
+    )
+
+
+def to_plain(settings: Settings) -> dict[str, Any]:
+    """Return all settings, defaults included, as JSON-like values."""
+    return attrs.asdict(settings)
+
+
+def _override(
+    document: jsonc.Document, environ: Mapping[str, str]
+) -> tuple[jsonc.Document, list[checking.Fault]]:
+    """Return a document with the values that the environment names."""
+    faults = []
+    overrides: dict[checking.Path, str] = {}
+    known = _paths(Settings, ())
+    for variable in sorted(environ):
+        if not variable.startswith(ENVIRONMENT_PREFIX):
+            continue
+        path = _path_of(variable)
+        overrides[path] = f'environment {variable}'
+        if path in known:
+            value = _parse_override(known[path], environ[variable])
+            _put(document.value, path, value)
+        else:
+            names = [_variable_of(item) for item in known]
+            fault = checking.not_among(path, variable, names, 'unset it')
+            faults.append(fault)
+    return attrs.evolve(document, overrides=overrides), faults
+
+
+def _paths(cls: type, path: checking.Path) -> dict[checking.Path, Any]:
+    """Return the path and type of every single setting."""
+    found: dict[checking.Path, Any] = {}
+    for name, hint in typing.get_type_hints(cls).items():
+        if attrs.has(hint):
+            found |= _paths(hint, (*path, name))
+        else:
+            found[(*path, name)] = hint
+    return found
+
+
+def _path_of(variable: str) -> checking.Path:
+    name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+    return tuple(name.split('__'))
+
+
+def _variable_of(path: checking.Path) -> str:
+    return ENVIRONMENT_PREFIX + '__'.join(map(str, path)).upper()
+
+
+def _parse_override(hint: Any, text: str) -> Any:
+    """Return the text for a text setting, else what it says as JSON."""
+    is_optional = isinstance(hint, types.UnionType)
+    if hint is str or (is_optional and text != 'null'):
+        return text
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _put(value: Any, path: checking.Path, leaf: Any) -> None:
+    for name in path[:-1]:
+        if not isinstance(value, dict):
+            return
+        value = value.setdefault(name, {})
+    if isinstance(value, dict):
+        value[path[-1]] = leaf
+
+
+def _cross_check(settings: Settings) -> list[checking.Fault]:
+    addresses = settings.addresses
+    faults = []
+    if addresses.callers == addresses.peers:
+        fault = checking.Fault(
+            ('addresses', 'peers'),
+            'the address of callers again',
+            'an address of its own',
+            'choose another port',
+        )
+        faults.append(fault)
+    pairs = (
+        ('callers', addresses.advertised_callers),
+        ('peers', addresses.advertised_peers),
+    )
+    for name, advertised in pairs:
+        listens = getattr(addresses, name)
+        if listens.startswith(('0.0.0.0:', '[::]:')) and advertised is None:
+            fault = checking.Fault(
+                ('addresses', f'advertised_{name}'),
+                'nothing',
+                f'an IP number with a port, as {name} is {listens}',
+                'add the address at which others reach this instance',
+            )
+            faults.append(fault)
+    return faults
