--- a/sycamorebeam/entries.py
+++ b/sycamorebeam/entries.py
@@ -252,6 +252,8 @@
                 yield from _dangling(entries, 'team', team, ('teams', index))
         case catalogue.Model(target=name):
             yield from _model_references(entries, name)
+        case catalogue.Team(token_sha256=digests):
+            yield from _shared_tokens(entries, entry, digests)
 
 
 def _stage_references(
@@ -321,6 +323,23 @@
         )
 
 
+def _shared_tokens(
+    entries: Known, team: catalogue.Team, digests: Collection[str]
+) -> Iterator[checking.Fault]:
+    """Yield a fault when another team has one of this team's tokens."""
+    for key in sorted(entries):
+        other = entries[key]
+        if not isinstance(other, catalogue.Team) or other is team:
+            continue
+        if not set(digests).isdisjoint(other.token_sha256):
+            yield checking.Fault(
+                ('token_sha256',),
+                f'a token that {key} has too',
+                'tokens of this team alone',
+                'give each team a token of its own',
+            )
+
+
 def _dangling(
     entries: Known, kind: str, name: str, path: checking.Path
 ) -> Iterator[checking.Fault]:
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -4,6 +4,7 @@
 files of their own, never in the settings or the environment.
 """
 
+from collections.abc import Iterator
 from collections.abc import Mapping
 import json
 import pathlib
@@ -21,6 +22,7 @@
 ENVIRONMENT_PREFIX = 'SYCAMOREBEAM_'
 MIN_SECRET_BYTES = 16
 MAX_SECRET_BYTES = 4096
+ANY_ADDRESS = ('0.0.0.0:', '[::]:')
 
 
 @attrs.frozen(kw_only=True)
@@ -115,6 +117,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_PARTITIONS = 1024
 MAX_APPENDS_PER_S = 1000
+MAX_IN_FLIGHT = 65_536
 
 SCHEMA = checking.Schema(
     rules={
@@ -122,6 +125,7 @@
         Addresses: {
             'callers': checking.Address(),
             'peers': checking.Address(),
+            'admin': checking.Address(),
             'advertised_callers': checking.Address(),
             'advertised_peers': checking.Address(),
         },
@@ -137,6 +141,7 @@
             'header_bytes': checking.Range(1024, MAX_HEADER_BYTES),
             'body_timeout_ms': checking.Range(100, 10 * MINUTE_MS),
             'idle_timeout_ms': checking.Range(100, 60 * MINUTE_MS),
+            'max_in_flight': checking.Range(1, MAX_IN_FLIGHT),
             'max_deadline_ms': checking.Range(1, entries.MAX_DEADLINE_MS),
         },
         Shutdown: {
@@ -265,27 +270,35 @@
 
 def _cross_check(settings: Settings) -> list[checking.Fault]:
     addresses = settings.addresses
-    faults = []
-    if addresses.callers == addresses.peers:
-        fault = checking.Fault(
-            ('addresses', 'peers'),
-            'the address of callers again',
-            'an address of its own',
-            'choose another port',
-        )
-        faults.append(fault)
-    pairs = (
-        ('callers', addresses.advertised_callers),
-        ('peers', addresses.advertised_peers),
-    )
-    for name, advertised in pairs:
+    return [*_same_address(addresses), *_not_reachable(addresses)]
+
+
+def _same_address(addresses: Addresses) -> Iterator[checking.Fault]:
+    """Yield a fault for each listener at the address of an earlier one."""
+    seen: dict[str, str] = {}
+    for name in ('callers', 'peers', 'admin'):
+        address = getattr(addresses, name)
+        if address is None:
+            continue
+        if address in seen:
+            yield checking.Fault(
+                ('addresses', name),
+                f'the address of {seen[address]} again',
+                'an address of its own',
+                'choose another port',
+            )
+        seen.setdefault(address, name)
+
+
+def _not_reachable(addresses: Addresses) -> Iterator[checking.Fault]:
+    """Yield a fault for each listener that no other process could name."""
+    for name in ('callers', 'peers'):
         listens = getattr(addresses, name)
-        if listens.startswith(('0.0.0.0:', '[::]:')) and advertised is None:
-            fault = checking.Fault(
+        advertised = getattr(addresses, f'advertised_{name}')
+        if advertised is None and listens.startswith(ANY_ADDRESS):
+            yield checking.Fault(
                 ('addresses', f'advertised_{name}'),
                 'nothing',
                 f'an IP number with a port, as {name} is {listens}',
                 'add the address at which others reach this instance',
             )
-            faults.append(fault)
-    return faults
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -145,6 +145,13 @@
             [], entries.check_references(state, ['target/tickets'])
         )
 
+    def test_two_teams_share_no_token(self):
+        state = new_state()
+        state['team/web'] = attrs.evolve(state['team/ops'])
+        problems = entries.check_references(state, ['team/web'])
+        self.assertEqual(1, len(problems), problems)
+        self.assertIn('a token that team/ops has too', problems[0])
+
     def test_a_model_needs_engines(self):
         state = new_state()
         state['target/engines'] = attrs.evolve(
