Add the commands on settings and catalogue files, and their pages

Cause: operators check files before they run or publish them. Change: settings check and show (with the origin of each value), catalogue check, exit codes, JSON output; docs/SETTINGS.md and docs/CATALOGUE.md, which a test holds against the classes and rules.

--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -5,6 +5,7 @@
 after a fault, so that one run of a check names all that is wrong.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import difflib
 import enum
@@ -21,6 +22,7 @@
 Path = tuple[str | int, ...]
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 60
+NEAR_RATIO = 0.7
 
 
 @attrs.frozen
@@ -125,9 +127,14 @@
     return f'{text[:MAX_SHOWN_CHARS]}...'
 
 
+def nearest(name: str, known: Iterable[str]) -> list[str]:
+    """Return the known name that is most like ``name``, if one is near."""
+    return difflib.get_close_matches(name, list(known), 1, NEAR_RATIO)
+
+
 def unknown_key(path: Path, known: list[str]) -> Fault:
     """Return the fault of an unknown key, with the nearest known one."""
-    near = difflib.get_close_matches(str(path[-1]), known, n=1)
+    near = nearest(str(path[-1]), known)
     remedy = f'write "{near[0]}"' if near else 'remove the key'
     allowed = ', '.join(known) or 'no key'
     return Fault(path, 'an unknown key', allowed, remedy)
@@ -135,7 +142,7 @@
 
 def not_among(path: Path, name: str, known: list[str], remedy: str) -> Fault:
     """Return the fault of a name that is none of the known ones."""
-    near = difflib.get_close_matches(name, known, n=1)
+    near = nearest(name, known)
     if near:
         remedy = f'write "{near[0]}", or {remedy}'
     allowed = ', '.join(known) or 'none is known'
@@ -223,7 +230,7 @@
         values = [member.value for member in hint]
         if isinstance(value, str) and value in values:
             return hint(value)
-        near = difflib.get_close_matches(str(value), values, n=1)
+        near = nearest(str(value), values)
         remedy = f'write "{near[0]}"' if near else 'write one of these'
         return self._wrong(path, value, _alternatives(values), remedy)
 
--- a/sycamorebeam/cli/main.py
+++ b/sycamorebeam/cli/main.py
@@ -5,12 +5,21 @@
 import typer
 
 import sycamorebeam
+from sycamorebeam.cli import catalogue_commands
+from sycamorebeam.cli import output
+from sycamorebeam.cli import settings_commands
 
 app = typer.Typer(
     name='sycamorebeam',
     help='Serve multi-stage model pipelines.',
+    cls=output.ErrorGroup,
     no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    epilog=output.EXIT_CODES,
 )
+app.add_typer(settings_commands.app)
+app.add_typer(catalogue_commands.app)
 
 
 def _print_version(wanted: bool) -> None:
--- /dev/null
+++ b/sycamorebeam/cli/output.py
@@ -0,0 +1,100 @@
+"""What all commands share: exit codes, forms of output, error messages."""
+
+from collections.abc import Coroutine
+from collections.abc import Sequence
+import enum
+import json
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import typer
+from typer import core
+import uvloop
+
+from sycamorebeam import errors
+
+T = TypeVar('T')
+
+EXIT_CODES = (
+    'Exit codes: 0 done, 1 failed, 2 wrong usage, 3 rejected or refused and '
+    'not run, 4 outcome unknown or not in force everywhere.'
+)
+COLUMN_GAP = '  '
+
+
+class ExitCode(enum.IntEnum):
+    """How a command ended, for scripts."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    REJECTED = 3
+    UNKNOWN = 4
+
+
+class Form(enum.Enum):
+    """The form of a command's output."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+FormOption = Annotated[
+    Form,
+    typer.Option('--output', help='text for people, json for scripts.'),
+]
+
+
+class ErrorGroup(core.TyperGroup):
+    """A group of commands that prints typed errors in place of a trace."""
+
+    def invoke(self, ctx: Any) -> Any:
+        """Run a command; a typed error ends it with exit code 1."""
+        try:
+            return super().invoke(ctx)
+        except errors.SycamoreError as error:
+            print_error(error)
+            raise typer.Exit(ExitCode.FAILED) from error
+
+
+def print_error(error: errors.SycamoreError) -> None:
+    """Print an error, each of its problems on a line of its own."""
+    problems = getattr(error, 'problems', ())
+    for problem in problems:
+        typer.echo(problem, err=True)
+    typer.echo(f'error: {error}', err=True)
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON."""
+    typer.echo(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def print_json_line(value: object) -> None:
+    """Print a value as one line of JSON."""
+    typer.echo(json.dumps(value, ensure_ascii=False))
+
+
+def print_table(
+    heads: Sequence[str], rows: Sequence[Sequence[object]]
+) -> None:
+    """Print rows under heads, in columns."""
+    lines = [list(heads), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(heads))]
+    for line in lines:
+        cells = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        typer.echo(COLUMN_GAP.join(cells).rstrip())
+
+
+def run(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end on uvloop."""
+    return uvloop.run(work)
+
+
+def end(code: ExitCode) -> None:
+    """End the command with a code, when it is not OK."""
+    if code is not ExitCode.OK:
+        raise typer.Exit(code)
--- /dev/null
+++ b/sycamorebeam/cli/settings_commands.py
@@ -0,0 +1,64 @@
+"""The commands ``settings check`` and ``settings show``."""
+
+import os
+import pathlib
+from typing import Annotated
+
+import attrs
+import typer
+
+from sycamorebeam import settings
+from sycamorebeam.cli import output
+
+app = typer.Typer(
+    name='settings',
+    help='Check and show the settings of an instance.',
+    cls=output.ErrorGroup,
+    no_args_is_help=True,
+)
+
+FileArgument = Annotated[
+    pathlib.Path, typer.Argument(help='The settings, JSON with comments.')
+]
+
+
+@app.command(epilog=output.EXIT_CODES)
+def check(
+    file: FileArgument,
+    form: output.FormOption = output.Form.TEXT,
+    secrets: Annotated[
+        bool, typer.Option(help='Also read the secret files.')
+    ] = True,
+) -> None:
+    """Check a settings file and the environment, naming every problem.
+
+    Example: sycamorebeam settings check samples/kovacik/settings-1.jsonc
+    """
+    found = settings.load_settings(file, os.environ)
+    if secrets:
+        settings.read_secret(found.peer_secret_file)
+    match form:
+        case output.Form.JSON:
+            output.print_json({'valid': True, 'instance': found.instance_id})
+        case output.Form.TEXT:
+            typer.echo(f'{file}: valid, instance {found.instance_id}')
+
+
+@app.command(epilog=output.EXIT_CODES)
+def show(
+    file: FileArgument, form: output.FormOption = output.Form.TEXT
+) -> None:
+    """Show every setting in effect and where it comes from.
+
+    Example: SYCAMOREBEAM_BOUNDS__BODY_BYTES=65536 sycamorebeam settings show
+    samples/kovacik/settings-1.jsonc
+    """
+    found = settings.explain(file, os.environ)
+    match form:
+        case output.Form.JSON:
+            output.print_json([attrs.asdict(item) for item in found])
+        case output.Form.TEXT:
+            output.print_table(
+                ('setting', 'value', 'from'),
+                [(item.key, item.value, item.origin) for item in found],
+            )
--- a/sycamorebeam/jsonc.py
+++ b/sycamorebeam/jsonc.py
@@ -35,6 +35,10 @@
     faults: tuple[checking.Fault, ...] = ()
     overrides: Mapping[checking.Path, str] = attrs.field(factory=dict)
 
+    def names(self, path: checking.Path) -> bool:
+        """Return whether the file or an override gives this very value."""
+        return path in self.overrides or path in self.lines
+
     def origin(self, path: checking.Path) -> str:
         """Return where the value at a path, or what holds it, comes from."""
         for end in range(len(path), -1, -1):
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -4,8 +4,10 @@
 files of their own, never in the settings or the environment.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import functools
 import json
 import pathlib
 import types
@@ -201,9 +203,32 @@
     )
 
 
-def to_plain(settings: Settings) -> dict[str, Any]:
-    """Return all settings, defaults included, as JSON-like values."""
-    return attrs.asdict(settings)
+@attrs.frozen
+class Setting:
+    """One setting in effect; ``origin`` says where its value comes from."""
+
+    key: str
+    value: str | float | None
+    origin: str
+
+
+def explain(
+    path: pathlib.Path | str, environ: Mapping[str, str]
+) -> list[Setting]:
+    """Return every setting in effect, defaults included.
+
+    Raises SettingsError like ``load_settings``.
+    """
+    found = load_settings(path, environ)
+    document, _ = _override(jsonc.load(pathlib.Path(path)), environ)
+    return [
+        Setting(
+            checking.render_path(key),
+            functools.reduce(getattr, key, found),  # type: ignore[arg-type]
+            document.origin(key) if document.names(key) else 'default',
+        )
+        for key in _paths(Settings, ())
+    ]
 
 
 def _override(
@@ -222,9 +247,7 @@
             value = _parse_override(known[path], environ[variable])
             _put(document.value, path, value)
         else:
-            names = [_variable_of(item) for item in known]
-            fault = checking.not_among(path, variable, names, 'unset it')
-            faults.append(fault)
+            faults.append(_unknown_variable(variable, path, known))
     return attrs.evolve(document, overrides=overrides), faults
 
 
@@ -244,8 +267,19 @@
     return tuple(name.split('__'))
 
 
-def _variable_of(path: checking.Path) -> str:
-    return ENVIRONMENT_PREFIX + '__'.join(map(str, path)).upper()
+def _unknown_variable(
+    variable: str, path: checking.Path, known: Iterable[checking.Path]
+) -> checking.Fault:
+    keys = ['__'.join(map(str, item)).upper() for item in known]
+    name = variable.removeprefix(ENVIRONMENT_PREFIX)
+    near = checking.nearest(name, keys)
+    write = f'write "{ENVIRONMENT_PREFIX}{near[0]}", or ' if near else ''
+    return checking.Fault(
+        path,
+        'a variable of no setting',
+        f'{ENVIRONMENT_PREFIX} and the key of a setting, with __ for a dot',
+        f'{write}unset it',
+    )
 
 
 def _parse_override(hint: Any, text: str) -> Any:
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,79 @@
+"""Tests that hold the pages on settings and catalogue against the code."""
+
+import pathlib
+import re
+import typing
+
+import attrs
+import ddt
+
+from sycamorebeam import catalogue
+from sycamorebeam import checking
+from sycamorebeam import entries
+from sycamorebeam import settings
+from tests import base
+
+DOCS = pathlib.Path(__file__).parents[1] / 'docs'
+ROW = re.compile(r'^\| `([a-z0-9_.]+)` \| `?(.*?)`? \| (.*?) \|', re.MULTILINE)
+
+
+def table(page):
+    """Return the rows of a page: keys, defaults and what is allowed."""
+    text = (DOCS / page).read_text()
+    return [found.groups() for found in ROW.finditer(text)]
+
+
+def setting_rows(cls, path=''):
+    hints = typing.get_type_hints(cls)
+    for field in attrs.fields(cls):
+        hint = hints[field.name]
+        if attrs.has(hint):
+            yield from setting_rows(hint, f'{path}{field.name}.')
+            continue
+        rule = settings.SCHEMA.rules.get(cls, {}).get(field.name)
+        yield (
+            f'{path}{field.name}',
+            show_default(field),
+            checking.describe_rule(rule) if rule else 'a text that is not ',
+        )
+
+
+def show_default(field):
+    match field.default:
+        case attrs.NOTHING:
+            return 'required'
+        case None:
+            return 'null'
+        case bool():
+            return str(field.default).lower()
+        case ():
+            return '[]'
+        case catalogue.Weighting():
+            return field.default.value
+        case _:
+            return str(field.default)
+
+
+@ddt.ddt
+class PagesTest(base.TestCase):
+    def test_the_page_names_every_setting(self):
+        rows = table('SETTINGS.md')
+        expected = list(setting_rows(settings.Settings))
+        self.assertEqual(
+            sorted(key for key, _, _ in expected),
+            sorted(key for key, _, _ in rows),
+        )
+        found = {key: (default, allowed) for key, default, allowed in rows}
+        for key, default, allowed in expected:
+            self.assertEqual(default, found[key][0], key)
+            self.assertTrue(found[key][1].startswith(allowed), key)
+
+    def test_the_page_names_every_key_of_the_catalogue(self):
+        rows = {(key, default) for key, default, _ in table('CATALOGUE.md')}
+        classes = (*catalogue.KINDS.values(), catalogue.Stage)
+        expected = {
+            (entries.SCHEMA.key_of(field.name), show_default(field))
+            for cls in classes
+            for field in attrs.fields(cls)
+        }
+        self.assertEqual(expected, rows)
