--- /dev/null
+++ b/sycamorebeam/clients/cancels.py
@@ -0,0 +1,47 @@
+"""Cancels attempts at targets in the background, in bounded number."""
+
+import asyncio
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import http
+from sycamorebeam.clients import results
+
+CANCELS_AT_ONCE = 256
+TIMEOUT_MS = 1_000
+
+
+class Canceller:
+    """Sends DELETE calls that nobody waits for."""
+
+    def __init__(self, exchanges: http.Http) -> None:
+        self._http = exchanges
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """How many cancels were not sent because too many were open."""
+        return self._dropped
+
+    def cancel(self, replica: results.Replica, path: str) -> None:
+        """Cancel what ``path`` names at ``replica``."""
+        if len(self._tasks) >= CANCELS_AT_ONCE:
+            self._dropped += 1
+            return
+        exchange = http.Exchange(
+            method='DELETE',
+            address=replica.address,
+            path=path,
+            deadline=clock_module.deadline_in(self._http.clock, TIMEOUT_MS),
+            lane=http.Lane.FRESH,
+        )
+        task: asyncio.Task[object] = asyncio.create_task(
+            self._http.fetch(exchange)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Wait for the open cancels, each bounded by its timeout."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
--- /dev/null
+++ b/sycamorebeam/clients/engine.py
@@ -0,0 +1,288 @@
+"""Streams from model engines: whole, in order, resumed when they break."""
+
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+import attrs
+
+from sycamorebeam import errors
+from sycamorebeam.clients import cancels
+from sycamorebeam.clients import http
+from sycamorebeam.clients import plain
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from sycamorebeam.clients import sse
+from sycamorebeam.clients import tokens
+
+
+@attrs.frozen(kw_only=True)
+class StreamSettings:
+    """When a stream counts as silent, and how often it is resumed."""
+
+    silence_ms: int = 3_000
+    resumes: int = 4
+    resume_pause_ms: int = 50
+
+
+@attrs.frozen
+class Whole:
+    """The stream came to its end event, and all that it says is true."""
+
+
+@attrs.frozen
+class Broken:
+    """The stream stopped; a resume may bring the rest."""
+
+    reason: reasons.Reason
+
+
+@attrs.frozen
+class Final:
+    """The attempt cannot become whole."""
+
+    result: results.TargetNotRun | results.TargetMaybeRun
+
+
+Ending = Whole | Broken | Final
+
+
+@attrs.define(kw_only=True)
+class Generation:
+    """One attempt over all its streams."""
+
+    replica: results.Replica
+    attempt: ports.Attempt
+    table: tokens.TokenTable = attrs.field(factory=tokens.TokenTable)
+    sent: bool = False
+    draining: bool = False
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class EngineClient:
+    """Generates at engine replicas."""
+
+    def __init__(
+        self,
+        exchanges: http.Http,
+        canceller: cancels.Canceller,
+        settings: StreamSettings,
+    ) -> None:
+        self._http = exchanges
+        self._canceller = canceller
+        self._settings = settings
+        self._resumes = 0
+
+    @property
+    def resumes(self) -> int:
+        """How many streams were resumed."""
+        return self._resumes
+
+    async def call(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> results.TargetResult:
+        """Generate, and pass each token on once and in order."""
+        prompt = attempt.input.get('prompt')
+        if not isinstance(prompt, str):
+            return results.TargetNotRun(reasons.Reason.NO_PROMPT)
+        generation = Generation(replica=replica, attempt=attempt)
+        try:
+            result = await self._run(generation, prompt)
+        except asyncio.CancelledError:
+            if generation.sent:
+                self._cancel(generation)
+            raise
+        if isinstance(result, results.TargetMaybeRun):
+            self._cancel(generation)
+        return result
+
+    async def _run(
+        self, generation: Generation, prompt: str
+    ) -> results.TargetResult:
+        exchange = self._first(generation, prompt)
+        reason = reasons.Reason.ENDED_EARLY
+        for _ in range(self._settings.resumes + 1):
+            ending = await self._stream(generation, exchange)
+            match ending:
+                case Whole():
+                    return _answer(generation)
+                case Final(result):
+                    return result
+                case Broken(reason):
+                    if not generation.sent:
+                        return results.TargetNotRun(reason)
+            if reason is reasons.Reason.DEADLINE:
+                break
+            await self._http.clock.sleep_ms(self._settings.resume_pause_ms)
+            exchange = self._resume(generation)
+        return results.TargetMaybeRun(_incomplete(generation, reason))
+
+    def _first(self, generation: Generation, prompt: str) -> http.Exchange:
+        attempt = generation.attempt
+        body = {
+            'id': attempt.id,
+            'model': attempt.model,
+            'prompt': prompt,
+            'max_tokens': attempt.max_tokens,
+            'priority': attempt.priority,
+        }
+        lane = plain.lane_of(attempt)
+        return self._exchange(generation, '/v1/generate', body, lane)
+
+    def _resume(self, generation: Generation) -> http.Exchange:
+        self._resumes += 1
+        attempt_id = generation.attempt.id
+        body = {'id': attempt_id, 'from': generation.table.next}
+        path = f'/v1/generate/{attempt_id}/resume'
+        return self._exchange(generation, path, body, http.Lane.FRESH)
+
+    def _exchange(
+        self,
+        generation: Generation,
+        path: str,
+        body: dict[str, Any],
+        lane: http.Lane,
+    ) -> http.Exchange:
+        return http.Exchange(
+            method='POST',
+            address=generation.replica.address,
+            path=path,
+            deadline=generation.attempt.deadline,
+            body=json.dumps(body).encode(),
+            lane=lane,
+            silence_ms=self._settings.silence_ms,
+        )
+
+    async def _stream(
+        self, generation: Generation, exchange: http.Exchange
+    ) -> Ending:
+        remaining_ms = exchange.deadline.remaining_ms(self._http.clock)
+        if not remaining_ms:
+            return Broken(reasons.Reason.DEADLINE)
+        try:
+            async with asyncio.timeout(remaining_ms / 1000):
+                return await self._receive(generation, exchange)
+        except http.FAILURES as error:
+            return Broken(self._http.failure(exchange, error).reason)
+        except errors.PlatformError:
+            return Broken(reasons.Reason.MALFORMED)
+        finally:
+            generation.sent |= exchange.connected
+            generation.sent_bytes += exchange.sent_bytes
+            generation.received_bytes += exchange.received_bytes
+
+    async def _receive(
+        self, generation: Generation, exchange: http.Exchange
+    ) -> Ending:
+        response = await self._http.send(exchange)
+        try:
+            generation.draining |= http.is_draining(response)
+            if response.status != 200:
+                return await _refusal(generation, response)
+            return await _read_events(generation, exchange, response)
+        finally:
+            response.close()
+
+    def _cancel(self, generation: Generation) -> None:
+        path = f'/v1/generate/{generation.attempt.id}'
+        self._canceller.cancel(generation.replica, path)
+
+
+async def _refusal(
+    generation: Generation, response: aiohttp.ClientResponse
+) -> Ending:
+    body = await response.content.read(http.READ_BYTES)
+    same_id = plain.parse(body).get('id') == generation.attempt.id
+    not_run = response.headers.get('Not-Run') == '1'
+    first = not generation.sent
+    match response.status:
+        case 503 if not_run and same_id and first:
+            return Final(
+                results.TargetNotRun(
+                    reasons.Reason.REFUSED, generation.draining
+                )
+            )
+        case 503 if not_run:
+            return Broken(reasons.Reason.REFUSED)
+        case 404 if not first:
+            return Final(_maybe_run(generation, reasons.Reason.NOT_FOUND))
+        case _:
+            return Final(_maybe_run(generation, reasons.Reason.FAILED))
+
+
+async def _read_events(
+    generation: Generation,
+    exchange: http.Exchange,
+    response: aiohttp.ClientResponse,
+) -> Ending:
+    parser = sse.EventParser()
+    async for chunk in response.content.iter_any():
+        exchange.received_bytes += len(chunk)
+        for event in parser.feed(chunk):
+            ending = await _take(generation, event)
+            if ending is not None:
+                return ending
+    return Broken(reasons.Reason.ENDED_EARLY)
+
+
+async def _take(generation: Generation, event: sse.Event) -> Ending | None:
+    data = plain.parse(event.data)
+    if data.get('id') != generation.attempt.id:
+        return Broken(reasons.Reason.WRONG_ID)
+    match event.name:
+        case 'token':
+            return await _take_token(generation, data)
+        case 'end':
+            return _take_end(generation, data)
+        case 'cancelled':
+            return Final(_maybe_run(generation, reasons.Reason.CANCELLED))
+        case _:
+            return None
+
+
+async def _take_token(
+    generation: Generation, data: dict[str, Any]
+) -> Ending | None:
+    index, text = data.get('i'), data.get('text')
+    if not isinstance(index, int) or not isinstance(text, str) or index < 0:
+        return Broken(reasons.Reason.MALFORMED)
+    due = generation.table.add(index, text)
+    if due is None:
+        return Broken(reasons.Reason.MALFORMED)
+    on_token = generation.attempt.on_token
+    if on_token is not None:
+        for due_index, due_text in due:
+            await on_token(due_index, due_text)
+    return None
+
+
+def _take_end(generation: Generation, data: dict[str, Any]) -> Ending:
+    table = generation.table
+    if data.get('count') != table.next:
+        return Broken(reasons.Reason.ENDED_EARLY)
+    if data.get('digest') != table.digest:
+        return Final(_maybe_run(generation, reasons.Reason.WRONG_DIGEST))
+    return Whole()
+
+
+def _maybe_run(
+    generation: Generation, reason: reasons.Reason
+) -> results.TargetMaybeRun:
+    return results.TargetMaybeRun(_incomplete(generation, reason))
+
+
+def _incomplete(generation: Generation, reason: reasons.Reason) -> str:
+    return f'{reason}, after {generation.table.next} tokens'
+
+
+def _answer(generation: Generation) -> results.TargetAnswer:
+    return results.TargetAnswer(
+        output={'text': generation.table.text},
+        sent_bytes=generation.sent_bytes,
+        received_bytes=generation.received_bytes,
+        tokens=generation.table.next,
+        draining=generation.draining,
+    )
--- /dev/null
+++ b/sycamorebeam/clients/instances.py
@@ -0,0 +1,88 @@
+"""The client of the platform's instance list."""
+
+from typing import Any
+
+import attrs
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import http
+from sycamorebeam.clients import plain
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+
+ANSWER_TIMEOUT_MS = 2_000
+
+
+@attrs.frozen
+class InstancePage:
+    """The whole list, as of ``version``."""
+
+    version: int
+    replicas: tuple[results.Replica, ...]
+
+
+@attrs.frozen
+class InstancesUnavailable:
+    """The list did not answer."""
+
+    reason: str
+
+
+FetchResult = InstancePage | InstancesUnavailable
+
+
+class InstanceList:
+    """Reads the list, waiting for changes when asked to."""
+
+    def __init__(self, address: str, clock: clock_module.Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._http = http.Http(clock, http.HttpLimits())
+
+    async def fetch(
+        self, after_version: int = 0, wait_ms: int = 0
+    ) -> FetchResult:
+        """Return the list, at once or when it is newer than a version."""
+        query = f'after={after_version}&wait_ms={wait_ms}'
+        limit_ms = wait_ms + ANSWER_TIMEOUT_MS
+        exchange = http.Exchange(
+            method='GET',
+            address=self._address,
+            path=f'/v1/instances?{query}',
+            deadline=clock_module.deadline_in(self._clock, limit_ms),
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, http.HttpFailure):
+            return InstancesUnavailable(reply.reason)
+        if reply.status != 200:
+            return InstancesUnavailable(f'status {reply.status}')
+        return _page(plain.parse(reply.body))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+
+def new_instance_list(address: str, clock: clock_module.Clock) -> InstanceList:
+    """Return a client of the list at ``address``; close it when done."""
+    return InstanceList(address, clock)
+
+
+def _page(answer: dict[str, Any]) -> FetchResult:
+    try:
+        replicas = tuple(_replica(item) for item in answer['items'])
+        return InstancePage(int(answer['version']), replicas)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return InstancesUnavailable(reasons.Reason.MALFORMED)
+
+
+def _replica(item: dict[str, Any]) -> results.Replica:
+    return results.Replica(
+        id=str(item['id']),
+        group=str(item['group']),
+        address=str(item['address']),
+        zone=str(item['zone']),
+        region=str(item['region']),
+        leaving=item.get('state') == 'leaving',
+        peer_address=item.get('peer_address'),
+    )
--- /dev/null
+++ b/sycamorebeam/clients/orders.py
@@ -0,0 +1,203 @@
+"""Orders to engines, their state and their cache events."""
+
+import json
+from typing import Any
+
+import attrs
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import http
+from sycamorebeam.clients import plain
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+
+READ_TIMEOUT_MS = 2_000
+
+
+@attrs.frozen(kw_only=True)
+class EngineOrder:
+    """A declarative order; ``fence`` is the offset of its lease.
+
+    ``kind`` is load_model, load_adapter, unload or set_role.
+    """
+
+    id: str
+    fence: int
+    kind: str
+    name: str
+    version: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class EngineState:
+    """What an engine says it is."""
+
+    role: str
+    models: dict[str, str]
+    adapters: tuple[str, ...]
+    fence: int
+
+
+@attrs.frozen
+class OrderDone:
+    """The engine carried the order out; ``state`` is its state after it."""
+
+    state: EngineState
+
+
+@attrs.frozen
+class OrderFenced:
+    """The engine refused the order, having seen the higher ``fence``."""
+
+    fence: int
+
+
+OrderResult = (
+    OrderDone | OrderFenced | results.TargetNotRun | results.TargetMaybeRun
+)
+
+
+@attrs.frozen
+class StateUnavailable:
+    """The engine did not say what it is or what it caches."""
+
+    reason: str
+
+
+@attrs.frozen
+class CacheEvent:
+    """A prompt prefix came into an engine's cache or left it."""
+
+    seq: int
+    prefix: str
+    stored: bool
+
+
+@attrs.frozen
+class CachePage:
+    """Cache events in order; ``gap`` says that some before them are lost.
+
+    Ask for ``next`` the next time.
+    """
+
+    next: int
+    events: tuple[CacheEvent, ...]
+    gap: bool
+
+
+class OrderClient:
+    """Orders and questions to engine replicas."""
+
+    def __init__(self, exchanges: http.Http) -> None:
+        self._http = exchanges
+
+    async def order(
+        self,
+        replica: results.Replica,
+        order: EngineOrder,
+        deadline: clock_module.Deadline,
+    ) -> OrderResult:
+        """Send ``order`` once, on a fresh connection."""
+        exchange = http.Exchange(
+            method='POST',
+            address=replica.address,
+            path='/v1/orders',
+            deadline=deadline,
+            body=json.dumps(attrs.asdict(order)).encode(),
+            lane=http.Lane.FRESH,
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, http.HttpFailure):
+            return _failed(reply)
+        return _order_result(order, reply)
+
+    async def state(
+        self, replica: results.Replica
+    ) -> EngineState | StateUnavailable:
+        """Return what the engine says it is."""
+        answer = await self._get(replica, '/v1/state')
+        if isinstance(answer, StateUnavailable):
+            return answer
+        return _state(answer) or StateUnavailable(reasons.Reason.MALFORMED)
+
+    async def cache_events(
+        self, replica: results.Replica, start: int
+    ) -> CachePage | StateUnavailable:
+        """Return the cache events from sequence number ``start`` on."""
+        answer = await self._get(replica, f'/v1/cache-events?from={start}')
+        if isinstance(answer, StateUnavailable):
+            return answer
+        try:
+            return _page(answer, start)
+        except (KeyError, TypeError, ValueError):
+            return StateUnavailable(reasons.Reason.MALFORMED)
+
+    async def _get(
+        self, replica: results.Replica, path: str
+    ) -> dict[str, Any] | StateUnavailable:
+        deadline = clock_module.deadline_in(self._http.clock, READ_TIMEOUT_MS)
+        exchange = http.Exchange(
+            method='GET',
+            address=replica.address,
+            path=path,
+            deadline=deadline,
+            lane=http.Lane.FRESH,
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, http.HttpFailure):
+            return StateUnavailable(reply.reason)
+        if reply.status != 200:
+            return StateUnavailable(reasons.Reason.FAILED)
+        return plain.parse(reply.body)
+
+
+def _failed(
+    failure: http.HttpFailure,
+) -> results.TargetNotRun | results.TargetMaybeRun:
+    if not failure.sent:
+        return results.TargetNotRun(failure.reason)
+    return results.TargetMaybeRun(failure.reason)
+
+
+def _order_result(order: EngineOrder, reply: http.HttpReply) -> OrderResult:
+    answer = plain.parse(reply.body)
+    if answer.get('id', order.id) != order.id:
+        return results.TargetMaybeRun(reasons.Reason.WRONG_ID)
+    if reply.status == 409 and isinstance(answer.get('fence'), int):
+        return OrderFenced(answer['fence'])
+    if reply.status == 503 and reply.not_run and 'id' in answer:
+        return results.TargetNotRun(reasons.Reason.REFUSED, reply.draining)
+    if reply.status != 200:
+        return results.TargetMaybeRun(reasons.Reason.FAILED)
+    state = _state(answer)
+    if state is None:
+        return results.TargetMaybeRun(reasons.Reason.MALFORMED)
+    return OrderDone(state)
+
+
+def _state(answer: dict[str, Any]) -> EngineState | None:
+    try:
+        return EngineState(
+            role=str(answer['role']),
+            models={str(k): str(v) for k, v in answer['models'].items()},
+            adapters=tuple(str(item) for item in answer['adapters']),
+            fence=int(answer['fence']),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _page(answer: dict[str, Any], start: int) -> CachePage:
+    events = []
+    gap = False
+    expected = start
+    for item in answer['events']:
+        seq = int(item['seq'])
+        if seq < expected:
+            continue
+        gap |= seq > expected
+        expected = seq + 1
+        stored = item['kind'] == 'stored'
+        events.append(CacheEvent(seq, str(item['prefix']), stored))
+    following = max(int(answer['next']), expected)
+    return CachePage(following, tuple(events), gap or following > expected)
--- /dev/null
+++ b/sycamorebeam/clients/plain.py
@@ -0,0 +1,199 @@
+"""Calls with one answer, as pools and plain services take them."""
+
+import asyncio
+from collections.abc import Callable
+import json
+from typing import Any
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam import hashing
+from sycamorebeam.clients import cancels
+from sycamorebeam.clients import http
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from sycamorebeam.clients import watch
+
+PROBE_TIMEOUT_MS = 1_000
+PROBES_AT_ONCE = 32
+
+
+class PlainClient:
+    """Sends one call and verifies its answer."""
+
+    def __init__(
+        self,
+        exchanges: http.Http,
+        canceller: cancels.Canceller,
+        settings: watch.WatchSettings,
+    ) -> None:
+        self._http = exchanges
+        self._canceller = canceller
+        self._settings = settings
+        self._probes: set[str] = set()
+
+    async def call(
+        self,
+        replica: results.Replica,
+        attempt: ports.Attempt,
+        path: str,
+        body: dict[str, Any],
+    ) -> results.TargetResult:
+        """Send ``body`` to ``path`` and return what came of it."""
+        exchange = http.Exchange(
+            method='POST',
+            address=replica.address,
+            path=path,
+            deadline=attempt.deadline,
+            body=json.dumps(body).encode(),
+            lane=lane_of(attempt),
+        )
+        try:
+            reply = await self._fetch(replica, attempt, exchange)
+        except asyncio.CancelledError:
+            if exchange.connected:
+                self._cancel(replica, attempt)
+            raise
+        match reply:
+            case http.HttpFailure(sent=True):
+                self._cancel(replica, attempt)
+                return failed(reply)
+            case http.HttpFailure():
+                return failed(reply)
+            case http.HttpReply():
+                return verify(attempt, exchange, reply)
+
+    async def _fetch(
+        self,
+        replica: results.Replica,
+        attempt: ports.Attempt,
+        exchange: http.Exchange,
+    ) -> http.HttpReply | http.HttpFailure:
+        if not attempt.deadline.remaining_ms(self._http.clock):
+            return http.HttpFailure(reasons.Reason.DEADLINE, sent=False)
+        scope = asyncio.timeout(None)
+        calls = watch.CallWatch(
+            self._http.clock,
+            self._settings,
+            lambda: self._probe(replica, attempt),
+            _expire(exchange, scope),
+        )
+        try:
+            return await self._http.fetch(exchange, scope)
+        finally:
+            calls.stop()
+
+    async def _probe(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> watch.CallState:
+        # One probe for each target at a time: slow targets get no more load.
+        busy = replica.address in self._probes
+        if busy or len(self._probes) >= PROBES_AT_ONCE:
+            return watch.CallState.RUNNING
+        self._probes.add(replica.address)
+        try:
+            return await self._ask(replica, attempt)
+        finally:
+            self._probes.discard(replica.address)
+
+    async def _ask(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> watch.CallState:
+        exchange = http.Exchange(
+            method='GET',
+            address=replica.address,
+            path=f'/v1/calls/{attempt.id}',
+            deadline=clock_module.deadline_in(
+                self._http.clock, PROBE_TIMEOUT_MS
+            ),
+            lane=http.Lane.FRESH,
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, http.HttpFailure):
+            return watch.CallState.UNREACHABLE
+        answer = parse(reply.body)
+        if reply.status != 200 or answer.get('id') != attempt.id:
+            return watch.CallState.UNSUPPORTED
+        match answer.get('state'):
+            case 'running':
+                return watch.CallState.RUNNING
+            case 'none':
+                return watch.CallState.NONE
+            case _:
+                return watch.CallState.UNSUPPORTED
+
+    def _cancel(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> None:
+        self._canceller.cancel(replica, f'/v1/calls/{attempt.id}')
+
+
+def _expire(
+    exchange: http.Exchange, scope: asyncio.Timeout
+) -> Callable[[], None]:
+    def expire() -> None:
+        exchange.silent = True
+        scope.reschedule(asyncio.get_running_loop().time())
+
+    return expire
+
+
+def lane_of(attempt: ports.Attempt) -> http.Lane:
+    """Return the lane for the first exchange of ``attempt``."""
+    if attempt.fresh_connection:
+        return http.Lane.FRESH
+    return http.Lane.POOLED
+
+
+def failed(failure: http.HttpFailure) -> results.TargetResult:
+    """Return what a failed exchange says about its attempt."""
+    if not failure.sent:
+        return results.TargetNotRun(failure.reason)
+    return results.TargetMaybeRun(failure.reason, failure.request_id)
+
+
+def parse(body: bytes) -> dict[str, Any]:
+    """Return the JSON object in ``body``, an empty one if there is none."""
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def verify(
+    attempt: ports.Attempt, exchange: http.Exchange, reply: http.HttpReply
+) -> results.TargetResult:
+    """Return the answer in ``reply`` if it is this attempt's and whole."""
+    answer = parse(reply.body)
+    if answer.get('id') != attempt.id:
+        return results.TargetMaybeRun(_mismatch(reply, answer))
+    if reply.status == 503 and reply.not_run:
+        return results.TargetNotRun(reasons.Reason.REFUSED, reply.draining)
+    request_id = reply.request_id or _text(answer.get('request_id'))
+    if reply.status != 200:
+        return results.TargetMaybeRun(reasons.Reason.FAILED, request_id)
+    output = answer.get('output')
+    if not isinstance(output, dict):
+        return results.TargetMaybeRun(reasons.Reason.MALFORMED, request_id)
+    if answer.get('digest') != hashing.digest_value(output).hex():
+        return results.TargetMaybeRun(reasons.Reason.WRONG_DIGEST, request_id)
+    return results.TargetAnswer(
+        output=output,
+        sent_bytes=exchange.sent_bytes,
+        received_bytes=exchange.received_bytes,
+        target_request_id=request_id,
+        draining=reply.draining,
+    )
+
+
+def _mismatch(reply: http.HttpReply, answer: dict[str, Any]) -> reasons.Reason:
+    if 'id' in answer:
+        return reasons.Reason.WRONG_ID
+    if reply.status != 200:
+        return reasons.Reason.FAILED
+    return reasons.Reason.MALFORMED
+
+
+def _text(value: object) -> str | None:
+    return value if isinstance(value, str) else None
--- /dev/null
+++ b/sycamorebeam/clients/service.py
@@ -0,0 +1,23 @@
+"""Calls to plain services, which remember no earlier calls."""
+
+from sycamorebeam.clients import plain
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+
+class ServiceClient:
+    """Calls operations of services, each once."""
+
+    def __init__(self, calls: plain.PlainClient) -> None:
+        self._calls = calls
+
+    async def call(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> results.TargetResult:
+        """Send ``attempt`` once."""
+        body = {
+            'id': attempt.id,
+            'operation': attempt.operation,
+            'input': attempt.input,
+        }
+        return await self._calls.call(replica, attempt, '/v1/calls', body)
--- /dev/null
+++ b/sycamorebeam/clients/targets.py
@@ -0,0 +1,118 @@
+"""Calls to targets of every kind."""
+
+from typing import Any
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import cancels
+from sycamorebeam.clients import engine
+from sycamorebeam.clients import http
+from sycamorebeam.clients import orders
+from sycamorebeam.clients import plain
+from sycamorebeam.clients import pool
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.clients import service
+from sycamorebeam.clients import watch
+
+LOAD_TIMEOUT_MS = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class TargetSettings:
+    """How targets are called."""
+
+    limits: http.HttpLimits = attrs.field(factory=http.HttpLimits)
+    stream: engine.StreamSettings = attrs.field(factory=engine.StreamSettings)
+    calls: watch.WatchSettings = attrs.field(factory=watch.WatchSettings)
+
+
+class HttpTargets:
+    """Implements ``ports.TargetClient`` over HTTP."""
+
+    def __init__(
+        self, clock: clock_module.Clock, settings: TargetSettings
+    ) -> None:
+        self._clock = clock
+        self._http = http.Http(clock, settings.limits)
+        self._canceller = cancels.Canceller(self._http)
+        calls = plain.PlainClient(self._http, self._canceller, settings.calls)
+        self._engines = engine.EngineClient(
+            self._http, self._canceller, settings.stream
+        )
+        self._pools = pool.PoolClient(calls)
+        self._services = service.ServiceClient(calls)
+        self._orders = orders.OrderClient(self._http)
+
+    @property
+    def orders(self) -> orders.OrderClient:
+        """Orders and questions to engines."""
+        return self._orders
+
+    @property
+    def silent_connections(self) -> int:
+        """How many connections went silent and were abandoned."""
+        return self._http.silent_connections
+
+    @property
+    def resumes(self) -> int:
+        """How many engine streams were resumed."""
+        return self._engines.resumes
+
+    async def call(
+        self,
+        kind: catalogue.TargetKind,
+        replica: results.Replica,
+        attempt: ports.Attempt,
+    ) -> results.TargetResult:
+        """Send one attempt; cancelling this task cancels it there."""
+        match kind:
+            case catalogue.TargetKind.ENGINE:
+                return await self._engines.call(replica, attempt)
+            case catalogue.TargetKind.POOL:
+                return await self._pools.call(replica, attempt)
+            case catalogue.TargetKind.SERVICE:
+                return await self._services.call(replica, attempt)
+
+    async def load(self, replica: results.Replica) -> ports.LoadReport | None:
+        """Return the replica's load report, None when it gave none."""
+        exchange = http.Exchange(
+            method='GET',
+            address=replica.address,
+            path='/v1/load',
+            deadline=clock_module.deadline_in(self._clock, LOAD_TIMEOUT_MS),
+            silence_ms=LOAD_TIMEOUT_MS // 2,
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, http.HttpFailure) or reply.status != 200:
+            return None
+        return _load_report(plain.parse(reply.body), reply.draining)
+
+    async def close(self) -> None:
+        """Wait for open cancels and close all connections."""
+        await self._canceller.close()
+        await self._http.close()
+
+
+def new_targets(
+    clock: clock_module.Clock, settings: TargetSettings | None = None
+) -> HttpTargets:
+    """Return a client of targets; close it when done."""
+    return HttpTargets(clock, settings or TargetSettings())
+
+
+def _load_report(
+    answer: dict[str, Any], draining: bool
+) -> ports.LoadReport | None:
+    try:
+        return ports.LoadReport(
+            running=int(answer['running']),
+            waiting=int(answer['waiting']),
+            capacity=int(answer['capacity']),
+            draining=draining or answer.get('state') == 'draining',
+            age_ms=int(answer['report_age_ms']),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/sycamorebeam/standins/engine.py
@@ -0,0 +1,237 @@
+"""The stand-in of a model engine."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+
+from aiohttp import web
+import attrs
+
+from sycamorebeam import errors
+from sycamorebeam.standins import batch
+from sycamorebeam.standins import faults
+from sycamorebeam.standins import prefixcache
+from sycamorebeam.standins import replica
+from sycamorebeam.standins import runs
+
+BEAT_MS = 500
+BEAT = b': alive\n\n'
+MAX_TOKENS = 100_000
+
+
+@attrs.define
+class EngineState:
+    """What orders set."""
+
+    role: str = 'generate'
+    models: dict[str, str] = attrs.field(factory=dict)
+    adapters: list[str] = attrs.field(factory=list)
+    fence: int = 0
+
+
+class Engine(replica.Replica):
+    """An engine replica that streams a text made from the prompt."""
+
+    def __init__(self, group: str, options: replica.TargetOptions) -> None:
+        super().__init__(group, options)
+        self._state = EngineState()
+        self._cache = prefixcache.PrefixCache(
+            options.cached_prefixes, options.cache_events_lag_ms
+        )
+        self._batch = batch.Batch(
+            options.capacity, options.token_ms, self._start, self._prefill
+        )
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the calls of an engine."""
+        super().add_routes(router)
+        router.add_post('/v1/generate', self._generate)
+        router.add_post('/v1/generate/{id}/resume', self._resume)
+        router.add_delete('/v1/generate/{id}', self._cancel)
+        router.add_get('/v1/cache-events', self._get_cache_events)
+        router.add_get('/v1/state', self._get_state)
+        router.add_post('/v1/orders', self._order)
+
+    def load(self) -> tuple[int, int]:
+        """Return how many generations run and how many wait."""
+        return self._batch.running, self._batch.waiting
+
+    def _start(self, generation: batch.Generation) -> runs.Run:
+        return self.runs.start(generation.id, 'generate')
+
+    async def _prefill(self, generation: batch.Generation) -> None:
+        hit = self._cache.use(generation.prompt)
+        if not hit:
+            await asyncio.sleep(self.options.prefill_ms / 1000)
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        try:
+            generation = _generation(await replica.read_call(request))
+        except errors.SettingsError as error:
+            return web.json_response({'error': str(error)}, status=400)
+        ended = await self.admit(request, generation.id)
+        if ended is not None:
+            return ended
+        if self._batch.find(generation.id) is not None:
+            return web.json_response({'id': generation.id}, status=409)
+        if self._batch.waiting >= self.options.queue:
+            return self.not_run(generation.id)
+        self._batch.submit(generation)
+        lifetime_s = replica.deadline_ms(request) / 1000
+        loop = asyncio.get_running_loop()
+        loop.call_later(lifetime_s, self._batch.cancel, generation.id)
+        await self.delay()
+        if self.faults.take('errors'):
+            return web.json_response({'id': generation.id}, status=500)
+        if self.faults.take('hang'):
+            return await faults.hang(request)
+        return await self._stream(request, generation, 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        self.runs.resumes += 1
+        generation_id = request.match_info['id']
+        ended = await self.admit(request, generation_id)
+        if ended is not None:
+            return ended
+        fields = await replica.read_call(request)
+        generation = self._batch.find(generation_id)
+        start = fields.get('from')
+        if generation is None or generation.cancelled:
+            return web.json_response({'id': generation_id}, status=404)
+        if not isinstance(start, int) or start < 0:
+            return web.json_response({'id': generation_id}, status=400)
+        return await self._stream(request, generation, start)
+
+    async def _stream(
+        self, request: web.Request, generation: batch.Generation, start: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self.headers())
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        early = self.faults.take('early_end')
+        stall = self.faults.take('stall')
+        half = (start + generation.max_tokens) // 2
+        stop = half if early or stall else generation.max_tokens + 1
+        try:
+            async for event in self._events(generation, start, stop):
+                await response.write(event)
+        except ConnectionError:
+            return response
+        if stall:
+            await self.go_silent(request)
+        elif not early:
+            await response.write(self._end(generation))
+        return response
+
+    async def _events(
+        self, generation: batch.Generation, start: int, stop: int
+    ) -> AsyncIterator[bytes]:
+        twice = self.faults.take('doubled')
+        shuffled = self.faults.take('shuffled')
+        call_id = self.echo(generation.id)
+        held = b''
+        async for item in generation.read(start, BEAT_MS):
+            if item is None:
+                yield BEAT
+                continue
+            index, text = item
+            if index >= stop:
+                return
+            event = _event('token', {'id': call_id, 'i': index, 'text': text})
+            if shuffled and index % 2 == 0 and index + 1 < stop:
+                held = event
+                continue
+            yield event + held + (event if twice else b'')
+            held = b''
+        if held:
+            yield held
+
+    def _end(self, generation: batch.Generation) -> bytes:
+        digest = generation.digest
+        if self.faults.take('wrong_digest'):
+            digest = digest[::-1]
+        data = {
+            'id': generation.id,
+            'count': len(generation.texts),
+            'digest': digest,
+        }
+        if generation.cancelled:
+            return _event('cancelled', {'id': generation.id})
+        return _event('end', data)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        self.runs.cancels += 1
+        self._batch.cancel(request.match_info['id'])
+        return web.Response(status=204, headers=self.headers())
+
+    async def _get_cache_events(self, request: web.Request) -> web.Response:
+        start = int(request.query.get('from', 0))
+        following, events = self._cache.page(start)
+        items = [attrs.asdict(event) for event in events]
+        return web.json_response({'next': following, 'events': items})
+
+    async def _get_state(self, request: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(self._state))
+
+    async def _order(self, request: web.Request) -> web.StreamResponse:
+        fields = await replica.read_call(request)
+        call_id = str(fields['id'])
+        ended = await self.admit(request, call_id)
+        if ended is not None:
+            return ended
+        fence = fields.get('fence')
+        if not isinstance(fence, int):
+            return web.json_response({'id': call_id}, status=400)
+        if self.options.checks_fencing:
+            if fence < self._state.fence:
+                held = {'id': call_id, 'fence': self._state.fence}
+                return web.json_response(held, status=409)
+            self._state.fence = fence
+        run = self.runs.start(call_id, str(fields.get('kind')))
+        await self.delay()
+        self._apply(fields)
+        run.state = runs.RunState.FINISHED
+        if self.faults.take('errors'):
+            return web.json_response({'id': call_id}, status=500)
+        if self.faults.take('hang'):
+            return await faults.hang(request)
+        answer = attrs.asdict(self._state) | {'id': self.echo(call_id)}
+        return web.json_response(answer, headers=self.headers())
+
+    def _apply(self, order: dict[str, Any]) -> None:
+        name = order.get('name', '')
+        match order.get('kind'):
+            case 'load_model':
+                self._state.models[name] = order.get('version', '')
+            case 'load_adapter' if name not in self._state.adapters:
+                self._state.adapters.append(name)
+            case 'unload':
+                self._state.models.pop(name, None)
+                kept = [item for item in self._state.adapters if item != name]
+                self._state.adapters = kept
+            case 'set_role':
+                self._state.role = name
+            case _:
+                return
+
+
+def _generation(fields: dict[str, Any]) -> batch.Generation:
+    try:
+        return batch.Generation(
+            id=fields['id'],
+            model=str(fields.get('model') or ''),
+            prompt=str(fields['prompt']),
+            max_tokens=min(max(int(fields['max_tokens']), 1), MAX_TOKENS),
+            priority=int(fields.get('priority', 1)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.SettingsError(
+            f'the call is not a generation ({error!r})',
+            'send id, prompt and max_tokens',
+        ) from error
+
+
+def _event(name: str, data: dict[str, object]) -> bytes:
+    text = json.dumps(data, ensure_ascii=False, separators=(',', ':'))
+    return f'event: {name}\ndata: {text}\n\n'.encode()
--- /dev/null
+++ b/sycamorebeam/standins/faults.py
@@ -0,0 +1,91 @@
+"""The switches of a target's stand-in, and how a faulty call ends."""
+
+import asyncio
+import random
+
+from aiohttp import web
+import attrs
+
+HANG_MS = 600_000
+HANG_POLL_MS = 50
+
+
+@attrs.define
+class TargetFaults:
+    """The switches of a target; see ``docs/protocols/targets.md``.
+
+    A number counts the next calls that the fault hits.
+    """
+
+    delay_ms: float = 0
+    jitter_ms: float = 0
+    errors: int = 0
+    hang: int = 0
+    early_end: int = 0
+    wrong_id: int = 0
+    wrong_digest: int = 0
+    late: int = 0
+    late_by_ms: float = 0
+    doubled: int = 0
+    shuffled: int = 0
+    refuse: int = 0
+    silent: int = 0
+    stall: int = 0
+    drop: int = 0
+    draining: bool = False
+
+    def take(self, name: str) -> bool:
+        """Return whether the fault ``name`` hits this call; count it."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+    async def delay(self, randomness: random.Random) -> None:
+        """Wait as long as the switches say."""
+        delay_ms = self.delay_ms + randomness.uniform(0, self.jitter_ms)
+        if self.take('late'):
+            delay_ms += self.late_by_ms
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+
+
+class SilentConnections:
+    """The connections on which a target never answers again."""
+
+    def __init__(self) -> None:
+        self._transports: set[asyncio.BaseTransport] = set()
+
+    def add(self, request: web.Request) -> None:
+        """Make the connection of ``request`` silent for good."""
+        if request.transport is not None:
+            self._transports.add(request.transport)
+
+    def holds(self, request: web.Request) -> bool:
+        """Return whether the connection of ``request`` is silent."""
+        return request.transport in self._transports
+
+    async def hang(self, request: web.Request) -> web.Response:
+        """Answer nothing until the other end closes the connection."""
+        await hang(request)
+        self._transports = {
+            item for item in self._transports if not item.is_closing()
+        }
+        return web.Response(status=500)
+
+
+async def hang(request: web.Request) -> web.Response:
+    """Answer nothing until the connection closes, for a bounded time."""
+    for _ in range(HANG_MS // HANG_POLL_MS):
+        if request.transport is None or request.transport.is_closing():
+            break
+        await asyncio.sleep(HANG_POLL_MS / 1000)
+    drop(request)
+    return web.Response(status=500)
+
+
+def drop(request: web.Request) -> None:
+    """Close the connection of ``request`` at once."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/sycamorebeam/standins/service.py
@@ -0,0 +1,31 @@
+"""The stand-in of a plain service, which has no memory of earlier calls."""
+
+from typing import Any
+
+from aiohttp import web
+
+from sycamorebeam.standins import plain
+from sycamorebeam.standins import replica
+
+
+class Service(replica.Replica):
+    """A service replica that does whatever operation it is asked for."""
+
+    def __init__(self, group: str, options: replica.TargetOptions) -> None:
+        super().__init__(group, options)
+        self._calls = plain.PlainCalls(self, compute)
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the calls of a service."""
+        super().add_routes(router)
+        self._calls.add_routes(router)
+        router.add_post('/v1/calls', self._calls.answer)
+
+    def load(self) -> tuple[int, int]:
+        """Return how many calls run and how many wait."""
+        return self._calls.load()
+
+
+def compute(operation: str, inputs: dict[str, Any]) -> dict[str, Any]:
+    """Return the output of ``operation`` on ``inputs``."""
+    return {'operation': operation, 'done': True, 'input': inputs}
