Add the commands request, status and standin

Cause: operators and newcomers send requests and look at instances by hand. Change: a caller client that sends once and tells whole answers from cut ones; request, status and standin on it and on the stand-ins. Exit codes tell a refusal that ran nothing from an unknown outcome.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,8 @@
 from typer import testing
 
 from sycamorebeam.cli import main
+from sycamorebeam.clients import caller
+from sycamorebeam.standins import target
 from tests import base
 
 SAMPLES = pathlib.Path(__file__).parents[1] / 'samples'
@@ -60,3 +62,86 @@
         found = invoke('settings', 'check', CATALOGUE, '--output', 'json')
         self.assertEqual('', found.stdout)
         self.assertIn(f'{SAMPLES / CATALOGUE}:', found.stderr)
+
+
+@ddt.ddt
+class RequestTest(base.TestCase):
+    def send(self, result, *args):
+        async def answer(call, on_token):
+            self.call = call
+            return result
+
+        self.patch(caller, 'send', answer)
+        address = ('--to', '127.0.0.1:1')
+        token = ('--token-file', str(SAMPLES / 'kovacik' / 'peer.secret'))
+        return invoke('request', 'notes', *address, *token, *args)
+
+    @ddt.data(
+        (caller.CallAnswered({'output': {}}), 0),
+        (caller.CallRefused({'outcome': 'not_run'}), 3),
+        (caller.CallRefused({'outcome': 'attempt_not_run'}), 4),
+        (caller.CallRefused({'outcome': 'partial'}), 4),
+        (caller.CallLost('cut', True), 4),
+        (caller.CallLost('nobody there', False), 1),
+    )
+    @ddt.unpack
+    def test_the_code_tells_what_is_known(self, result, code):
+        found = self.send(result, '--text', 'x', '--output', 'json')
+        self.assertEqual(code, found.exit_code, found.output)
+        self.assertIsInstance(json.loads(found.stdout), dict)
+
+    @ddt.data(
+        (('--key', 'k'), 'attempt_not_run'),
+        (('--new-key',), 'not_run'),
+        ((), 'not_run'),
+    )
+    @ddt.unpack
+    def test_speaks_of_the_key(self, args, outcome):
+        lost = caller.CallLost('nobody there', False)
+        found = self.send(lost, '--text', 'x', '--output', 'json', *args)
+        document = json.loads(found.stdout)
+        self.assertEqual(outcome, document['outcome'])
+
+    def test_a_new_key_is_a_first_attempt(self):
+        found = self.send(
+            caller.CallAnswered({}), '--input', '{"a": 1}', '--new-key'
+        )
+        self.assertIn(f'key {self.call.key}', found.stderr)
+        self.assertTrue(self.call.first_attempt)
+        self.assertEqual({'a': 1}, self.call.input)
+
+    @ddt.data(
+        (),
+        ('--text', 'x', '--input', '{}'),
+        ('--input', '[]'),
+        ('--input', '{'),
+        ('--text', 'x', '--key', 'k', '--new-key'),
+        ('--text', 'x', '--deadline-ms', '0'),
+    )
+    def test_refuses_what_it_cannot_send(self, args):
+        found = self.send(caller.CallAnswered({}), *args)
+        self.assertEqual(2, found.exit_code, found.output)
+
+
+class StandinTest(base.TestCase):
+    def test_serves_the_targets_of_a_list(self):
+        served = []
+
+        async def serve(specs):
+            served.extend(specs)
+
+        self.patch(target, 'serve_targets', serve)
+        sample = SAMPLES / 'kovacik'
+        found = invoke(
+            'standin',
+            'targets',
+            str(sample / 'replicas.jsonc'),
+            '--catalogue',
+            str(sample / 'catalogue.jsonc'),
+        )
+        self.assertEqual(0, found.exit_code, found.output)
+        kinds = [spec.kind.value for spec in served]
+        self.assertEqual(
+            [6, 9, 12],
+            [kinds.count(kind) for kind in ('engine', 'pool', 'service')],
+        )
