Append to the log once, batched and at a bounded rate

The batcher gathers records of one stream into an envelope, claims first, refuses at once when its queue is full or the log has just failed, and restarts slowly after an outage.

--- /dev/null
+++ b/sycamorebeam/batching.py
@@ -0,0 +1,368 @@
+"""Batched appends at one bounded rate for the whole instance.
+
+Records of one stream that wait together share one append. Each append is
+sent once: its result goes to all submitters of the batch, who decide what
+an unknown outcome means to them. After failures new records are refused at
+once for a growing, jittered time, and the rate starts low again, so that
+instances do not rush to the log when it comes back.
+"""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import contextlib
+import enum
+import random
+
+import attrs
+
+from sycamorebeam import clock
+from sycamorebeam import records
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+MAX_BATCH_RECORDS = 256
+MAX_BATCH_BYTES = 262_144
+MAX_RECORD_BYTES = 1_000_000
+MAX_QUEUE_RECORDS = 8_192
+MAX_QUEUE_BYTES = 8_388_608
+HOUSEKEEPING_SHARE = 0.5
+MAX_IN_FLIGHT = 8
+BURST_APPENDS = 4.0
+QUEUE_TIMEOUT_MS = 1_000
+FIRST_HOLD_MS = 50
+MAX_HOLD_MS = 2_000
+SLOWEST_SHARE = 0.1
+RECOVERY_SHARE = 0.02
+ENVELOPE_OVERHEAD_BYTES = 16
+
+
+class Priority(enum.IntEnum):
+    """Which waiting records go first, lowest value first."""
+
+    CLAIM = 0
+    NORMAL = 1
+    HOUSEKEEPING = 2
+
+
+@attrs.frozen
+class Submitted:
+    """The result of a record's append and its place in the envelope.
+
+    With ``Appended`` the record stands at (``result.offset``, ``index``).
+    """
+
+    result: results.AppendResult
+    index: int = 0
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    record: records.Record
+    size_bytes: int
+    since_ms: int
+    done: asyncio.Future[Submitted]
+    expiry: asyncio.TimerHandle | None = None
+
+
+@attrs.define(eq=False)
+class _Lane:
+    """The waiting records of one stream, by priority."""
+
+    queues: tuple[collections.deque[_Waiting], ...] = attrs.field(
+        factory=lambda: tuple(collections.deque() for _ in Priority)
+    )
+    count: int = 0
+    size_bytes: int = 0
+
+    def add(self, item: _Waiting, priority: Priority) -> None:
+        self.queues[priority].append(item)
+        self.count += 1
+        self.size_bytes += item.size_bytes
+
+    def heads(self) -> Iterator[tuple[Priority, _Waiting]]:
+        for priority in Priority:
+            if self.queues[priority]:
+                yield priority, self.queues[priority][0]
+
+    def is_full(self) -> bool:
+        return (
+            self.count >= MAX_BATCH_RECORDS
+            or self.size_bytes >= MAX_BATCH_BYTES
+        )
+
+    def take(self) -> list[_Waiting]:
+        """Remove and return the records of the next envelope."""
+        batch: list[_Waiting] = []
+        room_bytes = MAX_BATCH_BYTES
+        for queue in self.queues:
+            while queue and len(batch) < MAX_BATCH_RECORDS:
+                if batch and queue[0].size_bytes > room_bytes:
+                    return batch
+                batch.append(self._pop(queue))
+                room_bytes -= batch[-1].size_bytes
+        return batch
+
+    def _pop(self, queue: collections.deque[_Waiting]) -> _Waiting:
+        item = queue.popleft()
+        self.count -= 1
+        self.size_bytes -= item.size_bytes
+        return item
+
+
+@attrs.define(eq=False)
+class Appender:
+    """Submits records to streams of the log, batched and rate bounded."""
+
+    _log: ports.Log
+    _clock: clock.Clock
+    _appends_per_s: float
+    _linger_ms: int
+    _random: random.Random
+    _lanes: dict[str, _Lane] = attrs.field(factory=dict)
+    _queued: int = 0
+    _queued_bytes: int = 0
+    _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _worker: asyncio.Task[None] | None = None
+    _in_flight: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _stopped: bool = False
+    _failures: int = 0
+    _hold_until_ms: int = 0
+    _rate: float = attrs.field(
+        default=attrs.Factory(
+            lambda self: self._appends_per_s, takes_self=True
+        )
+    )
+    _tokens: float = BURST_APPENDS
+    _filled_at_ms: int | None = None
+
+    @property
+    def queued(self) -> int:
+        """The number of records that wait for their append."""
+        return self._queued
+
+    @property
+    def rate(self) -> float:
+        """The present bound on appends a second."""
+        return self._rate
+
+    async def submit(
+        self, stream: str, record: records.Record, priority: Priority
+    ) -> Submitted:
+        """Append ``record`` in a batch and return the append's result.
+
+        A full queue, a record that is too large and a log that has just
+        failed are refused at once. Cancelling before the batch is sent
+        withdraws the record; afterwards its outcome is unknown.
+        """
+        size_bytes = len(records.pack_envelope([record]))
+        refusal = self._refusal(size_bytes, priority)
+        if refusal is not None:
+            return Submitted(refusal)
+        item = self._enqueue(stream, record, size_bytes, priority)
+        return await item.done
+
+    async def stop(self) -> None:
+        """Refuse what waits and finish the appends that are in flight."""
+        self._stopped = True
+        if self._worker is not None:
+            self._worker.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._worker
+        for lane in self._lanes.values():
+            while lane.count:
+                self._refuse_all(self._take(lane), 'the instance stops')
+        if self._in_flight:
+            await asyncio.wait(self._in_flight)
+
+    def _refusal(
+        self, size_bytes: int, priority: Priority
+    ) -> results.AppendRefused | None:
+        if self._stopped:
+            return results.AppendRefused('the instance stops')
+        if size_bytes > MAX_RECORD_BYTES:
+            return results.AppendRefused(
+                f'the record has {size_bytes} bytes, at most '
+                f'{MAX_RECORD_BYTES} fit into an append'
+            )
+        hold_ms = self._hold_until_ms - self._clock.monotonic_ms()
+        if hold_ms > 0:
+            return results.AppendRefused('the log failed just now', hold_ms)
+        share = 1.0
+        if priority is Priority.HOUSEKEEPING:
+            share = HOUSEKEEPING_SHARE
+        if (
+            self._queued >= MAX_QUEUE_RECORDS * share
+            or self._queued_bytes + size_bytes > MAX_QUEUE_BYTES * share
+        ):
+            return results.AppendRefused(
+                'the append queue is full', QUEUE_TIMEOUT_MS
+            )
+        return None
+
+    def _enqueue(
+        self,
+        stream: str,
+        record: records.Record,
+        size_bytes: int,
+        priority: Priority,
+    ) -> _Waiting:
+        loop = asyncio.get_running_loop()
+        item = _Waiting(
+            record,
+            size_bytes,
+            self._clock.monotonic_ms(),
+            loop.create_future(),
+        )
+        item.expiry = loop.call_later(
+            QUEUE_TIMEOUT_MS / 1000, self._expire, item
+        )
+        lane = self._lanes.setdefault(stream, _Lane())
+        lane.add(item, priority)
+        self._queued += 1
+        self._queued_bytes += size_bytes
+        if self._worker is None:
+            self._worker = loop.create_task(self._run())
+        if lane.count == 1 or lane.is_full():
+            self._wake.set()
+        return item
+
+    def _expire(self, item: _Waiting) -> None:
+        if not item.done.done():
+            refusal = results.AppendRefused(
+                'the append waited too long', FIRST_HOLD_MS
+            )
+            item.done.set_result(Submitted(refusal))
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            delay_ms = self._delay_ms()
+            if delay_ms is not None and delay_ms <= 0:
+                self._send(self._next_stream())
+                continue
+            timeout_s = None if delay_ms is None else delay_ms / 1000
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._wake.wait()
+
+    def _delay_ms(self) -> float | None:
+        """Return the time until the next append, None for no plan."""
+        if not self._queued:
+            return None
+        allowed = 1 if self._failures else MAX_IN_FLIGHT
+        if len(self._in_flight) >= allowed:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        due_ms = min(
+            self._due_ms(lane) for lane in self._lanes.values() if lane.count
+        )
+        held_ms = self._hold_until_ms - now_ms
+        return max(due_ms - now_ms, held_ms, self._token_delay_ms(now_ms))
+
+    def _due_ms(self, lane: _Lane) -> int:
+        oldest_ms = min(item.since_ms for _, item in lane.heads())
+        return oldest_ms if lane.is_full() else oldest_ms + self._linger_ms
+
+    def _token_delay_ms(self, now_ms: int) -> float:
+        if self._filled_at_ms is not None:
+            elapsed_ms = now_ms - self._filled_at_ms
+            self._tokens = min(
+                BURST_APPENDS, self._tokens + elapsed_ms * self._rate / 1000
+            )
+        self._filled_at_ms = now_ms
+        if self._tokens >= 1:
+            return 0
+        return max(1.0, (1 - self._tokens) * 1000 / self._rate)
+
+    def _next_stream(self) -> str:
+        now_ms = self._clock.monotonic_ms()
+        due = [
+            (*self._urgency(lane), stream)
+            for stream, lane in self._lanes.items()
+            if lane.count and self._due_ms(lane) <= now_ms
+        ]
+        return min(due)[-1]
+
+    def _urgency(self, lane: _Lane) -> tuple[int, int]:
+        priority, item = next(lane.heads())
+        return priority, item.since_ms
+
+    def _send(self, stream: str) -> None:
+        lane = self._lanes[stream]
+        taken = self._take(lane)
+        if not lane.count:
+            del self._lanes[stream]
+        batch = [item for item in taken if not item.done.done()]
+        if not batch:
+            return
+        self._tokens -= 1
+        task = asyncio.create_task(self._append(stream, batch))
+        self._in_flight.add(task)
+        task.add_done_callback(self._landed)
+
+    def _take(self, lane: _Lane) -> list[_Waiting]:
+        batch = lane.take()
+        for item in batch:
+            self._queued -= 1
+            self._queued_bytes -= item.size_bytes
+            if item.expiry is not None:
+                item.expiry.cancel()
+        return batch
+
+    def _landed(self, task: asyncio.Task[None]) -> None:
+        self._in_flight.discard(task)
+        self._wake.set()
+
+    async def _append(self, stream: str, batch: list[_Waiting]) -> None:
+        data = records.pack_envelope([item.record for item in batch])
+        result: results.AppendResult
+        result = results.AppendUnknown('the append was cut off')
+        try:
+            result = await self._log.append(stream, data)
+        finally:
+            self._learn(result)
+            for index, item in enumerate(batch):
+                if not item.done.done():
+                    item.done.set_result(Submitted(result, index))
+
+    def _learn(self, result: results.AppendResult) -> None:
+        """Adapt rate and hold to how the log answers."""
+        match result:
+            case results.Appended():
+                self._failures = 0
+                step = self._appends_per_s * RECOVERY_SHARE
+                self._rate = min(self._appends_per_s, self._rate + step)
+            case results.AppendRefused(retry_after_ms=retry_after_ms):
+                self._back_off(retry_after_ms)
+            case results.AppendUnknown():
+                self._back_off(0)
+
+    def _back_off(self, retry_after_ms: int) -> None:
+        slowest = self._appends_per_s * SLOWEST_SHARE
+        self._rate = max(slowest, self._rate / 2)
+        growth = 2 ** min(self._failures, 10)
+        self._failures += 1
+        hold_ms = min(MAX_HOLD_MS, FIRST_HOLD_MS * growth)
+        hold_ms = max(hold_ms, retry_after_ms)
+        jittered_ms = int(hold_ms * self._random.uniform(0.5, 1.5))
+        now_ms = self._clock.monotonic_ms()
+        self._hold_until_ms = max(self._hold_until_ms, now_ms + jittered_ms)
+
+    def _refuse_all(self, batch: list[_Waiting], reason: str) -> None:
+        for item in batch:
+            if not item.done.done():
+                item.done.set_result(Submitted(results.AppendRefused(reason)))
+
+
+def new_appender(
+    log: ports.Log,
+    clock_: clock.Clock,
+    appends_per_s: float,
+    linger_ms: int,
+    random_: random.Random | None = None,
+) -> Appender:
+    """Return an appender; it starts its worker with the first record."""
+    return Appender(
+        log, clock_, appends_per_s, linger_ms, random_ or random.Random()
+    )
