Claim idempotency keys through the log

Cause: a non-idempotent request may run at most once, whichever instance gets it and whatever answer of the log is lost. Change: records and pure rules of claims, a bounded view of each claim stream, the controller that issues permits from the folded state only, the background append of outcomes and releases, and the filter. The fake log can now leave calls unanswered.

--- /dev/null
+++ b/sycamorebeam/claim_fold.py
@@ -0,0 +1,243 @@
+"""The rules of claims, as pure functions of a prefix of one stream.
+
+All instances that fold the same records hold the same state of a key, so
+they agree on its owner without talking to each other. Time is the log's
+own append time; no local clock takes part.
+"""
+
+import sys
+
+import attrs
+
+from sycamorebeam import claim_records
+
+MAX_ABANDONED = 16
+OVERDUE_MARGIN_MS = 2_000
+KEY_CLOCK_SKEW_MS = 30_000
+
+
+@attrs.frozen(order=True)
+class Position:
+    """The place of a record in its stream, and the log's time of it."""
+
+    offset: int
+    index: int
+    time_ms: int = attrs.field(order=False)
+
+
+@attrs.frozen
+class StoredOutcome:
+    """How the request ended and where the log holds its record."""
+
+    known: bool
+    has_output: bool
+    target_request_id: str | None
+    position: Position
+
+
+@attrs.frozen
+class KeyState:
+    """The state of one key.
+
+    ``offset`` and ``time_ms`` belong to the record that last made the key
+    owned or, before any claim, abandoned. ``claim_id`` is the owner's, None
+    while the key is free. ``request_digest`` stays bound after a release.
+    ``abandoned`` are claims that may not own the key when they land late.
+    """
+
+    offset: int
+    time_ms: int
+    request_digest: bytes | None = None
+    claim_id: str | None = None
+    deadline_ms: int = 0
+    owner: str = ''
+    outcome: StoredOutcome | None = None
+    abandoned: tuple[str, ...] = ()
+
+
+def apply(
+    state: KeyState | None,
+    item: claim_records.ClaimRecord,
+    position: Position,
+    window_ms: int,
+) -> KeyState | None:
+    """Return the state of a key after one more of its records."""
+    if state is not None and is_expired(state, position.time_ms, window_ms):
+        state = None
+    match item:
+        case claim_records.Claim():
+            return _claim(state, item, position)
+        case claim_records.Abandon():
+            return _abandon(state, item, position)
+        case claim_records.Release():
+            return _release(state, item)
+        case claim_records.Outcome():
+            return _settle(state, item, position)
+
+
+def is_expired(state: KeyState, now_ms: int, window_ms: int) -> bool:
+    """Return whether the key has left the window at the log's time."""
+    return now_ms - state.time_ms > window_ms
+
+
+def _claim(
+    state: KeyState | None, item: claim_records.Claim, position: Position
+) -> KeyState:
+    if state is None:
+        state = KeyState(position.offset, position.time_ms)
+    if state.claim_id is not None or item.claim_id in state.abandoned:
+        return state
+    if state.request_digest not in (None, item.request_digest):
+        return state
+    return attrs.evolve(
+        state,
+        offset=position.offset,
+        time_ms=position.time_ms,
+        request_digest=item.request_digest,
+        claim_id=item.claim_id,
+        deadline_ms=item.deadline_ms,
+        owner=sys.intern(item.owner),
+    )
+
+
+def _abandon(
+    state: KeyState | None, item: claim_records.Abandon, position: Position
+) -> KeyState:
+    if state is None:
+        state = KeyState(position.offset, position.time_ms)
+    if item.claim_id == state.claim_id or item.claim_id in state.abandoned:
+        return state
+    kept = (*state.abandoned, item.claim_id)[-MAX_ABANDONED:]
+    return attrs.evolve(state, abandoned=kept)
+
+
+def _release(
+    state: KeyState | None, item: claim_records.Release
+) -> KeyState | None:
+    if not _is_open_for(state, item.claim_id):
+        return state
+    assert state is not None
+    # The released claim cannot own the key again, should its record be
+    # seen twice.
+    kept = (*state.abandoned, item.claim_id)[-MAX_ABANDONED:]
+    return attrs.evolve(
+        state, claim_id=None, deadline_ms=0, owner='', abandoned=kept
+    )
+
+
+def _settle(
+    state: KeyState | None, item: claim_records.Outcome, position: Position
+) -> KeyState | None:
+    if state is None or state.claim_id != item.claim_id:
+        return state
+    # An outcome only gains knowledge: unknown may become known, and the
+    # first known one stays.
+    if state.outcome is not None and (state.outcome.known or not item.known):
+        return state
+    outcome = StoredOutcome(
+        item.known,
+        item.output is not None,
+        item.target_request_id,
+        position,
+    )
+    return attrs.evolve(state, outcome=outcome)
+
+
+def _is_open_for(state: KeyState | None, claim_id: str) -> bool:
+    return (
+        state is not None
+        and state.claim_id == claim_id
+        and state.outcome is None
+    )
+
+
+@attrs.frozen
+class Free:
+    """Nobody owns the key."""
+
+
+@attrs.frozen
+class Open:
+    """The key is owned and its request may still be running."""
+
+    claim_id: str
+    remaining_ms: int
+
+
+@attrs.frozen
+class Overdue:
+    """The owner's deadline has passed and it left no outcome."""
+
+    claim_id: str
+
+
+@attrs.frozen
+class Settled:
+    """The key's request ended."""
+
+    outcome: StoredOutcome
+
+
+@attrs.frozen
+class Mismatch:
+    """The key belongs to another request."""
+
+
+Standing = Free | Open | Overdue | Settled | Mismatch
+
+
+def standing(
+    state: KeyState | None, request_digest: bytes, now_ms: int
+) -> Standing:
+    """Return what a key's state means to a request at the log's time."""
+    if state is None or state.request_digest is None:
+        return Free()
+    if state.request_digest != request_digest:
+        return Mismatch()
+    if state.outcome is not None:
+        return Settled(state.outcome)
+    if state.claim_id is None:
+        return Free()
+    overdue_ms = state.time_ms + state.deadline_ms + OVERDUE_MARGIN_MS
+    if now_ms >= overdue_ms:
+        return Overdue(state.claim_id)
+    return Open(state.claim_id, overdue_ms - now_ms)
+
+
+@attrs.frozen
+class Horizon:
+    """The newest record that a reader no longer has, or never had.
+
+    ``time_ms`` is at least the log's time of that record; None while it is
+    not known.
+    """
+
+    offset: int
+    time_ms: int | None
+
+
+def covers(
+    horizon: Horizon | None,
+    born_ms: int | None,
+    since_offset: int | None,
+) -> bool:
+    """Return whether a reader has seen every claim that a key can have.
+
+    ``born_ms`` is the time that the key itself carries. A claim is granted
+    only when its key was born no later than ``KEY_CLOCK_SKEW_MS`` after the
+    log's time, so every earlier claim of the key is younger than that, on
+    whatever clock the key was made. ``since_offset`` is the reader's next
+    offset when a first attempt began: no earlier record can be of its key.
+    """
+    if horizon is None:
+        return True
+    if since_offset is not None and horizon.offset < since_offset:
+        return True
+    if born_ms is None or horizon.time_ms is None:
+        return False
+    return born_ms - KEY_CLOCK_SKEW_MS > horizon.time_ms
+
+
+def is_from_future(born_ms: int | None, now_ms: int) -> bool:
+    """Return whether a key claims to be younger than the log's time."""
+    return born_ms is not None and born_ms > now_ms + KEY_CLOCK_SKEW_MS
--- /dev/null
+++ b/sycamorebeam/claim_partition.py
@@ -0,0 +1,151 @@
+"""The folded state of one claim stream, bounded in memory."""
+
+import collections
+from typing import Any
+
+import attrs
+import msgpack
+
+from sycamorebeam import claim_fold
+from sycamorebeam import claim_records
+
+MAX_KEYS = 20_000
+MAX_OUTPUT_BYTES = 2_097_152
+
+
+@attrs.define
+class Outputs:
+    """The newest stored outputs by key digest, bounded in bytes.
+
+    An output that was dropped can be read again from the log by the
+    position that the key's state holds.
+    """
+
+    max_bytes: int = MAX_OUTPUT_BYTES
+    _packed: collections.OrderedDict[bytes, bytes] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    _size_bytes: int = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """The bytes of all outputs held."""
+        return self._size_bytes
+
+    def put(self, digest: bytes, output: dict[str, Any]) -> None:
+        """Hold ``output``, dropping the oldest ones beyond the bound."""
+        self.drop(digest)
+        packed = msgpack.packb(output)
+        self._packed[digest] = packed
+        self._size_bytes += len(packed)
+        while self._size_bytes > self.max_bytes:
+            _, dropped = self._packed.popitem(last=False)
+            self._size_bytes -= len(dropped)
+
+    def get(self, digest: bytes) -> dict[str, Any] | None:
+        """Return the output of a key, None when it is not held."""
+        packed = self._packed.get(digest)
+        return None if packed is None else msgpack.unpackb(packed)
+
+    def drop(self, digest: bytes) -> None:
+        """Forget the output of a key."""
+        packed = self._packed.pop(digest, None)
+        if packed is not None:
+            self._size_bytes -= len(packed)
+
+
+@attrs.define
+class PartitionState:
+    """The keys of one partition, oldest claim first.
+
+    A key leaves when its claim is older than the window or when there are
+    more than ``max_keys``; ``horizon`` then moves up to its claim, so that
+    a request whose key may be older is not taken for a new one.
+    """
+
+    window_ms: int
+    max_keys: int = MAX_KEYS
+    next_offset: int = 0
+    last_time_ms: int = 0
+    horizon: claim_fold.Horizon | None = None
+    outputs: Outputs = attrs.field(factory=Outputs)
+    _keys: dict[bytes, claim_fold.KeyState] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def get(self, digest: bytes) -> claim_fold.KeyState | None:
+        """Return the state of a key."""
+        return self._keys.get(digest)
+
+    def advance(self, offset: int, time_ms: int) -> None:
+        """Take in that the record at ``offset`` was read.
+
+        Where a reader began after records were lost, the first record
+        that it reads bounds the time of the lost ones.
+        """
+        self.next_offset = offset + 1
+        self.last_time_ms = max(self.last_time_ms, time_ms)
+        if self.horizon is not None and self.horizon.time_ms is None:
+            self.horizon = attrs.evolve(self.horizon, time_ms=time_ms)
+        self._evict()
+
+    def fold(
+        self,
+        item: claim_records.ClaimRecord,
+        position: claim_fold.Position,
+    ) -> claim_fold.KeyState | None:
+        """Apply one record and return the state of its key."""
+        digest = item.key_digest
+        old = self._keys.get(digest)
+        new = claim_fold.apply(old, item, position, self.window_ms)
+        if new is None or new is old:
+            return new
+        if old is not None and new.offset != old.offset:
+            del self._keys[digest]
+        self._keys[digest] = new
+        self._hold_output(item, new, position)
+        return new
+
+    def _hold_output(
+        self,
+        item: claim_records.ClaimRecord,
+        state: claim_fold.KeyState,
+        position: claim_fold.Position,
+    ) -> None:
+        match item, state.outcome:
+            case (
+                claim_records.Outcome(output=dict() as output),
+                claim_fold.StoredOutcome(position=stored),
+            ) if stored == position:
+                self.outputs.put(item.key_digest, output)
+
+    def _evict(self) -> None:
+        while self._keys:
+            digest, state = next(iter(self._keys.items()))
+            kept = len(self._keys) <= self.max_keys
+            if kept and not claim_fold.is_expired(
+                state, self.last_time_ms, self.window_ms
+            ):
+                return
+            del self._keys[digest]
+            self.outputs.drop(digest)
+            self._raise_horizon(state)
+
+    def _raise_horizon(self, state: claim_fold.KeyState) -> None:
+        old = self.horizon
+        if old is None or old.offset < state.offset:
+            self.horizon = claim_fold.Horizon(state.offset, state.time_ms)
+
+
+def new_partition_state(
+    window_ms: int, oldest: int = 0, max_keys: int = MAX_KEYS
+) -> PartitionState:
+    """Return the state of a stream whose oldest kept record is given."""
+    horizon = claim_fold.Horizon(oldest - 1, None) if oldest else None
+    return PartitionState(
+        window_ms=window_ms,
+        max_keys=max_keys,
+        next_offset=oldest,
+        horizon=horizon,
+    )
--- a/sycamorebeam/claims.py
+++ b/sycamorebeam/claims.py
@@ -35,6 +35,16 @@
     partition: int
     key_digest: bytes
     _spent: bool = False
+    _refused: bool = False
+
+    @property
+    def is_unrun(self) -> bool:
+        """Whether the request provably did not run under this permit."""
+        return self._refused or not self._spent
+
+    def mark_refused(self) -> None:
+        """Note that the target proved to have done nothing at all."""
+        self._refused = True
 
     def use(self) -> None:
         """Spend the permit, right before the first byte is sent."""
--- /dev/null
+++ b/sycamorebeam/controllers/claims.py
@@ -0,0 +1,561 @@
+"""Claims idempotency keys through the log, and stores their outcomes.
+
+The log's order alone decides who owns a key. A permit is issued only from
+the state that was folded through the claimer's own record, never from the
+answer to an append.
+"""
+
+import asyncio
+import contextlib
+import random
+from typing import Any
+import uuid
+
+import attrs
+from loguru import logger
+import msgpack
+
+from sycamorebeam import answers
+from sycamorebeam import batching
+from sycamorebeam import claim_fold
+from sycamorebeam import claim_partition
+from sycamorebeam import claim_records
+from sycamorebeam import claims
+from sycamorebeam import clock
+from sycamorebeam import errors
+from sycamorebeam import log_health
+from sycamorebeam import records
+from sycamorebeam import settings
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import claim_settling
+from sycamorebeam.controllers import claim_view
+
+MAX_STORED_OUTPUT_BYTES = 16_384
+ABANDON_AFTER_MS = 500
+FAILED_RETRY_MS = 1_000
+MIN_PROGRESS_RETRY_MS = 200
+MAX_PROGRESS_RETRY_MS = 2_000
+IDLE_VIEW_MS = 600_000
+REAP_INTERVAL_MS = 60_000
+OUTPUT_READ_TIMEOUT_MS = 500
+SETTLE_TIMEOUT_MS = 5_000
+
+
+@attrs.frozen(kw_only=True)
+class _Attempt:
+    """One try of one key.
+
+    ``since_offset`` is the view's next offset when a first attempt began,
+    None for any other attempt.
+    """
+
+    digest: bytes
+    partition: int
+    request_digest: bytes
+    claim_id: str
+    deadline: clock.Deadline
+    first_attempt: bool
+    born_ms: int | None
+    since_offset: int | None = None
+
+    def is_covered(self, horizon: claim_fold.Horizon | None) -> bool:
+        return claim_fold.covers(horizon, self.born_ms, self.since_offset)
+
+
+@attrs.define(eq=False)
+class Claims:
+    """Claims keys, issues dispatch permits and stores outcomes."""
+
+    _log: ports.Log
+    _appender: batching.Appender
+    _clock: clock.Clock
+    _random: random.Random
+    _instance_id: str
+    _partitions: int
+    _window_ms: int
+    _max_keys: int
+    _settler: claim_settling.ClaimSettler
+    _health: log_health.LogHealth = attrs.field(init=False)
+    _views: dict[int, claim_view.PartitionView] = attrs.field(
+        init=False, factory=dict
+    )
+    _senders: set[asyncio.Task[None]] = attrs.field(init=False, factory=set)
+    _reaper: asyncio.Task[None] | None = attrs.field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        self._health = log_health.LogHealth(self._clock, self._cut_all)
+
+    @property
+    def unsettled(self) -> int:
+        """The number of claims whose end is not yet in the log."""
+        return self._settler.unsettled
+
+    async def start(self) -> None:
+        """Begin to stop following streams that nobody asks for."""
+        self._reaper = asyncio.create_task(self._reap())
+
+    async def stop(self, timeout_ms: int = SETTLE_TIMEOUT_MS) -> None:
+        """Store what is not stored yet, within a bound, and stop."""
+        await self._settler.stop(timeout_ms)
+        for task in [self._reaper, *self._senders]:
+            if task is not None:
+                task.cancel()
+        for view in self._views.values():
+            await view.stop()
+        self._views.clear()
+
+    async def claim(
+        self,
+        key: claims.ClaimKey,
+        request_digest: bytes,
+        deadline_ms: int,
+        first_attempt: bool,
+    ) -> claims.ClaimResult:
+        """Claim ``key`` for a request that has ``deadline_ms`` left.
+
+        ``first_attempt`` is the caller's word that it never sent this key
+        before; it lets a failure say that no attempt ran.
+        """
+        attempt = self._attempt(
+            key, request_digest, deadline_ms, first_attempt
+        )
+        view = self._view(attempt.partition)
+        if not await self._wait_ready(view, attempt):
+            return self._failed(attempt, 'the claim stream was not read yet')
+        if first_attempt:
+            attempt = attrs.evolve(
+                attempt, since_offset=view.state.next_offset
+            )
+        known = await self._known(view, attempt)
+        if known is not None:
+            return known
+        refusal = view.blocked or self._health.refusal()
+        if refusal is not None:
+            return self._failed(attempt, refusal)
+        return await self._claim(view, attempt)
+
+    async def record(
+        self, permit: claims.DispatchPermit, outcome: claims.RunOutcome
+    ) -> None:
+        """Store how the dispatched request of ``permit`` ended.
+
+        Returns at once; the record is appended until the log has it.
+        """
+        permit.destroy()
+        output = outcome.output if _fits(outcome.output) else None
+        item = claim_records.Outcome(
+            key_digest=permit.key_digest,
+            claim_id=permit.claim_id,
+            known=outcome.known,
+            output=output,
+            target_request_id=outcome.target_request_id,
+        )
+        self._settler.store(claim_records.stream_of(permit.partition), item)
+
+    async def release(self, permit: claims.DispatchPermit) -> bool:
+        """Give up a key whose request did not run.
+
+        Returns False, and keeps the key, where the permit does not prove
+        that nothing ran.
+        """
+        unrun = permit.is_unrun
+        permit.destroy()
+        if not unrun:
+            return False
+        self._settler.release(
+            claim_records.stream_of(permit.partition),
+            permit.key_digest,
+            permit.claim_id,
+        )
+        return True
+
+    def _attempt(
+        self,
+        key: claims.ClaimKey,
+        request_digest: bytes,
+        deadline_ms: int,
+        first_attempt: bool,
+    ) -> _Attempt:
+        digest = claim_records.key_digest(key)
+        return _Attempt(
+            digest=digest,
+            partition=claim_records.partition_of(digest, self._partitions),
+            request_digest=request_digest,
+            claim_id=uuid.UUID(
+                int=self._random.getrandbits(128), version=4
+            ).hex,
+            deadline=clock.deadline_in(self._clock, deadline_ms),
+            first_attempt=first_attempt,
+            born_ms=claim_records.born_ms(key),
+        )
+
+    async def _claim(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> claims.ClaimResult:
+        waiter = view.expect(attempt.claim_id)
+        sender = asyncio.create_task(self._send(view, attempt))
+        self._senders.add(sender)
+        sender.add_done_callback(self._senders.discard)
+        try:
+            verdict = await self._wait_verdict(waiter, attempt)
+        except asyncio.CancelledError:
+            self._withdraw(view, attempt)
+            raise
+        finally:
+            view.forget(attempt.claim_id)
+        return await self._judge(view, attempt, verdict)
+
+    async def _send(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> None:
+        """Append the claim once, and an abandon if it got no answer."""
+        item = claim_records.Claim(
+            key_digest=attempt.digest,
+            claim_id=attempt.claim_id,
+            request_digest=attempt.request_digest,
+            deadline_ms=attempt.deadline.remaining_ms(self._clock),
+            owner=self._instance_id,
+        )
+        submitted = await self._submit(view, item)
+        match submitted.result:
+            case results.Appended():
+                self._health.append_worked()
+            case results.AppendRefused() as refused:
+                verdict = claim_view.Refused(
+                    refused.reason, refused.retry_after_ms
+                )
+                view.decide(attempt.claim_id, verdict)
+            case results.AppendUnknown() if view.awaits(attempt.claim_id):
+                self._health.append_unknown()
+                await self._abandon_later(view, attempt)
+
+    async def _abandon_later(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> None:
+        """Let the log decide between the claim and an abandon of it.
+
+        Until then the claim may still be seen and own the key.
+        """
+        await self._clock.sleep_ms(ABANDON_AFTER_MS)
+        if view.awaits(attempt.claim_id):
+            abandon = claim_records.Abandon(
+                key_digest=attempt.digest, claim_id=attempt.claim_id
+            )
+            await self._submit(view, abandon)
+
+    async def _submit(
+        self,
+        view: claim_view.PartitionView,
+        item: claim_records.ClaimRecord,
+    ) -> batching.Submitted:
+        return await self._appender.submit(
+            view.stream,
+            claim_records.to_record(item),
+            batching.Priority.CLAIM,
+        )
+
+    async def _wait_verdict(
+        self,
+        waiter: asyncio.Future[claim_view.Verdict],
+        attempt: _Attempt,
+    ) -> claim_view.Verdict:
+        remaining_ms = attempt.deadline.remaining_ms(self._clock)
+        try:
+            async with asyncio.timeout(remaining_ms / 1000):
+                return await waiter
+        except TimeoutError:
+            return claim_view.Cut('the log did not decide by the deadline')
+
+    async def _judge(
+        self,
+        view: claim_view.PartitionView,
+        attempt: _Attempt,
+        verdict: claim_view.Verdict,
+    ) -> claims.ClaimResult:
+        match verdict:
+            case claim_view.Refused(reason, retry_after_ms):
+                return self._failed(attempt, reason, retry_after_ms)
+            case claim_view.Cut(reason):
+                self._withdraw(view, attempt)
+                return self._failed(attempt, reason)
+            case claim_view.Seen(state=state) if (
+                state is not None and state.claim_id == attempt.claim_id
+            ):
+                return self._grant(view, attempt, verdict)
+            case claim_view.Seen():
+                return await self._lost(view, attempt, verdict)
+
+    def _grant(
+        self,
+        view: claim_view.PartitionView,
+        attempt: _Attempt,
+        seen: claim_view.Seen,
+    ) -> claims.ClaimResult:
+        """Issue the permit, if the key's whole life is known here.
+
+        The deadline is checked last: within it the log cannot have lost a
+        record of a later attempt of this key.
+        """
+        from_future = claim_fold.is_from_future(attempt.born_ms, seen.time_ms)
+        if from_future or not attempt.is_covered(seen.horizon):
+            self._withdraw(view, attempt)
+            return claims.KeyTooOld()
+        if not attempt.deadline.remaining_ms(self._clock):
+            self._withdraw(view, attempt)
+            return claims.ClaimFailed(
+                'the deadline passed before the claim was read',
+                proved_not_run=True,
+                retry_after_ms=MIN_PROGRESS_RETRY_MS,
+            )
+        permit = claims.DispatchPermit(
+            attempt.claim_id, attempt.partition, attempt.digest
+        )
+        return claims.Owned(permit)
+
+    async def _lost(
+        self,
+        view: claim_view.PartitionView,
+        attempt: _Attempt,
+        seen: claim_view.Seen,
+    ) -> claims.ClaimResult:
+        standing = claim_fold.standing(
+            seen.state, attempt.request_digest, seen.time_ms
+        )
+        result = await self._answer(view, attempt, standing)
+        if result is not None:
+            return result
+        return claims.ClaimFailed(
+            'the claim came too late and was abandoned',
+            proved_not_run=attempt.is_covered(seen.horizon),
+            retry_after_ms=self._retry_ms(),
+        )
+
+    async def _known(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> claims.ClaimResult | None:
+        """Return what is known without a new claim, None to claim."""
+        state = view.state.get(attempt.digest)
+        standing = claim_fold.standing(
+            state, attempt.request_digest, view.now_ms()
+        )
+        result = await self._answer(view, attempt, standing)
+        if result is not None:
+            return result
+        horizon = view.state.horizon
+        # Without a record the log's time is unknown; the claim itself
+        # will tell it.
+        if horizon is not None and horizon.time_ms is None:
+            return None
+        return None if attempt.is_covered(horizon) else claims.KeyTooOld()
+
+    async def _answer(
+        self,
+        view: claim_view.PartitionView,
+        attempt: _Attempt,
+        standing: claim_fold.Standing,
+    ) -> claims.ClaimResult | None:
+        match standing:
+            case claim_fold.Free():
+                return None
+            case claim_fold.Mismatch():
+                return claims.KeyMismatch()
+            case claim_fold.Settled(outcome):
+                return await self._replay(view, attempt, outcome)
+            case claim_fold.Open(claim_id) | claim_fold.Overdue(claim_id):
+                unsaved = self._settler.outcome_of(attempt.digest, claim_id)
+                if unsaved is not None:
+                    return _replay_unsaved(unsaved)
+        match standing:
+            case claim_fold.Open(claim_id, remaining_ms):
+                retry_ms = min(MAX_PROGRESS_RETRY_MS, remaining_ms)
+                retry_ms = max(MIN_PROGRESS_RETRY_MS, retry_ms)
+                return claims.InProgress(claim_id, retry_ms)
+            case claim_fold.Overdue():
+                return claims.Replayed(_unknown(None))
+
+    async def _replay(
+        self,
+        view: claim_view.PartitionView,
+        attempt: _Attempt,
+        outcome: claim_fold.StoredOutcome,
+    ) -> claims.ClaimResult:
+        if not outcome.known:
+            return claims.Replayed(_unknown(outcome.target_request_id))
+        if not outcome.has_output:
+            return claims.Replayed(_not_kept(outcome.target_request_id))
+        output = view.state.outputs.get(attempt.digest)
+        if output is None:
+            output = await self._read_output(view.stream, outcome.position)
+        if output is None:
+            return claims.ClaimFailed(
+                'the stored answer of an earlier attempt cannot be read',
+                proved_not_run=False,
+                retry_after_ms=self._retry_ms(),
+            )
+        return claims.Replayed(answers.Completed(output, replayed=True))
+
+    async def _read_output(
+        self, stream: str, position: claim_fold.Position
+    ) -> dict[str, Any] | None:
+        """Read an output again that is no longer held in memory."""
+        page: results.ReadResult | None = None
+        if self._health.reads_down:
+            return None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OUTPUT_READ_TIMEOUT_MS / 1000):
+                page = await self._log.read(stream, position.offset, 1)
+        match page:
+            case results.LogPage(records=[first, *_]):
+                envelope = records.unpack_envelope(first.data)
+                return envelope[position.index].fields['output']
+        return None
+
+    def _withdraw(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> None:
+        self._settler.withdraw(view.stream, attempt.digest, attempt.claim_id)
+
+    def _failed(
+        self, attempt: _Attempt, reason: str, retry_after_ms: int = 0
+    ) -> claims.ClaimFailed:
+        """Return a failure before any permit.
+
+        This attempt runs nothing; that no other ran is proved only where
+        the caller never sent the key before.
+        """
+        return claims.ClaimFailed(
+            reason,
+            proved_not_run=attempt.first_attempt,
+            retry_after_ms=max(retry_after_ms, self._retry_ms()),
+        )
+
+    def _retry_ms(self) -> int:
+        """Return a jittered wait, so that callers do not return at once."""
+        return int(FAILED_RETRY_MS * self._random.uniform(1, 2))
+
+    def _view(self, partition: int) -> claim_view.PartitionView:
+        view = self._views.get(partition)
+        if view is None:
+            view = claim_view.new_partition_view(
+                claim_records.stream_of(partition),
+                self._log,
+                self._clock,
+                self._health,
+                self._random,
+                self._window_ms,
+                self._max_keys,
+            )
+            self._views[partition] = view
+            view.start()
+        view.used_ms = self._clock.monotonic_ms()
+        return view
+
+    async def _wait_ready(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> bool:
+        if view.ready.is_set():
+            return True
+        if self._health.reads_down:
+            return False
+        waiter = view.expect(attempt.claim_id)
+        ready = asyncio.ensure_future(view.ready.wait())
+        waits: set[asyncio.Future[Any]] = {waiter, ready}
+        remaining_ms = attempt.deadline.remaining_ms(self._clock)
+        try:
+            await asyncio.wait(
+                waits,
+                timeout=remaining_ms / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            ready.cancel()
+            view.forget(attempt.claim_id)
+        return view.ready.is_set()
+
+    def _cut_all(self, reason: str) -> None:
+        logger.warning('event=claims_cut reason="{}"', reason)
+        for view in self._views.values():
+            view.cut(reason)
+
+    async def _reap(self) -> None:
+        while True:
+            await self._clock.sleep_ms(REAP_INTERVAL_MS)
+            oldest_ms = self._clock.monotonic_ms() - IDLE_VIEW_MS
+            for partition, view in list(self._views.items()):
+                if view.is_idle and view.used_ms < oldest_ms:
+                    del self._views[partition]
+                    await view.stop()
+
+
+def _fits(output: dict[str, Any] | None) -> bool:
+    try:
+        return len(msgpack.packb(output)) <= MAX_STORED_OUTPUT_BYTES
+    except (TypeError, ValueError, OverflowError):
+        return False
+
+
+def _replay_unsaved(outcome: claim_records.Outcome) -> claims.Replayed:
+    if not outcome.known:
+        return claims.Replayed(_unknown(outcome.target_request_id))
+    if outcome.output is None:
+        return claims.Replayed(_not_kept(outcome.target_request_id))
+    return claims.Replayed(answers.Completed(outcome.output, replayed=True))
+
+
+def _unknown(target_request_id: str | None) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.OUTCOME_UNKNOWN,
+        answers.Outcome.UNKNOWN,
+        'an earlier attempt of this key may have run, in whole or in part',
+        'look the request up at its target before you send it under a new '
+        'key; this key will not run again',
+        target_request_id=target_request_id,
+    )
+
+
+def _not_kept(target_request_id: str | None) -> answers.Problem:
+    return answers.Problem(
+        answers.ProblemKind.OUTCOME_UNKNOWN,
+        answers.Outcome.PARTIAL,
+        'the request ran to its end once, but its answer was not kept',
+        'look the answer up at the target; this key will not run again',
+        target_request_id=target_request_id,
+    )
+
+
+def new_claims(
+    log: ports.Log,
+    appender: batching.Appender,
+    clock_: clock.Clock,
+    configured: settings.Settings,
+    random_: random.Random | None = None,
+    max_keys: int = claim_partition.MAX_KEYS,
+) -> Claims:
+    """Return the claims of one instance.
+
+    Raises SettingsError where the window is too short for the longest
+    deadline: a key must not leave it while its request may still run.
+    """
+    random_ = random_ or random.SystemRandom()
+    window_ms = configured.claim_window_ms
+    shortest_ms = 2 * configured.bounds.max_deadline_ms
+    if window_ms < shortest_ms:
+        raise errors.SettingsError(
+            f'claim_window_ms is {window_ms}, shorter than twice the '
+            f'longest deadline',
+            f'set it to {shortest_ms} at least, or lower '
+            f'bounds.max_deadline_ms',
+        )
+    settler = claim_settling.ClaimSettler(appender, clock_, random_, window_ms)
+    return Claims(
+        log,
+        appender,
+        clock_,
+        random_,
+        configured.instance_id,
+        configured.claim_partitions,
+        window_ms,
+        max_keys,
+        settler,
+    )
--- /dev/null
+++ b/sycamorebeam/filters/idempotency.py
@@ -0,0 +1,187 @@
+"""Lets a non-idempotent request run at most once for its key."""
+
+import json
+
+import attrs
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam import claims
+from sycamorebeam import clock
+from sycamorebeam import hashing
+from sycamorebeam.controllers import claims as claims_controller
+from sycamorebeam.filters import chain
+
+MAX_KEY_CHARS = 255
+
+_SAME_KEY = 'send the request again with the same key'
+
+
+@attrs.frozen
+class IdempotencyFilter:
+    """Claims the key of a request and stores the request's outcome.
+
+    Idempotent pipelines pass: a key on them is accepted and ignored, since
+    running twice does them no harm.
+    """
+
+    _claims: claims_controller.Claims
+    _clock: clock.Clock
+
+    async def __call__(
+        self, request: chain.Request, proceed: chain.Handler
+    ) -> answers.Answer:
+        """Return the answer to ``request``, of this or an earlier run."""
+        pipeline = request.pipeline
+        if pipeline is None or pipeline.idempotent:
+            return await proceed(request)
+        refusal = _check_key(request)
+        if refusal is not None:
+            return refusal
+        result = await self._claim(request, pipeline)
+        match result:
+            case claims.Owned(permit):
+                return await self._run(request, permit, proceed)
+            case claims.Replayed(answer):
+                return answer
+            case _:
+                return _problem(result)
+
+    async def _claim(
+        self, request: chain.Request, pipeline: catalogue.Pipeline
+    ) -> claims.ClaimResult:
+        key = claims.ClaimKey(
+            request.team_name,
+            request.pipeline_name,
+            request.idempotency_key or '',
+        )
+        remaining_ms = pipeline.deadline_ms
+        if request.deadline is not None:
+            remaining_ms = request.deadline.remaining_ms(self._clock)
+        return await self._claims.claim(
+            key, _request_digest(request), remaining_ms, request.first_attempt
+        )
+
+    async def _run(
+        self,
+        request: chain.Request,
+        permit: claims.DispatchPermit,
+        proceed: chain.Handler,
+    ) -> answers.Answer:
+        request.permit = permit
+        try:
+            answer = await proceed(request)
+        except BaseException:
+            # Also when the caller has gone: the key must not stay open.
+            await self._settle(permit, claims.RunOutcome(known=False))
+            raise
+        match answer:
+            case answers.Completed(output=output):
+                outcome = claims.RunOutcome(known=True, output=output)
+                await self._claims.record(permit, outcome)
+                return answer
+            case answers.Problem(target_request_id=target_request_id):
+                outcome = claims.RunOutcome(
+                    known=False, target_request_id=target_request_id
+                )
+                released = await self._settle(permit, outcome)
+                return answer if released else _honest(answer)
+
+    async def _settle(
+        self, permit: claims.DispatchPermit, outcome: claims.RunOutcome
+    ) -> bool:
+        """Release the key if nothing ran, else store ``outcome``."""
+        if await self._claims.release(permit):
+            return True
+        await self._claims.record(permit, outcome)
+        return False
+
+
+def _check_key(request: chain.Request) -> answers.Problem | None:
+    key = request.idempotency_key
+    if not key:
+        return answers.Problem(
+            answers.ProblemKind.KEY_REQUIRED,
+            answers.Outcome.NOT_RUN,
+            f'pipeline {request.pipeline_name} may run only once for a '
+            'request, and the request has no key',
+            'send an Idempotency-Key, best a UUID version 7',
+        )
+    if len(key) > MAX_KEY_CHARS:
+        return answers.Problem(
+            answers.ProblemKind.BAD_REQUEST,
+            answers.Outcome.NOT_RUN,
+            f'the Idempotency-Key has {len(key)} characters',
+            f'send a key of at most {MAX_KEY_CHARS} characters',
+        )
+    return None
+
+
+def _request_digest(request: chain.Request) -> bytes:
+    return hashing.digest(json.dumps(request.body, sort_keys=True).encode())
+
+
+def _honest(answer: answers.Problem) -> answers.Problem:
+    """Return ``answer`` without a "not run" that nothing proves."""
+    match answer.outcome:
+        case answers.Outcome.NOT_RUN | answers.Outcome.ATTEMPT_NOT_RUN:
+            return attrs.evolve(answer, outcome=answers.Outcome.UNKNOWN)
+    return answer
+
+
+def _problem(result: claims.ClaimResult) -> answers.Problem:
+    match result:
+        case claims.InProgress(claim_id, retry_after_ms):
+            return answers.Problem(
+                answers.ProblemKind.IN_PROGRESS,
+                answers.Outcome.IN_PROGRESS,
+                f'another attempt of this key is running (claim {claim_id})',
+                _SAME_KEY,
+                retry_after_ms,
+            )
+        case claims.KeyMismatch():
+            return answers.Problem(
+                answers.ProblemKind.KEY_MISMATCH,
+                answers.Outcome.ATTEMPT_NOT_RUN,
+                'this key was used with another request body',
+                'use a new key for a new request, or send the first body',
+            )
+        case claims.KeyTooOld():
+            return answers.Problem(
+                answers.ProblemKind.KEY_TOO_OLD,
+                answers.Outcome.ATTEMPT_NOT_RUN,
+                'this attempt ran nothing; an earlier one of this key may '
+                'have left the log, so that nobody can tell its outcome',
+                'look the request up at its target; then use a fresh UUID '
+                'version 7 as key, or mark the first attempt of a key',
+            )
+        case claims.ClaimFailed(reason, proved, retry_after_ms):
+            return _failed_problem(reason, proved, retry_after_ms)
+    raise TypeError(f'no problem for {result}')
+
+
+def _failed_problem(
+    reason: str, proved: bool, retry_after_ms: int
+) -> answers.Problem:
+    if proved:
+        return answers.Problem(
+            answers.ProblemKind.LOG_UNAVAILABLE,
+            answers.Outcome.NOT_RUN,
+            f'nothing ran: {reason}',
+            _SAME_KEY,
+            retry_after_ms,
+        )
+    return answers.Problem(
+        answers.ProblemKind.LOG_UNAVAILABLE,
+        answers.Outcome.ATTEMPT_NOT_RUN,
+        f'this attempt ran nothing, earlier ones are unknown: {reason}',
+        f'{_SAME_KEY}, never with a new one',
+        retry_after_ms,
+    )
+
+
+def new_idempotency_filter(
+    claims_: claims_controller.Claims, clock_: clock.Clock
+) -> IdempotencyFilter:
+    """Return the filter over the instance's claims."""
+    return IdempotencyFilter(claims_, clock_)
--- /dev/null
+++ b/sycamorebeam/log_health.py
@@ -0,0 +1,68 @@
+"""Whether the log answers, so that callers are not kept waiting for it."""
+
+from collections.abc import Callable
+
+import attrs
+
+from sycamorebeam import clock
+
+FAILED_READS_DOWN = 2
+TRIAL_INTERVAL_MS = 500
+
+
+@attrs.define(eq=False)
+class LogHealth:
+    """Knows an outage of the log from the calls made to it.
+
+    Reads are down after consecutive failures, appends after one with an
+    unknown outcome. While appends are down, one is let through at
+    intervals to find out when they work again.
+    """
+
+    _clock: clock.Clock
+    _on_down: Callable[[str], None]
+    _failed_reads: int = 0
+    _appends_down: bool = False
+    _next_trial_ms: int = 0
+
+    @property
+    def reads_down(self) -> bool:
+        """Whether reads fail."""
+        return self._failed_reads >= FAILED_READS_DOWN
+
+    @property
+    def appends_down(self) -> bool:
+        """Whether the last append that ended had no answer."""
+        return self._appends_down
+
+    def read_worked(self) -> None:
+        """Note that a read was answered."""
+        self._failed_reads = 0
+
+    def read_failed(self, reason: str) -> None:
+        """Note that a read was not answered."""
+        was_down = self.reads_down
+        self._failed_reads += 1
+        if self.reads_down and not was_down:
+            self._on_down(f'the log cannot be read: {reason}')
+
+    def append_worked(self) -> None:
+        """Note that an append was answered or seen in the log."""
+        self._appends_down = False
+
+    def append_unknown(self) -> None:
+        """Note that an append had no answer."""
+        self._appends_down = True
+        self._next_trial_ms = self._clock.monotonic_ms() + TRIAL_INTERVAL_MS
+
+    def refusal(self) -> str | None:
+        """Return why nothing should be appended now, None to go on."""
+        if self.reads_down:
+            return 'the log cannot be read'
+        if not self._appends_down:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        if now_ms < self._next_trial_ms:
+            return 'the log does not answer appends'
+        self._next_trial_ms = now_ms + TRIAL_INTERVAL_MS
+        return None
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -11,6 +11,7 @@
     ``lose_answers`` and ``late_appends`` count the next appends whose
     answer is lost, in time or ``late_by_ms`` late. ``down`` refuses every
     call, ``write_down`` appends only. ``delay_ms`` delays each call.
+    ``hang`` leaves every call unanswered and without effect.
     """
 
     def __init__(self):
@@ -19,6 +20,7 @@
         self.append_calls = 0
         self.down = False
         self.write_down = False
+        self.hang = False
         self.lose_answers = 0
         self.late_appends = 0
         self.late_by_ms = 0
@@ -29,6 +31,9 @@
     async def append(self, stream, data):
         self.append_calls += 1
         await self._delay()
+        if self.hang:
+            await asyncio.sleep(self.timeout_ms / 1000)
+            return results.AppendUnknown('no answer')
         if self.down or self.write_down:
             return results.AppendRefused('the log is down')
         if self.late_appends:
@@ -47,6 +52,9 @@
 
     async def read(self, stream, start, limit=100, wait_ms=0):
         await self._delay()
+        if self.hang:
+            await asyncio.sleep((self.timeout_ms + wait_ms) / 1000)
+            return results.LogUnavailable('no answer')
         if self.down:
             return results.LogUnavailable('the log is down')
         if start >= self._next(stream) and wait_ms:
@@ -61,7 +69,9 @@
 
     async def bounds(self, stream):
         await self._delay()
-        if self.down:
+        if self.hang:
+            await asyncio.sleep(self.timeout_ms / 1000)
+        if self.down or self.hang:
             return results.LogUnavailable('the log is down')
         return results.LogPage(
             self.oldest.get(stream, 0), self._next(stream), ()
