Join the parts into an instance

Cause: the parts stood side by side. Change: the instance (start, planned stop), the follower of the instance list, the status document; the permit is spent when the connection stands, right before the first byte.

--- a/sycamorebeam/clients/http.py
+++ b/sycamorebeam/clients/http.py
@@ -14,6 +14,7 @@
 import attrs
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import ports
 from sycamorebeam.clients import reasons
 
 READ_BYTES = 65_536
@@ -54,7 +55,8 @@
     ``connected`` turns true right before the first byte is sent: an
     exchange that fails with it false sent nothing. ``sent_bytes`` and
     ``received_bytes`` count headers and bodies. Without ``silence_ms`` the
-    answer may take until the deadline.
+    answer may take until the deadline. ``before_send`` runs when the
+    connection stands; when it raises, nothing is sent.
     """
 
     method: str
@@ -64,6 +66,7 @@
     body: bytes | None = None
     lane: Lane = Lane.POOLED
     silence_ms: int | None = None
+    before_send: ports.BeforeSend | None = None
     connected: bool = False
     silent: bool = False
     sent_bytes: int = 0
@@ -118,6 +121,8 @@
         if exchange.connected:
             raise HiddenRetryError(f'{exchange.method} was sent before')
         connection = await super().connect(req, traces, timeout)
+        if exchange.before_send is not None:
+            _run_or_close(exchange.before_send, connection)
         exchange.connected = True
         exchange.sent_bytes += _head_bytes(req) + len(exchange.body or b'')
         return connection
@@ -290,6 +295,16 @@
         return asyncio.get_running_loop().time() + remaining_ms / 1000
 
 
+def _run_or_close(
+    before_send: ports.BeforeSend, connection: aiohttp.connector.Connection
+) -> None:
+    try:
+        before_send()
+    except BaseException:
+        connection.close()
+        raise
+
+
 def _head_bytes(request: Any) -> int:
     size = len(request.method) + len(request.url.raw_path_qs) + 12
     for name, value in request.headers.items():
--- a/sycamorebeam/clients/plain.py
+++ b/sycamorebeam/clients/plain.py
@@ -47,6 +47,7 @@
             deadline=attempt.deadline,
             body=json.dumps(body).encode(),
             lane=lane_of(attempt),
+            before_send=attempt.before_send,
         )
         try:
             reply = await self._fetch(replica, attempt, exchange)
--- a/sycamorebeam/controllers/peers.py
+++ b/sycamorebeam/controllers/peers.py
@@ -39,11 +39,23 @@
         """Return the offset in force and the digest of its state."""
         ...
 
-    def state(self) -> bytes:
-        """Return the folded state in force, as a peer verifies it."""
+    def state(self, above: int = -1) -> bytes:
+        """Return what a peer at offset ``above`` lacks."""
         ...
 
 
+class NoCatalogue:
+    """Stands for the catalogue until there is one."""
+
+    def in_force(self) -> tuple[int, bytes]:
+        """Return an offset below all others."""
+        return -1, b''
+
+    def state(self, above: int = -1) -> bytes:
+        """Return nothing."""
+        return b''
+
+
 @attrs.frozen
 class PeerOffset:
     """The catalogue that a peer has in force."""
@@ -61,14 +73,13 @@
         instance_id: str,
         secret: bytes,
         clock: clocks.Clock,
-        source: CatalogueSource,
         on_leaving: Callable[[str], None],
         generator: random.Random,
     ) -> None:
         self._instance_id = instance_id
         self._secret = secret
         self._clock = clock
-        self._source = source
+        self._source: CatalogueSource = NoCatalogue()
         self._on_leaving = on_leaving
         self._random = generator
         self._streams: dict[str, streams.PeerStream] = {}
@@ -90,6 +101,10 @@
         open_bytes = sum(item.sent_bytes for item in self._streams.values())
         return self._closed_bytes + open_bytes
 
+    def serve(self, source: CatalogueSource) -> None:
+        """Show the catalogue of ``source`` to the peers."""
+        self._source = source
+
     def follow(
         self, instances: Callable[[], dict[str, results.Replica]]
     ) -> None:
@@ -247,7 +262,7 @@
         self, call_id: int, above: int
     ) -> messages.CatalogueState:
         offset, _ = self._source.in_force()
-        state = self._source.state() if offset > above else b''
+        state = self._source.state(above) if offset > above else b''
         return messages.CatalogueState(call_id, offset, state)
 
     def _broadcast(
--- /dev/null
+++ b/sycamorebeam/instance.py
@@ -0,0 +1,302 @@
+"""One entry instance: its parts joined, its start and its planned stop."""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import pathlib
+import random
+import signal
+from typing import Any
+
+from aiohttp import web
+import aiomisc
+
+from sycamorebeam import batching
+from sycamorebeam import clock as clocks
+from sycamorebeam import server
+from sycamorebeam import settings as settings_module
+from sycamorebeam import status
+from sycamorebeam import telemetry
+from sycamorebeam.clients import instances
+from sycamorebeam.clients import log
+from sycamorebeam.clients import targets as target_clients
+from sycamorebeam.controllers import catalogue as catalogue_controller
+from sycamorebeam.controllers import claims as claims_controller
+from sycamorebeam.controllers import instance_list
+from sycamorebeam.controllers import limits
+from sycamorebeam.controllers import peers as peers_controller
+from sycamorebeam.controllers import readiness
+from sycamorebeam.controllers import shutdown
+from sycamorebeam.controllers import targets
+from sycamorebeam.filters import admission
+from sycamorebeam.filters import chain
+from sycamorebeam.filters import deadline
+from sycamorebeam.filters import idempotency
+from sycamorebeam.filters import identity
+from sycamorebeam.filters import validation
+from sycamorebeam.pipeline import attempt
+from sycamorebeam.pipeline import route
+from sycamorebeam.pipeline import runner
+from sycamorebeam.policy import bucket
+from sycamorebeam.policy import subset
+
+FLUSH_MS = 1_000
+EXIT_CUT_OFF = 1
+URL_PREFIX = 'http://'
+
+
+class Instance(aiomisc.Service):
+    """All parts of one instance."""
+
+    def __init__(
+        self, settings: settings_module.Settings, secret: bytes
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._secret = secret
+        self._clock = clocks.Clock()
+        self._metrics = telemetry.new_metrics(
+            settings.statsd.address, settings.statsd.prefix
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.AppRunner] = []
+        self._sites: list[web.TCPSite] = []
+        self._asked_to_stop = asyncio.Event()
+        self._stopped: shutdown.Drained | shutdown.CutOff | None = None
+
+    @property
+    def stopped(self) -> shutdown.Drained | shutdown.CutOff | None:
+        """How the planned stop ended, None before."""
+        return self._stopped
+
+    async def start(self) -> None:
+        """Join the parts and begin to serve."""
+        self._build_clients()
+        self._build_state()
+        self._build_path()
+        self._follow()
+        await self._listen()
+        telemetry.log_event(
+            'started', callers=self._settings.addresses.callers
+        )
+
+    async def wait(self) -> None:
+        """Wait until a signal asks for the stop, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        await self._asked_to_stop.wait()
+        await self._stop_gracefully()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Release what the instance holds; requests have ended before."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._catalogue.stop()
+        await self._claims.stop()
+        await self._appender.stop()
+        for item in self._runners:
+            await item.cleanup()
+        await self._target_client.close()
+        await self._list_client.close()
+        await self._log.close()
+        self._metrics.flush()
+        telemetry.log_event('stopped')
+
+    def _build_clients(self) -> None:
+        platform = self._settings.platform
+        self._log = log.new_log_client(
+            platform.log.removeprefix(URL_PREFIX), platform.log_timeout_ms
+        )
+        self._list_client = instances.new_instance_list(
+            platform.instances.removeprefix(URL_PREFIX), self._clock
+        )
+        self._target_client = target_clients.new_targets(self._clock)
+        self._appender = batching.new_appender(
+            self._log,
+            self._clock,
+            platform.log_appends_per_s,
+            platform.batch_linger_ms,
+        )
+
+    def _build_state(self) -> None:
+        settings = self._settings
+        self._targets = targets.Targets(
+            settings.instance_id,
+            settings.placement,
+            self._clock,
+            subset.SubsetSizes(),
+        )
+        self._list = instance_list.InstanceListFollower(
+            self._list_client, self._targets, self._clock
+        )
+        # The follower asks the peers, and the peers show its state.
+        self._peers = peers_controller.Peers(
+            settings.instance_id,
+            self._secret,
+            self._clock,
+            self._hear_of_leaving,
+            random.Random(),
+        )
+        self._catalogue = catalogue_controller.new_catalogue_follower(
+            self._log,
+            self._clock,
+            self._peers,
+            settings.catalogue_stale_after_ms,
+        )
+        self._peers.serve(self._catalogue)
+        self._peers.follow(lambda: self._targets.instances)
+        self._targets.on_leaving(self._peers.tell_leaving)
+        self._claims = claims_controller.new_claims(
+            self._log, self._appender, self._clock, settings
+        )
+        self._limits = limits.LimitsController(
+            self._clock, settings.bounds.max_in_flight
+        )
+        self._shutdown = shutdown.Shutdown(self._clock, settings.shutdown)
+        self._ready = readiness.Readiness(
+            [
+                lambda: self._catalogue.readiness,
+                lambda: self._list.readiness,
+            ]
+        )
+
+    def _build_path(self) -> None:
+        self._runner = runner.Runner(
+            self._catalogue,
+            self._targets,
+            route.Router(self._targets, self._clock, random.Random()),
+            attempt.Attempts(
+                self._target_client, self._targets, self._clock, self._metrics
+            ),
+            self._clock,
+            bucket.RetryBudget(),
+            self._metrics,
+        )
+        handler = chain.chain(
+            [
+                identity.Identity(self._catalogue),
+                deadline.DeadlineFilter(self._clock),
+                validation.Validation(),
+                admission.Admission(self._limits, self._targets),
+                idempotency.new_idempotency_filter(self._claims, self._clock),
+            ],
+            self._runner.run,
+        )
+        self._server = server.CallerServer(
+            handler,
+            self._ready,
+            self._shutdown,
+            self._settings.bounds,
+            self._metrics,
+            self._status,
+        )
+
+    def _follow(self) -> None:
+        self._catalogue.start()
+        for work in (
+            self._claims.start(),
+            self._list.follow(),
+            self._targets.poll_loads(self._target_client),
+            self._peers.dial_forever(),
+            self._peers.ping_forever(),
+            self._flush_metrics(),
+        ):
+            self._spawn(work)
+
+    async def _listen(self) -> None:
+        addresses = self._settings.addresses
+        with_admin = addresses.admin is None
+        callers = self._server.application(with_admin=with_admin)
+        await self._serve(callers, addresses.callers)
+        if addresses.admin is not None:
+            admin = self._server.admin_application()
+            await self._serve(admin, addresses.admin)
+        host, port = _split(addresses.peers)
+        self._peer_server = await asyncio.start_server(
+            self._peers.accept, host, port
+        )
+
+    async def _serve(self, app: web.Application, address: str) -> None:
+        bounds = self._settings.bounds
+        host, port = _split(address)
+        app_runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=bounds.idle_timeout_ms / 1000,
+            max_line_size=bounds.header_bytes,
+            max_field_size=bounds.header_bytes,
+        )
+        await app_runner.setup()
+        site = web.TCPSite(app_runner, host, port)
+        await site.start()
+        self._runners.append(app_runner)
+        self._sites.append(site)
+
+    async def _stop_gracefully(self) -> None:
+        """Finish what is in progress; nothing new comes after the lag."""
+        await self._shutdown.leave()
+        await self._sites[0].stop()
+        self._stopped = await self._shutdown.drain()
+        telemetry.log_event('stop_drained', result=self._stopped)
+
+    def _on_signal(self) -> None:
+        if self._asked_to_stop.is_set():
+            self._shutdown.hurry()
+        self._asked_to_stop.set()
+
+    def _hear_of_leaving(self, target_id: str) -> None:
+        self._targets.mark_leaving(target_id, observed=False)
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await self._clock.sleep_ms(FLUSH_MS)
+            self._metrics.gauge('in_flight', self._limits.in_flight)
+            self._metrics.gauge('catalogue.offset', self._catalogue.offset)
+            self._metrics.gauge('catalogue.lag_ms', self._catalogue.lag_ms)
+            self._metrics.gauge('peers.sent_bytes', self._peers.sent_bytes)
+            self._metrics.gauge('log.queued', self._appender.queued)
+            self._metrics.flush()
+
+    def _status(self) -> dict[str, Any]:
+        return status.document(
+            self._settings,
+            self._catalogue,
+            self._ready,
+            self._shutdown,
+            self._targets,
+            self._peers,
+            self._limits,
+            self._claims,
+            self._metrics,
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def run(settings: settings_module.Settings, base: pathlib.Path) -> int:
+    """Run an instance until it is stopped; return the exit code.
+
+    ``base`` is the folder that relative secret files are found in.
+    """
+    telemetry.configure_logs(settings.instance_id)
+    secret = settings_module.read_secret(base / settings.peer_secret_file)
+    instance = Instance(settings, secret)
+    with (
+        aiomisc.entrypoint(
+            instance, log_config=False, catch_signals=()
+        ) as loop,
+        contextlib.suppress(asyncio.CancelledError),
+    ):
+        loop.run_until_complete(instance.wait())
+    if isinstance(instance.stopped, shutdown.CutOff):
+        return EXIT_CUT_OFF
+    return 0
--- a/sycamorebeam/pipeline/progress.py
+++ b/sycamorebeam/pipeline/progress.py
@@ -15,7 +15,8 @@
     """The progress of one request through its stages.
 
     ``sent`` counts the attempts that may have run something, and
-    ``dispatched`` says that the non-idempotent call was sent.
+    ``dispatched`` says that the non-idempotent call was sent; ``refused``
+    that the target proved to have done nothing with it.
     """
 
     request: chain.Request
@@ -30,6 +31,7 @@
     retries: int = 0
     dispatched: bool = False
     sent: int = 0
+    refused: bool = False
 
     def usage(self) -> answers.Usage:
         """Return what the request consumed so far."""
@@ -49,3 +51,13 @@
         if self.sent:
             return answers.Outcome.PARTIAL
         return self.request.refused_outcome
+
+    def take_back(self) -> None:
+        """Note that the attempt sent last provably ran nothing."""
+        self.sent -= 1
+        if not self.dispatched:
+            return
+        self.dispatched = False
+        self.refused = True
+        if self.request.permit is not None:
+            self.request.permit.mark_refused()
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -159,7 +159,7 @@
             run.request.request_id, stage, target.kind, chosen, sending
         )
         if isinstance(result, results.TargetNotRun):
-            run.sent -= 1
+            run.take_back()
         return result
 
     def _may_retry(
@@ -171,7 +171,7 @@
     ) -> bool:
         if number + 1 >= MAX_ATTEMPTS:
             return False
-        if not stage.idempotent and run.dispatched:
+        if not stage.idempotent and (run.dispatched or run.refused):
             return False
         if run.request.emitted:
             return False
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,7 +22,7 @@
     def in_force(self):
         return self.offset, b'digest-%d' % self.offset
 
-    def state(self):
+    def state(self, above=-1):
         return b'state-%d' % self.offset
 
 
@@ -35,10 +35,10 @@
             self.id,
             secret,
             build.CLOCK,
-            self.source,
             self.heard.append,
             random.Random(number),
         )
+        self.peers.serve(self.source)
         self.address = f'127.0.0.1:{7000 + number}'
         self.tasks = []
 
