Join escaped surrogate pairs and bound the size of files

Cause: a property test found that the JSON5 library leaves the halves of an escaped surrogate pair apart; such a text cannot be written as UTF-8. Change: pairs are joined, a lone half is a fault; files have at most 1 MiB.

--- a/sycamorebeam/jsonc.py
+++ b/sycamorebeam/jsonc.py
@@ -18,7 +18,7 @@
 from sycamorebeam import checking
 from sycamorebeam import errors
 
-MAX_FILE_BYTES = 4 * 1024 * 1024
+MAX_FILE_BYTES = 1024 * 1024
 
 
 @attrs.frozen
@@ -123,15 +123,38 @@
                     self.read(value, (*path, index))
                     for index, value in enumerate(values)
                 ]
+            case model.String(characters=characters):
+                return self._text(characters, path)
             case _:
                 return self._values.load(node)
 
+    def _text(self, characters: str, path: checking.Path) -> str:
+        """Return a text with its surrogate pairs joined.
+
+        The library leaves the two halves of an escaped pair apart. A half
+        without its other one has no UTF-8 form, so it is a fault.
+        """
+        try:
+            return characters.encode('utf-16', 'surrogatepass').decode(
+                'utf-16'
+            )
+        except UnicodeDecodeError:
+            self.faults.append(
+                checking.Fault(
+                    path,
+                    'half of a surrogate pair',
+                    'text that has a UTF-8 form',
+                    'write the character itself',
+                )
+            )
+            return '\ufffd'
+
     def _object(
         self, node: model.JSONObject, path: checking.Path
     ) -> dict[str, Any]:
         found: dict[str, Any] = {}
         for key_node, value_node in node.key_value_pairs:
-            key = str(self._values.load(key_node))
+            key = self._text(str(self._values.load(key_node)), path)
             where = (*path, key)
             if key in found:
                 self._duplicate(where, key_node.lineno)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -98,6 +98,11 @@
         self.assertEqual('file:3', document.origin(('a', 1, 'b')))
         self.assertEqual('file:2', document.origin(('a', 0, 'missing')))
 
+    @ddt.data('"\\ud800"', '["\\udc00\\ud800"]', '{"\\ud800": 1}')
+    def test_half_a_surrogate_pair_is_a_fault(self, text):
+        found = jsonc.parse(text, 'file').faults
+        self.assertIn('surrogate', found[0].found)
+
     @ddt.data(b'\xff', None)
     def test_says_why_a_file_cannot_be_read(self, data):
         path = self.folder / 'other.jsonc'
