Hold the clients of targets and their stand-ins against faults

Cause: nothing showed what a caller is told when a target fails. A probe on another connection tells a silent connection from slow work; an error of the receiver of tokens no longer passes for one of the engine.

--- a/sycamorebeam/clients/engine.py
+++ b/sycamorebeam/clients/engine.py
@@ -62,6 +62,10 @@
     received_bytes: int = 0
 
 
+class TokenCallbackError(Exception):
+    """The receiver of tokens failed; its error is the cause."""
+
+
 class EngineClient:
     """Generates at engine replicas."""
 
@@ -89,14 +93,15 @@
         if not isinstance(prompt, str):
             return results.TargetNotRun(reasons.Reason.NO_PROMPT)
         generation = Generation(replica=replica, attempt=attempt)
+        whole = False
         try:
             result = await self._run(generation, prompt)
-        except asyncio.CancelledError:
-            if generation.sent:
+            whole = isinstance(result, results.TargetAnswer)
+        except TokenCallbackError as error:
+            raise error.__cause__ or error from None
+        finally:
+            if generation.sent and not whole:
                 self._cancel(generation)
-            raise
-        if isinstance(result, results.TargetMaybeRun):
-            self._cancel(generation)
         return result
 
     async def _run(
@@ -252,13 +257,21 @@
     due = generation.table.add(index, text)
     if due is None:
         return Broken(reasons.Reason.MALFORMED)
-    on_token = generation.attempt.on_token
-    if on_token is not None:
-        for due_index, due_text in due:
-            await on_token(due_index, due_text)
+    for due_index, due_text in due:
+        await _give(generation.attempt, due_index, due_text)
     return None
 
 
+async def _give(attempt: ports.Attempt, index: int, text: str) -> None:
+    if attempt.on_token is None:
+        return
+    try:
+        await attempt.on_token(index, text)
+    except Exception as error:
+        # The receiver's connection errors must not pass for the engine's.
+        raise TokenCallbackError from error
+
+
 def _take_end(generation: Generation, data: dict[str, Any]) -> Ending:
     table = generation.table
     if data.get('count') != table.next:
--- a/sycamorebeam/clients/http.py
+++ b/sycamorebeam/clients/http.py
@@ -19,6 +19,9 @@
 READ_BYTES = 65_536
 SUSPECTS_KEPT = 4_096
 NO_CEILING_S = float('inf')
+# Spaces, version and line end of a request line, and the empty line after
+# the headers.
+LINE_BYTES = 14
 
 
 @attrs.frozen(kw_only=True)
@@ -291,7 +294,7 @@
 
 
 def _head_bytes(request: Any) -> int:
-    size = len(request.method) + len(request.url.raw_path_qs) + 12
+    size = len(request.method) + len(request.url.raw_path_qs) + LINE_BYTES
     for name, value in request.headers.items():
         size += len(name) + len(value) + 4
     return size
--- a/sycamorebeam/clients/sse.py
+++ b/sycamorebeam/clients/sse.py
@@ -28,7 +28,8 @@
 
         Raises PlatformError when an event is too large.
         """
-        *blocks, self._rest = (self._rest + data).split(b'\n\n')
+        unread = (self._rest + data).replace(b'\r\n', b'\n')
+        *blocks, self._rest = unread.split(b'\n\n')
         if len(self._rest) > EVENT_BYTES:
             raise errors.PlatformError(
                 f'an event is larger than {EVENT_BYTES} bytes',
@@ -44,7 +45,7 @@
     name = 'message'
     lines = []
     for line in block.split(b'\n'):
-        field, _, value = line.rstrip(b'\r').partition(b':')
+        field, _, value = line.partition(b':')
         value = value.removeprefix(b' ')
         if field == b'event':
             name = value.decode('utf-8', 'replace')
--- a/sycamorebeam/standins/engine.py
+++ b/sycamorebeam/standins/engine.py
@@ -37,7 +37,9 @@
         super().__init__(group, options)
         self._state = EngineState()
         self._cache = prefixcache.PrefixCache(
-            options.cached_prefixes, options.cache_events_lag_ms
+            options.cached_prefixes,
+            options.cache_events_lag_ms,
+            lambda: self.faults.take('lose_cache_events'),
         )
         self._batch = batch.Batch(
             options.capacity, options.token_ms, self._start, self._prefill
--- a/sycamorebeam/standins/faults.py
+++ b/sycamorebeam/standins/faults.py
@@ -27,11 +27,13 @@
     late: int = 0
     late_by_ms: float = 0
     doubled: int = 0
+    doubled_after_ms: float = 0
     shuffled: int = 0
     refuse: int = 0
     silent: int = 0
     stall: int = 0
     drop: int = 0
+    lose_cache_events: int = 0
     draining: bool = False
 
     def take(self, name: str) -> bool:
--- a/sycamorebeam/standins/logservice.py
+++ b/sycamorebeam/standins/logservice.py
@@ -109,6 +109,10 @@
         """What was asked so far."""
         return self._counts
 
+    def drain_allowance(self) -> None:
+        """Forget the appends that the limit would still allow at once."""
+        self._allowance = 0.0
+
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the log's calls to ``router``."""
         records = '/v1/streams/{name}/records'
--- a/sycamorebeam/standins/plain.py
+++ b/sycamorebeam/standins/plain.py
@@ -1,9 +1,8 @@
 """Stand-ins of pools and plain services: one answer to each call."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
+from collections.abc import Coroutine
 import json
 from typing import Any
 
@@ -15,8 +14,8 @@
 from sycamorebeam.standins import replica
 from sycamorebeam.standins import runs
 
+Work = Coroutine[Any, Any, None]
 Compute = Callable[[str, dict[str, Any]], dict[str, Any]]
-CALLS_KNOWN = 10_000
 
 
 class PlainCalls:
@@ -26,7 +25,7 @@
         self._base = base
         self._compute = compute
         self._slots = asyncio.Semaphore(base.options.capacity)
-        self._tasks: dict[str, asyncio.Task[web.StreamResponse]] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._begun: set[str] = set()
         self._served = 0
 
@@ -51,46 +50,48 @@
         if waiting >= self._base.options.queue:
             return self._base.not_run(call_id)
         named = operation or str(fields.get('operation', ''))
-        return await self._track(
-            call_id, self._run(request, call_id, named, fields)
-        )
+        inputs = _inputs(fields)
+        work = self._work(request, call_id, named, inputs)
+        if not await self._track(call_id, work):
+            return self._base.not_run(call_id)
+        return await self._reply(request, call_id, named, inputs)
 
     def load(self) -> tuple[int, int]:
         """Return how many calls run and how many wait."""
         return len(self._begun), len(self._tasks) - len(self._begun)
 
-    async def _track(
-        self, call_id: str, work: Awaitable[web.StreamResponse]
-    ) -> web.StreamResponse:
-        task = asyncio.ensure_future(work)
+    async def _track(self, call_id: str, work: Work) -> bool:
+        """Return whether the call ran, False when it was cancelled."""
+        task = asyncio.create_task(work)
         self._tasks[call_id] = task
         try:
-            return await task
+            await task
         except asyncio.CancelledError:
             if not task.cancelled():
                 raise
-            return self._base.not_run(call_id)
+            return False
         finally:
             self._tasks.pop(call_id, None)
+        return True
 
-    async def _run(
+    async def _work(
         self,
         request: web.Request,
         call_id: str,
         operation: str,
-        fields: dict[str, Any],
-    ) -> web.StreamResponse:
-        inputs = fields.get('input') or {}
+        inputs: dict[str, Any],
+    ) -> None:
         async with self._slots:
             self._begun.add(call_id)
             run = self._base.runs.start(call_id, operation, inputs.get('key'))
             try:
                 await asyncio.sleep(self._base.options.work_ms / 1000)
                 run.state = runs.RunState.FINISHED
+                await self._base.delay()
+                if self._base.faults.take('hang'):
+                    await faults.hang(request)
             finally:
                 self._begun.discard(call_id)
-        await self._base.delay()
-        return await self._reply(request, call_id, operation, inputs)
 
     async def _reply(
         self,
@@ -107,8 +108,6 @@
             return web.json_response(
                 {'id': call_id}, status=500, headers=headers
             )
-        if switches.take('hang'):
-            return await faults.hang(request)
         output = self._compute(operation, inputs)
         body = self._body(call_id, request_id, output)
         if switches.take('early_end'):
@@ -120,7 +119,7 @@
             body=body, content_type='application/json', headers=headers
         )
         if switches.take('doubled'):
-            return await _send_twice(request, response, body, headers)
+            _write_again(request, body, headers, switches.doubled_after_ms)
         return response
 
     def _body(
@@ -151,6 +150,11 @@
         return web.Response(status=204, headers=self._base.headers())
 
 
+def _inputs(fields: dict[str, object]) -> dict[str, Any]:
+    found = fields.get('input')
+    return found if isinstance(found, dict) else {}
+
+
 async def _begin(
     request: web.Request, body: bytes, headers: dict[str, str]
 ) -> web.StreamResponse:
@@ -173,24 +177,21 @@
     return response
 
 
-async def _send_twice(
+def _write_again(
     request: web.Request,
-    response: web.Response,
     body: bytes,
     headers: dict[str, str],
-) -> web.StreamResponse:
-    """Send the answer and then a second copy that nobody asked for."""
-    await response.prepare(request)
-    await response.write_eof()
-    lines = [f'{name}: {value}' for name, value in headers.items()]
+    after_ms: float,
+) -> None:
+    """Send a second copy of an answer, which nobody asked for."""
     head = [
         'HTTP/1.1 200 OK',
         'Content-Type: application/json',
         f'Content-Length: {len(body)}',
-        *lines,
+        *(f'{name}: {value}' for name, value in headers.items()),
     ]
-    with contextlib.suppress(RuntimeError):
-        if request.transport is not None:
-            copy = '\r\n'.join(head).encode() + b'\r\n\r\n' + body
-            request.transport.write(copy)
-    return response
+    copy = '\r\n'.join(head).encode() + b'\r\n\r\n' + body
+    transport = request.transport
+    if isinstance(transport, asyncio.Transport):
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(after_ms, 1) / 1000, transport.write, copy)
--- a/sycamorebeam/standins/prefixcache.py
+++ b/sycamorebeam/standins/prefixcache.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 import attrs
 
@@ -28,8 +29,11 @@
 class PrefixCache:
     """The latest prefixes, bounded, least recently used out first."""
 
-    def __init__(self, size: int, lag_ms: float) -> None:
+    def __init__(
+        self, size: int, lag_ms: float, lose: Callable[[], bool]
+    ) -> None:
         self._size = size
+        self._lose = lose
         self._lag_ms = lag_ms
         self._prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -61,7 +65,8 @@
         return self._shown, events
 
     def _note(self, prefix: str, kind: str) -> None:
-        self._events.append(CacheEvent(self._seq, prefix, kind))
+        if not self._lose():
+            self._events.append(CacheEvent(self._seq, prefix, kind))
         self._seq += 1
         loop = asyncio.get_running_loop()
         loop.call_later(self._lag_ms / 1000, self._show, self._seq)
--- /dev/null
+++ b/tests/target_case.py
@@ -0,0 +1,91 @@
+"""Stand-ins of targets and a client of them, for tests over loopback."""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import clock
+from sycamorebeam.clients import engine
+from sycamorebeam.clients import http
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.clients import targets
+from sycamorebeam.clients import watch
+from sycamorebeam.standins import replica
+from sycamorebeam.standins import target
+
+ENGINE = catalogue.TargetKind.ENGINE
+POOL = catalogue.TargetKind.POOL
+SERVICE = catalogue.TargetKind.SERVICE
+OPERATIONS = {ENGINE: 'generate', POOL: 'encode', SERVICE: 'restart'}
+CLOCK = clock.Clock()
+POLL_MS = 5
+
+QUICK = targets.TargetSettings(
+    limits=http.HttpLimits(idle_age_ms=300, connect_timeout_ms=300),
+    stream=engine.StreamSettings(silence_ms=150, resume_pause_ms=10),
+    calls=watch.WatchSettings(after_ms=60, first_pause_ms=40),
+)
+
+
+@attrs.define
+class Stand:
+    """One replica, the client that calls it, and the tokens it gave."""
+
+    kind: catalogue.TargetKind
+    client: targets.HttpTargets
+    server: target.TargetServer
+    given: list = attrs.field(factory=list)
+    take: object = None
+
+    @property
+    def runs(self):
+        return self.server.replica.runs
+
+    @property
+    def faults(self):
+        return self.server.replica.faults
+
+    @property
+    def replica(self):
+        address = self.server.address
+        return results.Replica('r1', 'group', address, 'zone', 'region')
+
+    async def call(self, attempt_id='a1', deadline_ms=2_000, **fields):
+        attempt = ports.Attempt(
+            id=attempt_id,
+            operation=OPERATIONS[self.kind],
+            input={'prompt': f'prompt of {attempt_id}', 'key': attempt_id},
+            deadline=clock.deadline_in(CLOCK, deadline_ms),
+            max_tokens=8,
+            on_token=self.take or self._take,
+            **fields,
+        )
+        return await self.client.call(self.kind, self.replica, attempt)
+
+    async def _take(self, index, text):
+        self.given.append((index, text))
+
+
+@contextlib.asynccontextmanager
+async def stand(kind, settings=QUICK, **options):
+    client = targets.new_targets(CLOCK, settings)
+    server = await target.start_target(
+        kind, options=replica.TargetOptions(**options)
+    )
+    try:
+        yield Stand(kind, client, server)
+    finally:
+        await client.close()
+        await server.close()
+
+
+async def until(check, timeout_ms=1_000):
+    """Wait until ``check`` holds; fail when it does not in time."""
+    for _ in range(timeout_ms // POLL_MS):
+        if check():
+            return
+        await asyncio.sleep(POLL_MS / 1000)
+    raise AssertionError('it did not come true in time')
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,183 @@
+"""One exchange, one request: what goes over the wire, counted there."""
+
+import asyncio
+import contextlib
+
+import attrs
+import ddt
+
+from sycamorebeam import clock
+from sycamorebeam.clients import http
+from sycamorebeam.clients import reasons
+from tests import base
+from tests import target_case as case
+
+EMPTY = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+REFUSAL = (
+    b'HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n'
+)
+LARGE = b'HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n' + b'x' * 4000000
+CLOSE = b''
+LIMITS = http.HttpLimits(
+    connections=4,
+    connections_per_target=2,
+    idle_age_ms=150,
+    connect_timeout_ms=200,
+    queue_timeout_ms=100,
+    answer_bytes=1_000,
+)
+
+
+@attrs.define
+class Wire:
+    """A server that reads requests and answers each from a script.
+
+    The last answer of the script is given for ever; ``CLOSE`` drops the
+    connection. ``most`` is the highest number of connections at once.
+    """
+
+    script: list = attrs.field(factory=lambda: [EMPTY])
+    delay_ms: int = 0
+    requests: list = attrs.field(factory=list)
+    connections: int = 0
+    opened: int = 0
+    most: int = 0
+    address: str = ''
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        self.connections += 1
+        self.most = max(self.most, self.connections)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await self._answer(reader, writer):
+                pass
+        self.connections -= 1
+        writer.close()
+
+    async def _answer(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.requests.append(head)
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                await reader.readexactly(int(line.split(b':')[1]))
+        await asyncio.sleep(self.delay_ms / 1000)
+        answer = self.script[0]
+        if len(self.script) > 1:
+            self.script.pop(0)
+        writer.write(answer)
+        await writer.drain()
+        return answer != CLOSE
+
+
+@contextlib.asynccontextmanager
+async def wire(script=None, delay_ms=0):
+    served = Wire(script=script or [EMPTY], delay_ms=delay_ms)
+    server = await asyncio.start_server(served.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    served.address = f'{host}:{port}'
+    client = http.Http(case.CLOCK, LIMITS)
+    try:
+        yield served, client
+    finally:
+        await client.close()
+        server.close()
+
+
+def exchange(served, method='POST', lane=http.Lane.POOLED, deadline_ms=1_000):
+    return http.Exchange(
+        method=method,
+        address=served.address,
+        path='/v1/calls',
+        deadline=clock.deadline_in(case.CLOCK, deadline_ms),
+        body=b'{}' if method == 'POST' else None,
+        lane=lane,
+    )
+
+
+@ddt.ddt
+class HttpTest(base.NetworkTestCase):
+    """Counts requests and connections at the other end."""
+
+    @ddt.data('POST', 'GET', 'DELETE')
+    async def test_sends_once_on_dropped_connection(self, method):
+        async with wire([EMPTY, CLOSE, EMPTY]) as (served, client):
+            await client.fetch(exchange(served, method))
+            found = await client.fetch(exchange(served, method))
+            self.assertEqual(
+                http.HttpFailure(reasons.Reason.CLOSED, sent=True), found
+            )
+            await asyncio.sleep(0.02)
+            self.assertEqual(2, len(served.requests))
+
+    @ddt.data('POST', 'GET')
+    async def test_follows_no_redirect(self, method):
+        async with wire([REFUSAL]) as (served, client):
+            found = await client.fetch(exchange(served, method))
+            self.assertEqual(302, found.status)
+            self.assertEqual(1, len(served.requests))
+
+    @ddt.data((http.Lane.POOLED, 1), (http.Lane.FRESH, 3))
+    @ddt.unpack
+    async def test_lane(self, lane, opened):
+        async with wire() as (served, client):
+            for _ in range(3):
+                await client.fetch(exchange(served, lane=lane))
+            self.assertEqual(opened, served.opened)
+
+    @ddt.data(http.Lane.POOLED, http.Lane.FRESH)
+    async def test_bounds_connections(self, lane):
+        async with wire(delay_ms=250) as (served, client):
+            calls = [
+                client.fetch(exchange(served, lane=lane)) for _ in range(5)
+            ]
+            found = await asyncio.gather(*calls)
+            refused = http.HttpFailure(
+                reasons.Reason.NO_FREE_CONNECTION, sent=False
+            )
+            self.assertEqual(3, found.count(refused))
+            self.assertEqual((2, 2), (served.most, len(served.requests)))
+
+    async def test_drops_old_idle_connections(self):
+        async with wire() as (served, client):
+            await client.fetch(exchange(served))
+            await asyncio.sleep(LIMITS.idle_age_ms * 2.5 / 1000)
+            await client.fetch(exchange(served))
+            self.assertEqual((2, 1), (served.opened, served.connections))
+
+    @ddt.data('cancel', 'deadline')
+    async def test_never_reuses_after_cut(self, cut):
+        async with wire(delay_ms=100) as (served, client):
+            deadline_ms = 30 if cut == 'deadline' else 1_000
+            item = exchange(served, deadline_ms=deadline_ms)
+            call = asyncio.create_task(client.fetch(item))
+            await case.until(lambda: served.requests)
+            if cut == 'cancel':
+                call.cancel()
+            await asyncio.wait([call])
+            self.assertTrue(item.connected)
+            served.delay_ms = 0
+            found = await client.fetch(exchange(served))
+            self.assertEqual((200, 2), (found.status, served.opened))
+
+    async def test_refuses_large_answer(self):
+        async with wire([LARGE, EMPTY]) as (served, client):
+            found = await client.fetch(exchange(served))
+            self.assertEqual(
+                http.HttpFailure(reasons.Reason.TOO_LARGE, sent=True), found
+            )
+            await client.fetch(exchange(served))
+            self.assertEqual(2, served.opened)
+
+    async def test_counts_bytes_of_request(self):
+        async with wire() as (served, client):
+            item = exchange(served)
+            await client.fetch(item)
+            self.assertEqual(len(served.requests[0]) + 2, item.sent_bytes)
+            self.assertEqual(len(EMPTY) - 19, item.received_bytes)
+
+    async def test_deadline_header(self):
+        async with wire() as (served, client):
+            await client.fetch(exchange(served, deadline_ms=500))
+            head = served.requests[0].lower()
+            left_ms = int(head.split(b'deadline-ms: ')[1].split(b'\r')[0])
+            self.assertTrue(400 <= left_ms <= 500, left_ms)
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,85 @@
+"""The client of the instance list against its stand-in."""
+
+import asyncio
+import contextlib
+
+import ddt
+
+from sycamorebeam.clients import instances
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from sycamorebeam.standins import platform
+from tests import base
+from tests import target_case as case
+
+
+def item(item_id, state='live'):
+    return {
+        'id': item_id,
+        'group': 'engines',
+        'address': '127.0.0.1:1',
+        'zone': 'z1',
+        'region': 'r1',
+        'state': state,
+    }
+
+
+@contextlib.asynccontextmanager
+async def listing():
+    served = await platform.start_platform()
+    client = instances.new_instance_list(served.address, case.CLOCK)
+    try:
+        yield served.instances, client
+    finally:
+        await client.close()
+        await served.close()
+
+
+@ddt.ddt
+class InstanceListTest(base.NetworkTestCase):
+    """What a reader of the list sees, and when."""
+
+    async def test_reads_all(self):
+        async with listing() as (served, client):
+            served.put([item('e1'), item('e2', 'leaving')])
+            found = await client.fetch()
+            self.assertEqual(1, found.version)
+            self.assertEqual(
+                [('e1', False), ('e2', True)],
+                [(one.id, one.leaving) for one in found.replicas],
+            )
+            self.assertIsInstance(found.replicas[0], results.Replica)
+
+    @ddt.data(0, 100)
+    async def test_waits_for_change(self, lag_ms):
+        async with listing() as (served, client):
+            served.put([item('e1')])
+            served.lag_ms = lag_ms
+            started_ms = case.CLOCK.monotonic_ms()
+            call = asyncio.create_task(client.fetch(1, wait_ms=1_000))
+            await asyncio.sleep(0.05)
+            served.remove(['e1'])
+            found = await call
+            self.assertEqual((2, ()), (found.version, found.replicas))
+            took_ms = case.CLOCK.monotonic_ms() - started_ms
+            self.assertTrue(50 + lag_ms <= took_ms + 2 < 900, took_ms)
+
+    async def test_wait_ends_without_change(self):
+        async with listing() as (served, client):
+            served.put([item('e1')])
+            found = await client.fetch(1, wait_ms=50)
+            self.assertEqual(1, found.version)
+
+    async def test_down(self):
+        async with listing() as (served, client):
+            served.down = True
+            found = await client.fetch()
+            self.assertEqual('status 503', found.reason)
+
+    async def test_malformed(self):
+        async with listing() as (served, client):
+            served.put([{'id': 'e1'}])
+            found = await client.fetch()
+            self.assertEqual(
+                instances.InstancesUnavailable(reasons.Reason.MALFORMED), found
+            )
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,102 @@
+"""Orders to engines, what they say they are, and their cache events."""
+
+import asyncio
+
+import ddt
+
+from sycamorebeam import clock
+from sycamorebeam.clients import orders
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from tests import base
+from tests import target_case as case
+
+LOADED = orders.EngineState(
+    role='generate', models={'summary': '2'}, adapters=(), fence=7
+)
+# fault, whether the engine checks fencing, result to fence 7 then to fence 6
+RESULTS = [
+    ['checks', None, True, orders.OrderFenced(7)],
+    ['ignores', None, False, orders.OrderDone],
+    ['errors', 'errors', True, results.TargetMaybeRun],
+    ['hangs', 'hang', True, results.TargetMaybeRun],
+    ['drops', 'drop', True, results.TargetMaybeRun],
+    ['refuses', 'refuse', True, results.TargetNotRun],
+    ['wrong_id', 'wrong_id', True, results.TargetMaybeRun],
+]
+
+
+def load_order(order_id, fence, kind='load_model', name='summary'):
+    return orders.EngineOrder(
+        id=order_id, fence=fence, kind=kind, name=name, version='2'
+    )
+
+
+@ddt.ddt
+class OrdersTest(base.NetworkTestCase):
+    """Orders as the engine's stand-in takes them."""
+
+    async def order(self, stand, order):
+        deadline = clock.deadline_in(case.CLOCK, 200)
+        client = stand.client.orders
+        return await client.order(stand.replica, order, deadline)
+
+    @ddt.named_data(*RESULTS)
+    async def test_second_order(self, fault, checks, expected):
+        async with case.stand(case.ENGINE, checks_fencing=checks) as stand:
+            first = await self.order(stand, load_order('o1', 7))
+            self.assertEqual(7 if checks else 0, first.state.fence)
+            self.assertEqual(LOADED.models, first.state.models)
+            fence = 6
+            if fault:
+                setattr(stand.faults, fault, 1)
+                fence = 8
+            found = await self.order(stand, load_order('o2', fence))
+            if isinstance(expected, type):
+                self.assertIsInstance(found, expected, found)
+            else:
+                self.assertEqual(expected, found)
+            self.assertLessEqual(len(stand.runs.of_id('o2')), 1)
+
+    async def test_is_declarative(self):
+        steps = ['load_model', 'load_adapter', 'set_role', 'unload']
+        async with case.stand(case.ENGINE) as stand:
+            for fence, kind in enumerate(steps):
+                order = load_order(kind, fence, kind, 'summary')
+                once = await self.order(stand, order)
+                twice = await self.order(stand, order)
+                self.assertEqual(once, twice)
+            state = await stand.client.orders.state(stand.replica)
+            self.assertEqual(once.state, state)
+            self.assertEqual(('summary', {}), (state.role, state.models))
+
+    async def test_unavailable(self):
+        async with case.stand(case.ENGINE) as stand:
+            await stand.server.close()
+            expected = orders.StateUnavailable(reasons.Reason.UNREACHABLE)
+            client = stand.client.orders
+            self.assertEqual(expected, await client.state(stand.replica))
+            self.assertEqual(
+                expected, await client.cache_events(stand.replica, 0)
+            )
+
+    async def test_cache_events_come_late_with_gaps(self):
+        async with case.stand(
+            case.ENGINE, cached_prefixes=2, cache_events_lag_ms=150
+        ) as stand:
+            client = stand.client.orders
+            await stand.call('a1')
+            early = await client.cache_events(stand.replica, 0)
+            self.assertEqual(orders.CachePage(0, (), gap=False), early)
+            stand.faults.lose_cache_events = 1
+            for number in range(2, 5):
+                await stand.call(f'a{number}')
+            await asyncio.sleep(0.2)
+            found = await client.cache_events(stand.replica, early.next)
+            self.assertEqual(6, found.next)
+            kinds = [(item.seq, item.stored) for item in found.events]
+            self.assertTrue(found.gap)
+            self.assertEqual(
+                [(0, True), (2, True), (3, False), (4, True), (5, False)],
+                kinds,
+            )
--- /dev/null
+++ b/tests/test_target_faults.py
@@ -0,0 +1,187 @@
+"""What a caller of a target is told under each fault, and what ran."""
+
+import asyncio
+
+import ddt
+from testtools import matchers
+
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from tests import base
+from tests import target_case as case
+
+Reason = reasons.Reason
+ANSWER = results.TargetAnswer
+NOT_RUN = results.TargetNotRun
+MAYBE_RUN = results.TargetMaybeRun
+PLAIN = (case.POOL, case.SERVICE)
+
+# fault, its switches, kinds, result, reason, runs at the target
+FAULTS = [
+    ('none', {}, (case.ENGINE, *PLAIN), ANSWER, None, 1),
+    ('refuse', {}, (case.ENGINE, *PLAIN), NOT_RUN, Reason.REFUSED, 0),
+    ('errors', {}, (case.ENGINE, *PLAIN), MAYBE_RUN, Reason.FAILED, 1),
+    ('wrong_digest', {}, PLAIN, MAYBE_RUN, Reason.WRONG_DIGEST, 1),
+    ('wrong_digest', {}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_DIGEST, 1),
+    ('wrong_id', {}, PLAIN, MAYBE_RUN, Reason.WRONG_ID, 1),
+    ('wrong_id', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('wrong_id', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_ID, 1),
+    ('early_end', {}, PLAIN, MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('early_end', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('early_end', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('hang', {}, PLAIN, MAYBE_RUN, Reason.DEADLINE, 1),
+    ('hang', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('late', {'late_by_ms': 100}, PLAIN, ANSWER, None, 1),
+    ('late', {'late_by_ms': 900}, PLAIN, MAYBE_RUN, Reason.DEADLINE, 1),
+    ('late', {'late_by_ms': 900}, (case.ENGINE,), ANSWER, None, 1),
+    ('doubled', {}, (case.ENGINE, *PLAIN), ANSWER, None, 1),
+    ('shuffled', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('silent', {}, PLAIN, MAYBE_RUN, Reason.SILENT, 0),
+    ('silent', {}, (case.ENGINE,), MAYBE_RUN, Reason.NOT_FOUND, 0),
+    ('stall', {}, PLAIN, MAYBE_RUN, Reason.SILENT, 1),
+    ('stall', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('drop', {}, PLAIN, MAYBE_RUN, Reason.CLOSED, 0),
+    ('drop', {}, (case.ENGINE,), MAYBE_RUN, Reason.NOT_FOUND, 0),
+]
+ROWS = [
+    [f'{fault}_{number}_{kind.value}', fault, switches, kind, *rest]
+    for number, (fault, switches, kinds, *rest) in enumerate(FAULTS)
+    for kind in kinds
+]
+
+
+@ddt.ddt
+class TargetFaultsTest(base.NetworkTestCase):
+    """Fault by kind: the result and the target's own count of runs."""
+
+    @ddt.named_data(*ROWS)
+    async def test_fault(self, fault, switches, kind, result, reason, runs):
+        async with case.stand(kind) as stand:
+            for name, value in switches.items():
+                if name != 'n':
+                    setattr(stand.faults, name, value)
+            if fault != 'none':
+                setattr(stand.faults, fault, switches.get('n', 1))
+            found = await stand.call(deadline_ms=700)
+            self.assertIsInstance(found, result, found)
+            if reason is not None:
+                self.assertThat(found.reason, matchers.StartsWith(reason))
+            self.assertEqual(runs, len(stand.runs.of_id('a1')))
+            self.assertEqual(
+                list(range(len(stand.given))), [i for i, _ in stand.given]
+            )
+            if result is ANSWER and kind is case.ENGINE:
+                text = ''.join(text for _, text in stand.given)
+                self.assertEqual(found.output['text'], text)
+                self.assertEqual(8, found.tokens)
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_dead_target(self, kind):
+        async with case.stand(kind) as stand:
+            await stand.server.close()
+            found = await stand.call()
+            self.assertEqual(NOT_RUN(Reason.UNREACHABLE), found)
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_deadline_before_send(self, kind):
+        async with case.stand(kind) as stand:
+            found = await stand.call(deadline_ms=0)
+            self.assertEqual(NOT_RUN(Reason.DEADLINE), found)
+            self.assertEqual(0, stand.runs.calls)
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_cancel_reaches_target(self, kind):
+        async with case.stand(kind, capacity=1, work_ms=200) as stand:
+            first = asyncio.create_task(stand.call('first'))
+            await case.until(lambda: stand.runs.calls == 1)
+            second = asyncio.create_task(stand.call('second'))
+            await case.until(lambda: stand.runs.calls == 2)
+            second.cancel()
+            await asyncio.wait([second])
+            await case.until(lambda: stand.runs.cancels == 1)
+            self.assertIsInstance(await first, ANSWER)
+            self.assertTrue(second.cancelled())
+            self.assertEqual([], stand.runs.of_id('second'))
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_draining(self, kind):
+        async with case.stand(kind) as stand:
+            stand.faults.draining = True
+            self.assertTrue((await stand.call()).draining)
+            stand.faults.refuse = 1
+            self.assertTrue((await stand.call('a2')).draining)
+            self.assertTrue((await stand.client.load(stand.replica)).draining)
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_counts_bytes(self, kind):
+        async with case.stand(kind) as stand:
+            found = await stand.call()
+            self.assertGreater(found.sent_bytes, len('prompt of a1'))
+            self.assertGreater(found.received_bytes, len(str(found.output)))
+
+    @ddt.data(0, 10)
+    async def test_next_call_after_stray_answer(self, later_ms):
+        # A second copy of an answer waits on the kept-alive connection.
+        async with case.stand(case.SERVICE) as stand:
+            stand.faults.doubled = 1
+            stand.faults.doubled_after_ms = later_ms
+            await stand.call('a1')
+            await asyncio.sleep(0.05)
+            for attempt_id in ('a2', 'a3'):
+                found = await stand.call(attempt_id)
+                self.assertEqual(1, len(stand.runs.of_id(attempt_id)))
+                if isinstance(found, MAYBE_RUN):
+                    self.assertEqual(Reason.WRONG_ID, found.reason)
+                else:
+                    key = found.output['input']['key']
+                    self.assertEqual(attempt_id, key)
+            self.assertIsInstance(found, ANSWER)
+
+    async def test_receiver_error_is_not_the_targets(self):
+        async def fail(index, text):
+            raise ConnectionResetError('the caller has gone')
+
+        async with case.stand(case.ENGINE, token_ms=20) as stand:
+            stand.take = fail
+            with self.assertRaises(ConnectionResetError):
+                await stand.call()
+            await case.until(lambda: stand.runs.cancels == 1)
+            self.assertEqual(0, stand.client.resumes)
+
+    async def test_silence_ends_reuse(self):
+        # The second call must not wait on an idle silent connection.
+        async with case.stand(case.SERVICE) as stand:
+            both = [stand.call('warm1'), stand.call('warm2')]
+            await asyncio.gather(*both)
+            stand.faults.silent = 1
+            found = await stand.call('a1')
+            self.assertEqual(Reason.SILENT, found.reason)
+            self.assertEqual(1, stand.client.silent_connections)
+            started_ms = case.CLOCK.monotonic_ms()
+            self.assertIsInstance(await stand.call('a2'), ANSWER)
+            self.assertLess(case.CLOCK.monotonic_ms() - started_ms, 50)
+
+    async def test_slow_target_is_not_silent(self):
+        async with case.stand(case.POOL, work_ms=500) as stand:
+            self.assertIsInstance(await stand.call(), ANSWER)
+
+    async def test_request_id_of_unknown_outcome(self):
+        async with case.stand(case.SERVICE) as stand:
+            stand.faults.stall = 1
+            found = await stand.call()
+            self.assertEqual('restart-1', found.target_request_id)
+
+    async def test_priorities(self):
+        async with case.stand(case.ENGINE, capacity=1, token_ms=5) as stand:
+            calls = [asyncio.create_task(stand.call('running'))]
+            await case.until(lambda: stand.runs.calls == 1)
+            for priority in (2, 0, 1):
+                call = stand.call(f'p{priority}', priority=priority)
+                calls.append(asyncio.create_task(call))
+                waiting = len(calls) - 1
+                await case.until(
+                    lambda: stand.server.replica.load()[1] == waiting  # noqa: B023
+                )
+            await asyncio.gather(*calls)
+            order = [run['id'] for run in stand.runs.as_json()['runs']]
+            self.assertEqual(['running', 'p0', 'p1', 'p2'], order)
