Fold the catalogue from the log and follow it

Instances need one catalogue that all of them agree on, that never goes back, and that survives the log's retention and outages.

The fold accepts a change whole when each edit names the current revision of its entry and the result is valid. Publishing sends once and finds its own change by its id.

--- a/sycamorebeam/catalogue.py
+++ b/sycamorebeam/catalogue.py
@@ -5,6 +5,7 @@
 the replicas themselves come and go with the platform's instance list.
 """
 
+from collections.abc import Mapping
 import enum
 
 import attrs
@@ -147,7 +148,7 @@
     """All accepted entries by key, as of ``offset`` (-1 before any)."""
 
     offset: int = -1
-    entries: dict[str, Versioned] = attrs.field(factory=dict)
+    entries: Mapping[str, Versioned] = attrs.field(factory=dict)
 
     def pipeline(self, name: str) -> Pipeline | None:
         """Return the pipeline called ``name``, if accepted."""
--- /dev/null
+++ b/sycamorebeam/catalogue_exchange.py
@@ -0,0 +1,71 @@
+"""What one instance gives another that cannot read the log.
+
+The records that the other one lacks are sent when they are few and still
+kept, else the whole state. Either is used only when the fold that comes
+out has the digest that came with it.
+"""
+
+from collections.abc import Sequence
+
+import msgpack
+
+from sycamorebeam import catalogue_fold
+from sycamorebeam import errors
+from sycamorebeam import snapshots
+from sycamorebeam.clients import results
+
+_TAIL = 'tail'
+_WHOLE = 'whole'
+
+
+def pack(
+    fold: catalogue_fold.Fold,
+    recent: Sequence[results.LogRecord],
+    above: int,
+) -> bytes:
+    """Return what a reader at offset ``above`` lacks.
+
+    ``recent`` are the last records folded, without a gap.
+    """
+    tail = [[item.offset, item.data] for item in recent if item.offset > above]
+    if tail and tail[0][0] == above + 1 and recent[-1].offset == fold.offset:
+        return msgpack.packb([_TAIL, fold.digest, tail])
+    return msgpack.packb(
+        [_WHOLE, snapshots.pack_whole(snapshots.freeze(fold))]
+    )
+
+
+def unpack(fold: catalogue_fold.Fold, data: bytes) -> catalogue_fold.Fold:
+    """Return the fold that follows ``fold``, which stays as it is.
+
+    Raises DigestError when the data is damaged or at odds with ``fold``,
+    and VersionError when this program cannot read it.
+    """
+    try:
+        match msgpack.unpackb(data):
+            case ['tail', bytes() as digest, list() as tail]:
+                return _apply(fold.copy(), digest, tail)
+            case ['whole', bytes() as state]:
+                return snapshots.unpack_whole(state)
+    except (TypeError, ValueError, msgpack.UnpackException) as error:
+        raise _damaged(str(error)) from error
+    except errors.GapError as error:
+        raise _damaged(error.detail) from error
+    raise _damaged('it has an unknown form')
+
+
+def _apply(
+    fold: catalogue_fold.Fold, digest: bytes, tail: list[tuple[int, bytes]]
+) -> catalogue_fold.Fold:
+    for offset, record in tail:
+        fold.apply(offset, record)
+    if fold.digest != digest:
+        raise _damaged('the digests differ')
+    return fold
+
+
+def _damaged(found: str) -> errors.DigestError:
+    return errors.DigestError(
+        f'the catalogue from a peer is not used ({found})',
+        'see the page on digest alarms',
+    )
--- /dev/null
+++ b/sycamorebeam/catalogue_fold.py
@@ -0,0 +1,268 @@
+"""The fold of the catalogue's stream: what the log says is accepted.
+
+The fold is a pure function of a prefix of the stream. A change is accepted
+when every edit names the current revision of its entry and the edited
+entries are valid; of two racing changes the first in log order wins. Two
+folds of one offset have the same digest.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+import msgpack
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_checks
+from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
+from sycamorebeam import errors
+from sycamorebeam import hashing
+
+AUDIT_ROWS = 512
+DIGESTS_KEPT = 1_024
+MAX_REASON_CHARS = 300
+MAX_AUDIT_KEYS = 20
+_NO_HISTORY = bytes(catalogue_store.DIGEST_BYTES)
+
+
+@attrs.frozen
+class Rejection:
+    """Why a change was not accepted.
+
+    ``winner`` is the revision that the change lost to, if it lost a race.
+    """
+
+    reason: str
+    winner: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """One row of the audit trail; ``rejection`` is None when accepted."""
+
+    offset: int
+    change_id: str
+    author: str
+    time_ms: int
+    reason: str
+    keys: tuple[str, ...]
+    rejection: Rejection | None = None
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the change is part of the catalogue."""
+        return self.rejection is None
+
+
+def _new_audit() -> collections.deque[Decision]:
+    return collections.deque(maxlen=AUDIT_ROWS)
+
+
+@attrs.define(eq=False)
+class Fold:
+    """The catalogue as of one offset, and the digest of all of it."""
+
+    _offset: int = -1
+    _level: int = catalogue_records.FIRST_LEVEL
+    _store: catalogue_store.Store = attrs.field(factory=catalogue_store.Store)
+    _history: bytes = _NO_HISTORY
+    _audit: collections.deque[Decision] = attrs.field(factory=_new_audit)
+    _digests: dict[int, bytes] = attrs.field(factory=dict)
+
+    @property
+    def offset(self) -> int:
+        """The offset of the last record folded, -1 before any."""
+        return self._offset
+
+    @property
+    def level(self) -> int:
+        """The highest record version that writers may use."""
+        return self._level
+
+    @property
+    def history(self) -> bytes:
+        """A digest chained over every decision so far."""
+        return self._history
+
+    @property
+    def store(self) -> catalogue_store.Store:
+        """The accepted entries."""
+        return self._store
+
+    @property
+    def audit(self) -> tuple[Decision, ...]:
+        """The latest decisions, oldest first."""
+        return tuple(self._audit)
+
+    @property
+    def digest(self) -> bytes:
+        """The digest of entries, level and history at this offset."""
+        total = self._store.digest
+        return hashing.digest(
+            msgpack.packb([self._offset, self._level, total, self._history])
+        )
+
+    def digest_at(self, offset: int) -> bytes | None:
+        """Return the digest at an offset, if it is still remembered."""
+        if offset == self._offset:
+            return self.digest
+        return self._digests.get(offset)
+
+    def catalogue(self) -> catalogue.Catalogue:
+        """Return the catalogue at this offset, apart from later changes."""
+        return catalogue.Catalogue(self._offset, self._store.view())
+
+    def copy(self) -> 'Fold':
+        """Return a fold that goes on from here on its own."""
+        return attrs.evolve(
+            self,
+            store=self._store.copy(),
+            audit=self._audit.copy(),
+            digests=dict(self._digests),
+        )
+
+    def find(self, change_id: str) -> Decision | None:
+        """Return the decision on a change, if it is still remembered."""
+        for decision in self._audit:
+            if decision.change_id == change_id:
+                return decision
+        return None
+
+    def apply(self, offset: int, data: bytes) -> tuple[Decision, ...]:
+        """Fold the append at ``offset`` and return what was decided.
+
+        Raises GapError when it is not the next one and VersionError when
+        this program cannot read it; the fold is then unchanged.
+        """
+        if offset != self._offset + 1:
+            raise errors.GapError(
+                f'the catalogue is at offset {self._offset}, the next record '
+                f'is at {offset}',
+                'start again from a snapshot',
+            )
+        parsed = catalogue_records.parse(data, self._level)
+        self._digests[self._offset] = self.digest
+        self._digests.pop(offset - DIGESTS_KEPT, None)
+        decided = tuple(self._decide(offset, item) for item in parsed)
+        self._offset = offset
+        self._audit.extend(decided)
+        for index, decision in enumerate(decided):
+            self._chain(index, decision)
+        return decided
+
+    def _decide(self, offset: int, item: catalogue_records.Parsed) -> Decision:
+        match item:
+            case catalogue_records.Change():
+                rejection = self._refusal(item)
+                if rejection is None:
+                    self._accept(offset, item)
+                keys = tuple(edit.key for edit in item.edits)
+                return _decision(offset, item, keys, rejection)
+            case catalogue_records.FormatLevel():
+                rejection = self._raise_level(item)
+                return _decision(offset, item, (), rejection)
+            case catalogue_records.Unusable():
+                return Decision(
+                    offset=offset,
+                    change_id='',
+                    author='',
+                    time_ms=0,
+                    reason='',
+                    keys=(),
+                    rejection=Rejection(item.reason),
+                )
+
+    def _refusal(self, change: catalogue_records.Change) -> Rejection | None:
+        keys = {edit.key for edit in change.edits}
+        if len(keys) < len(change.edits):
+            return Rejection('the change edits an entry twice')
+        for edit in change.edits:
+            current = self._revision(edit.key)
+            if edit.base_revision != current:
+                return _lost_race(edit, current)
+        problem = catalogue_checks.check(self._store, change.edits)
+        return Rejection(problem[:MAX_REASON_CHARS]) if problem else None
+
+    def _revision(self, key: str) -> int:
+        stored = self._store.stored.get(key)
+        if stored is None:
+            return catalogue_records.ABSENT
+        return catalogue_store.revision_of(stored)
+
+    def _accept(self, offset: int, change: catalogue_records.Change) -> None:
+        for edit in change.edits:
+            self._store.remove(edit.key)
+        for edit in change.edits:
+            if edit.value is not None:
+                stored = catalogue_store.pack(offset, edit.value)
+                self._store.put(edit.key, stored)
+
+    def _raise_level(
+        self, item: catalogue_records.FormatLevel
+    ) -> Rejection | None:
+        if item.level != self._level + 1:
+            return Rejection(
+                f'the format level is {self._level}, it rises by one'
+            )
+        self._level = item.level
+        return None
+
+    def _chain(self, index: int, decision: Decision) -> None:
+        row = [
+            self._history,
+            decision.offset,
+            index,
+            decision.change_id,
+            decision.accepted,
+        ]
+        self._history = hashing.digest(msgpack.packb(row))
+
+
+def new_fold(
+    *,
+    offset: int,
+    level: int,
+    history: bytes,
+    audit: Iterable[Decision],
+) -> Fold:
+    """Return a fold that goes on from ``offset``, still without entries."""
+    rows = _new_audit()
+    rows.extend(audit)
+    return Fold(offset, level, catalogue_store.Store(), history, rows)
+
+
+def _decision(
+    offset: int,
+    item: catalogue_records.Change | catalogue_records.FormatLevel,
+    keys: tuple[str, ...],
+    rejection: Rejection | None,
+) -> Decision:
+    match item:
+        case catalogue_records.Change(reason=reason):
+            pass
+        case catalogue_records.FormatLevel(level=level):
+            reason = f'format level {level}'
+    return Decision(
+        offset=offset,
+        change_id=item.id,
+        author=item.author,
+        time_ms=item.time_ms,
+        reason=reason[:MAX_REASON_CHARS],
+        keys=keys[:MAX_AUDIT_KEYS],
+        rejection=rejection,
+    )
+
+
+def _lost_race(edit: catalogue_records.Edit, current: int) -> Rejection:
+    found = f'is at revision {current}'
+    if current == catalogue_records.ABSENT:
+        found = 'does not exist'
+    made_from = f'revision {edit.base_revision}'
+    if edit.base_revision == catalogue_records.ABSENT:
+        made_from = 'no entry'
+    return Rejection(
+        f'{edit.key} {found}, the change was made from {made_from}; read it '
+        f'again and repeat the edit',
+        current,
+    )
--- /dev/null
+++ b/sycamorebeam/catalogue_records.py
@@ -0,0 +1,180 @@
+"""The records of the catalogue's stream, and how versions are told apart.
+
+The stream has a format level. A record whose version is above the level
+in force is rejected by every reader alike, whether it knows the version
+or not. A record at or below the level that this program does not know
+raises VersionError: the reader stops before it. An operator raises the
+level when every instance reads the new version, and writers use a version
+only from then on.
+"""
+
+from typing import Any
+
+import attrs
+import msgpack
+
+from sycamorebeam import errors
+from sycamorebeam import records
+
+STREAM = 'catalogue'
+FIRST_LEVEL = 1
+KNOWN_VERSION = 1
+ABSENT = -1
+"""The base revision of an edit that creates an entry."""
+MAX_EDITS = 1_000
+
+_CHANGE = 'change'
+_FORMAT = 'format'
+
+
+@attrs.frozen
+class Edit:
+    """A new value of one entry, None to remove it.
+
+    ``base_revision`` is the revision that the edit was made from.
+    """
+
+    key: str
+    base_revision: int
+    value: dict[str, Any] | None
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """Edits that are accepted together or not at all."""
+
+    id: str
+    author: str
+    time_ms: int
+    reason: str
+    edits: tuple[Edit, ...]
+
+
+@attrs.frozen(kw_only=True)
+class FormatLevel:
+    """Lets writers use the record versions up to ``level``."""
+
+    id: str
+    author: str
+    time_ms: int
+    level: int
+
+
+@attrs.frozen
+class Unusable:
+    """A record that every reader rejects, and why."""
+
+    reason: str
+
+
+Parsed = Change | FormatLevel | Unusable
+
+
+def to_record(item: Change | FormatLevel) -> records.Record:
+    """Return the log record of a change or a format level."""
+    match item:
+        case Change():
+            return records.Record(_CHANGE, 1, attrs.asdict(item))
+        case FormatLevel():
+            return records.Record(_FORMAT, 1, attrs.asdict(item))
+
+
+def parse(data: bytes, level: int) -> tuple[Parsed, ...]:
+    """Return what one append holds, read under format level ``level``.
+
+    Raises VersionError when a record may be used at this level and this
+    program cannot read it.
+    """
+    try:
+        outer = msgpack.unpackb(data)
+    except (ValueError, msgpack.UnpackException):
+        return (Unusable('not an envelope'),)
+    match outer:
+        case [int() as envelope_format, *_] if envelope_format > level:
+            return (Unusable('the envelope format is not enabled'),)
+        case [int() as envelope_format, *_]:
+            _check_known(envelope_format, records.ENVELOPE_FORMAT, 'envelope')
+        case _:
+            return (Unusable('not an envelope'),)
+    try:
+        found = records.unpack_envelope(data)
+    except errors.VersionError:
+        return (Unusable('not an envelope'),)
+    return tuple(_parse_record(record, level) for record in found)
+
+
+def _check_known(version: int, known: int, name: str) -> None:
+    if version > known:
+        raise errors.VersionError(
+            f'the catalogue has a {name} of version {version}, this program '
+            f'reads up to {known}',
+            'run a newer version of this program',
+        )
+
+
+def _parse_record(record: records.Record, level: int) -> Parsed:
+    version = record.version
+    if not _is_number(version):
+        return Unusable('the record has no version')
+    if version > level:
+        return Unusable(f'version {version} is not enabled')
+    _check_known(version, KNOWN_VERSION, 'record')
+    try:
+        match record.type:
+            case 'change':
+                return _change(**record.fields)
+            case 'format':
+                return _format_level(**record.fields)
+            case _:
+                return Unusable(f'no record has the type {record.type!r:.50}')
+    except (TypeError, ValueError) as error:
+        return Unusable(f'malformed record ({error})'[:200])
+
+
+def _change(
+    *, id: str, author: str, time_ms: int, reason: str, edits: list[Any]
+) -> Change:
+    if not 0 < len(edits) <= MAX_EDITS:
+        raise ValueError(f'{len(edits)} edits')
+    return Change(
+        id=_text(id),
+        author=_text(author),
+        time_ms=_number(time_ms),
+        reason=_text(reason),
+        edits=tuple(_edit(**edit) for edit in edits),
+    )
+
+
+def _edit(
+    *, key: str, base_revision: int, value: dict[str, Any] | None
+) -> Edit:
+    if not isinstance(value, dict | None):
+        raise TypeError('the value of an edit is not a map')
+    return Edit(_text(key), _number(base_revision), value)
+
+
+def _format_level(
+    *, id: str, author: str, time_ms: int, level: int
+) -> FormatLevel:
+    return FormatLevel(
+        id=_text(id),
+        author=_text(author),
+        time_ms=_number(time_ms),
+        level=_number(level),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError('a text is missing')
+    return value
+
+
+def _number(value: object) -> int:
+    if not _is_number(value):
+        raise TypeError('a number is missing')
+    return value  # type: ignore[return-value]
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
--- /dev/null
+++ b/sycamorebeam/catalogue_store.py
@@ -0,0 +1,149 @@
+"""Accepted entries in a compact form, decoded when they are read.
+
+A catalogue may hold tens of thousands of teams, of which an instance uses
+few at a time. Each entry is kept as one byte string, its revision followed
+by its packed value; what was decoded last stays in a bounded cache.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import functools
+import hashlib
+from typing import Any
+
+import attrs
+import msgpack
+
+from sycamorebeam import catalogue
+from sycamorebeam import entries
+from sycamorebeam import hashing
+
+REVISION_BYTES = 8
+DECODED_ENTRIES = 1_024
+TEAM_PREFIX = 'team/'
+DIGEST_BYTES = 32
+_DIGEST_MODULUS = 1 << (8 * DIGEST_BYTES)
+_TOKEN_DIGITS = 15
+
+
+def pack(revision: int, value: dict[str, Any]) -> bytes:
+    """Return the stored form of an entry."""
+    head = revision.to_bytes(REVISION_BYTES, 'big')
+    return head + msgpack.packb(hashing.sort_keys(value))
+
+
+def revision_of(stored: bytes) -> int:
+    """Return the revision of a stored entry."""
+    return int.from_bytes(stored[:REVISION_BYTES], 'big')
+
+
+def value_of(stored: bytes) -> dict[str, Any]:
+    """Return the plain value of a stored entry."""
+    return msgpack.unpackb(stored[REVISION_BYTES:])
+
+
+@functools.lru_cache(DECODED_ENTRIES)
+def decode(key: str, stored: bytes) -> catalogue.Versioned:
+    """Return the entry of a stored form."""
+    kind, _ = entries.split_key(key)
+    entry = entries.from_plain(kind, value_of(stored))
+    return catalogue.Versioned(revision_of(stored), entry)
+
+
+def token_number(token_sha256: str) -> int:
+    """Return the start of a token's digest, which indexes its team."""
+    return int(token_sha256[:_TOKEN_DIGITS], 16)
+
+
+class LazyEntries(Mapping[str, catalogue.Versioned]):
+    """A read-only view that decodes each entry when it is asked for."""
+
+    def __init__(self, stored: dict[str, bytes]) -> None:
+        self._stored = stored
+
+    def __getitem__(self, key: str) -> catalogue.Versioned:
+        return decode(key, self._stored[key])
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._stored)
+
+    def __len__(self) -> int:
+        return len(self._stored)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._stored
+
+
+@attrs.define(eq=False)
+class Store:
+    """The stored entries, what is indexed of them, and their digest.
+
+    The digest is a sum over the entries, so that a change costs as much
+    as the entries that it edits.
+    """
+
+    _stored: dict[str, bytes] = attrs.field(factory=dict)
+    _linking: set[str] = attrs.field(factory=set)
+    _owners: dict[int, str] = attrs.field(factory=dict)
+    _sum: int = 0
+
+    @property
+    def stored(self) -> dict[str, bytes]:
+        """The entries in their stored form, by key."""
+        return self._stored
+
+    @property
+    def linking(self) -> set[str]:
+        """The keys of the entries that may name others."""
+        return self._linking
+
+    @property
+    def digest(self) -> bytes:
+        """The sum of the digests of all entries."""
+        return self._sum.to_bytes(DIGEST_BYTES, 'big')
+
+    def owner_of(self, token: int) -> str | None:
+        """Return the key of the team with a token's number, if any."""
+        return self._owners.get(token)
+
+    def view(self) -> LazyEntries:
+        """Return the entries as they are now, apart from later changes."""
+        return LazyEntries(dict(self._stored))
+
+    def copy(self) -> 'Store':
+        """Return a store that changes on its own."""
+        return Store(
+            dict(self._stored),
+            set(self._linking),
+            dict(self._owners),
+            self._sum,
+        )
+
+    def put(self, key: str, stored: bytes) -> None:
+        """Set the entry of a key that has none."""
+        self._stored[key] = stored
+        self._sum = (self._sum + _digest(key, stored)) % _DIGEST_MODULUS
+        if not key.startswith(TEAM_PREFIX):
+            self._linking.add(key)
+            return
+        for token in value_of(stored)['token_sha256']:
+            self._owners[token_number(token)] = key
+
+    def remove(self, key: str) -> None:
+        """Remove the entry of a key, if it has one."""
+        stored = self._stored.pop(key, None)
+        if stored is None:
+            return
+        self._sum = (self._sum - _digest(key, stored)) % _DIGEST_MODULUS
+        if not key.startswith(TEAM_PREFIX):
+            self._linking.discard(key)
+            return
+        for token in value_of(stored)['token_sha256']:
+            self._owners.pop(token_number(token), None)
+
+
+def _digest(key: str, stored: bytes) -> int:
+    digest = hashlib.sha256(key.encode())
+    digest.update(b'\x00')
+    digest.update(stored)
+    return int.from_bytes(digest.digest(), 'big')
--- a/sycamorebeam/hashing.py
+++ b/sycamorebeam/hashing.py
@@ -15,15 +15,16 @@
 
 def digest_value(value: object) -> bytes:
     """Return the digest of a JSON-like value, whatever its key order."""
-    return digest(msgpack.packb(_sorted(value)))
+    return digest(msgpack.packb(sort_keys(value)))
 
 
-def _sorted(value: object) -> object:
+def sort_keys(value: object) -> object:
+    """Return a JSON-like value with the keys of its maps in order."""
     match value:
         case dict():
-            return {key: _sorted(value[key]) for key in sorted(value)}
+            return {key: sort_keys(value[key]) for key in sorted(value)}
         case list() | tuple():
-            return [_sorted(item) for item in value]
+            return [sort_keys(item) for item in value]
         case _:
             return value
 
--- /dev/null
+++ b/sycamorebeam/publishing.py
@@ -0,0 +1,298 @@
+"""Publishing changes of the catalogue, and what became of them.
+
+A change is appended once. Whether it was accepted is read from the log,
+under the change's own id, also when the append's answer was lost. A change
+that is unresolved may still be accepted later: look for its id, and only
+publish again from the revisions that are current then.
+"""
+
+import asyncio
+from collections.abc import Sequence
+import uuid
+
+import aiohttp
+import attrs
+
+from sycamorebeam import catalogue_fold
+from sycamorebeam import catalogue_reader
+from sycamorebeam import catalogue_records
+from sycamorebeam import clock as clocks
+from sycamorebeam import records
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+RESOLVE_TIMEOUT_MS = 15_000
+POLL_WAIT_MS = 1_000
+RETRY_MS = 200
+IN_FORCE_TIMEOUT_MS = 11_000
+STATUS_TIMEOUT_MS = 1_000
+STATUS_POLL_MS = 100
+MAX_STATUS_CALLS = 32
+
+
+@attrs.frozen
+class Accepted:
+    """The change is part of the catalogue from ``offset`` on."""
+
+    offset: int
+    change_id: str
+
+
+@attrs.frozen
+class Rejected:
+    """The change is no part of the catalogue and never will be.
+
+    ``winner`` is the revision that the change lost to, if it lost a race.
+    ``sent`` is False when the log holds nothing of it.
+    """
+
+    reason: str
+    change_id: str
+    winner: int | None = None
+    sent: bool = True
+    retry_after_ms: int = 0
+
+
+@attrs.frozen
+class Unresolved:
+    """The change may be accepted already, may be later, or never."""
+
+    reason: str
+    change_id: str
+
+
+PublishResult = Accepted | Rejected | Unresolved
+
+
+@attrs.frozen
+class Author:
+    """Who makes a change, and why."""
+
+    name: str
+    reason: str
+
+
+async def read(
+    log: ports.Log,
+) -> catalogue_fold.Fold | results.LogUnavailable:
+    """Return the fold of the whole log, from which edits are made."""
+    found = await catalogue_reader.load(log)
+    if isinstance(found, catalogue_reader.Stopped):
+        return results.LogUnavailable(str(found.error))
+    return found
+
+
+async def history(
+    log: ports.Log,
+) -> tuple[catalogue_fold.Decision, ...] | results.LogUnavailable:
+    """Return the latest decisions on changes, oldest first."""
+    found = await read(log)
+    return found.audit if isinstance(found, catalogue_fold.Fold) else found
+
+
+async def publish(
+    log: ports.Log,
+    clock: clocks.Clock,
+    edits: Sequence[catalogue_records.Edit],
+    author: Author,
+    timeout_ms: int = RESOLVE_TIMEOUT_MS,
+) -> PublishResult:
+    """Append one change and wait for the log's decision on it."""
+    change = catalogue_records.Change(
+        id=uuid.uuid4().hex,
+        author=author.name,
+        time_ms=clock.wall_ms(),
+        reason=author.reason,
+        edits=tuple(edits),
+    )
+    return await _send(log, clock, change, timeout_ms)
+
+
+async def raise_format_level(
+    log: ports.Log,
+    clock: clocks.Clock,
+    level: int,
+    author: Author,
+    timeout_ms: int = RESOLVE_TIMEOUT_MS,
+) -> PublishResult:
+    """Let writers use the record versions up to ``level``."""
+    item = catalogue_records.FormatLevel(
+        id=uuid.uuid4().hex,
+        author=author.name,
+        time_ms=clock.wall_ms(),
+        level=level,
+    )
+    return await _send(log, clock, item, timeout_ms)
+
+
+async def resolve(
+    log: ports.Log,
+    clock: clocks.Clock,
+    change_id: str,
+    timeout_ms: int = 0,
+) -> PublishResult:
+    """Look for a change by its id, waiting for it up to a time."""
+    fold = await read(log)
+    if isinstance(fold, results.LogUnavailable):
+        return Unresolved(fold.reason, change_id)
+    return await _await_decision(log, clock, fold, change_id, timeout_ms)
+
+
+async def _send(
+    log: ports.Log,
+    clock: clocks.Clock,
+    item: catalogue_records.Change | catalogue_records.FormatLevel,
+    timeout_ms: int,
+) -> PublishResult:
+    fold = await read(log)
+    if isinstance(fold, results.LogUnavailable):
+        return _not_sent(fold.reason, item.id, 0)
+    envelope = records.pack_envelope([catalogue_records.to_record(item)])
+    answer = await log.append(catalogue_records.STREAM, envelope)
+    if isinstance(answer, results.AppendRefused):
+        return _not_sent(answer.reason, item.id, answer.retry_after_ms)
+    return await _await_decision(log, clock, fold, item.id, timeout_ms)
+
+
+def _not_sent(reason: str, change_id: str, retry_after_ms: int) -> Rejected:
+    return Rejected(
+        f'the log takes no change ({reason}); publish it again later',
+        change_id,
+        sent=False,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+async def _await_decision(
+    log: ports.Log,
+    clock: clocks.Clock,
+    fold: catalogue_fold.Fold,
+    change_id: str,
+    timeout_ms: int,
+) -> PublishResult:
+    """Read on until the log has the change; never send it again."""
+    until_ms = clock.monotonic_ms() + timeout_ms
+    reason = 'the log does not have the change yet'
+    while True:
+        decision = fold.find(change_id)
+        if decision is not None:
+            return _result(decision)
+        left_ms = until_ms - clock.monotonic_ms()
+        if left_ms <= 0:
+            return Unresolved(reason, change_id)
+        wait_ms = min(POLL_WAIT_MS, left_ms)
+        step = await catalogue_reader.advance(log, fold, wait_ms)
+        if isinstance(step, catalogue_reader.Advanced):
+            continue
+        reason = _reason(step)
+        await clock.sleep_ms(min(RETRY_MS, left_ms))
+        newer = await read(log)
+        if isinstance(newer, catalogue_fold.Fold):
+            fold = newer
+
+
+def _reason(
+    step: catalogue_reader.Stopped | results.LogUnavailable,
+) -> str:
+    match step:
+        case catalogue_reader.Stopped(error=error):
+            return str(error)
+        case results.LogUnavailable(reason=reason):
+            return reason
+
+
+def _result(decision: catalogue_fold.Decision) -> PublishResult:
+    match decision.rejection:
+        case None:
+            return Accepted(decision.offset, decision.change_id)
+        case catalogue_fold.Rejection(reason=reason, winner=winner):
+            return Rejected(reason, decision.change_id, winner)
+
+
+@attrs.frozen
+class InstanceOffset:
+    """What one instance says is in force there.
+
+    ``offset`` is None when it did not say; ``reason`` tells why.
+    """
+
+    address: str
+    offset: int | None
+    reason: str = ''
+
+
+@attrs.frozen
+class InForce:
+    """Where an offset is in force and where it is not."""
+
+    offset: int
+    reached: tuple[InstanceOffset, ...]
+    behind: tuple[InstanceOffset, ...]
+
+    @property
+    def everywhere(self) -> bool:
+        """Whether every instance that was asked has it in force."""
+        return not self.behind
+
+
+async def in_force(
+    session: aiohttp.ClientSession,
+    clock: clocks.Clock,
+    addresses: Sequence[str],
+    offset: int,
+    timeout_ms: int = IN_FORCE_TIMEOUT_MS,
+) -> InForce:
+    """Ask the instances until all have ``offset`` in force, or time is up.
+
+    ``addresses`` are those of the instances' admin interfaces.
+    """
+    until_ms = clock.monotonic_ms() + timeout_ms
+    latest = {address: InstanceOffset(address, None) for address in addresses}
+    calls = asyncio.Semaphore(MAX_STATUS_CALLS)
+    while True:
+        waiting = [
+            address
+            for address, item in latest.items()
+            if not _reached(item, offset)
+        ]
+        asked = await asyncio.gather(
+            *(_ask(session, calls, address) for address in waiting)
+        )
+        latest.update({item.address: item for item in asked})
+        report = _report(list(latest.values()), offset)
+        if report.everywhere or clock.monotonic_ms() >= until_ms:
+            return report
+        await clock.sleep_ms(STATUS_POLL_MS)
+
+
+def _reached(item: InstanceOffset, offset: int) -> bool:
+    return item.offset is not None and item.offset >= offset
+
+
+def _report(items: list[InstanceOffset], offset: int) -> InForce:
+    return InForce(
+        offset,
+        tuple(item for item in items if _reached(item, offset)),
+        tuple(item for item in items if not _reached(item, offset)),
+    )
+
+
+async def _ask(
+    session: aiohttp.ClientSession, calls: asyncio.Semaphore, address: str
+) -> InstanceOffset:
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_MS / 1000)
+    try:
+        async with (
+            calls,
+            session.get(
+                f'http://{address}/admin/status', timeout=timeout
+            ) as response,
+        ):
+            answer = await response.json()
+            found = int(answer['catalogue']['offset'])
+            return InstanceOffset(address, found, 'an older one is in force')
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        reason = str(error) or 'no answer'
+        return InstanceOffset(address, None, reason)
+    except (KeyError, TypeError, ValueError):
+        return InstanceOffset(address, None, 'the status is malformed')
--- /dev/null
+++ b/sycamorebeam/snapshot_reader.py
@@ -0,0 +1,124 @@
+"""Finds the newest whole snapshot on the log."""
+
+import attrs
+
+from sycamorebeam import catalogue_fold
+from sycamorebeam import errors
+from sycamorebeam import snapshots
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+PAGE_RECORDS = 4
+
+
+@attrs.frozen
+class Located:
+    """A manifest and the offset at which it stands.
+
+    ``cut`` says that retention has taken some of its chunks.
+    """
+
+    offset: int
+    manifest: snapshots.Manifest
+    cut: bool = False
+
+
+@attrs.frozen
+class Loaded:
+    """The fold of the newest whole snapshot.
+
+    ``alarms`` are the snapshots that were skipped as damaged.
+    """
+
+    fold: catalogue_fold.Fold
+    alarms: tuple[errors.DigestError, ...] = ()
+
+
+@attrs.frozen
+class NoSnapshot:
+    """The log answers, but holds no snapshot that can be used."""
+
+    alarms: tuple[errors.DigestError, ...] = ()
+
+
+LoadResult = Loaded | NoSnapshot | results.LogUnavailable
+
+
+async def load_newest(log: ports.Log, above: int = -1) -> LoadResult:
+    """Return the fold of the newest snapshot that is whole and intact.
+
+    Only one that covers an offset higher than ``above`` is read.
+    """
+    alarms: list[errors.DigestError] = []
+    below = None
+    while True:
+        located = await locate_newest(log, below)
+        match located:
+            case results.LogUnavailable():
+                return located
+            case None:
+                return NoSnapshot(tuple(alarms))
+            case Located(manifest=manifest) if manifest.offset <= above:
+                return NoSnapshot(tuple(alarms))
+        below = located.offset
+        if located.cut:
+            continue
+        found = await _assemble(log, located)
+        match found:
+            case results.LogUnavailable():
+                return found
+            case errors.DigestError():
+                alarms.append(found)
+            case catalogue_fold.Fold():
+                return Loaded(found, tuple(alarms))
+
+
+async def locate_newest(
+    log: ports.Log, below: int | None = None
+) -> Located | results.LogUnavailable | None:
+    """Return the newest manifest, if any, below an offset.
+
+    It reads the stream backwards one record at a time: the newest record
+    is a manifest unless a snapshot is being written.
+    """
+    bounds = await log.bounds(snapshots.STREAM)
+    if isinstance(bounds, results.LogUnavailable):
+        return bounds
+    offset = bounds.next if below is None else below
+    while offset > bounds.oldest:
+        offset -= 1
+        page = await log.read(snapshots.STREAM, offset, limit=1)
+        match page:
+            case results.LogUnavailable():
+                return page
+            case results.LogGap():
+                return None
+        item = snapshots.parse(page.records[0].data)
+        if isinstance(item, snapshots.Manifest):
+            cut = item.chunks > 0 and item.first < bounds.oldest
+            return Located(offset, item, cut)
+    return None
+
+
+async def _assemble(
+    log: ports.Log, located: Located
+) -> catalogue_fold.Fold | errors.DigestError | results.LogUnavailable:
+    """Read the chunks between the first one and the manifest."""
+    builder = snapshots.restoring(located.manifest)
+    offset = located.manifest.first
+    try:
+        while builder.missing and offset < located.offset:
+            page = await log.read(snapshots.STREAM, offset, PAGE_RECORDS)
+            match page:
+                case results.LogUnavailable():
+                    return page
+                case results.LogGap():
+                    break
+            for record in page.records:
+                item = snapshots.parse(record.data)
+                if isinstance(item, snapshots.Chunk):
+                    builder.add(item)
+            offset += len(page.records)
+        return builder.finish()
+    except errors.DigestError as error:
+        return error
--- /dev/null
+++ b/sycamorebeam/snapshots.py
@@ -0,0 +1,261 @@
+"""Snapshots of the catalogue's fold: chunks and a closing manifest.
+
+A snapshot is written to a stream of its own, one chunk an append, and is
+whole when its manifest has been appended after every chunk was. Instances
+also give each other a snapshot in one piece. Either way the state is used
+only when its digest is the one that the manifest names.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+import zlib
+
+import attrs
+import cattrs
+import msgpack
+
+from sycamorebeam import catalogue_fold
+from sycamorebeam import errors
+from sycamorebeam import records
+
+STREAM = 'catalogue.snapshots'
+VERSION = 1
+CHUNK_BYTES = 196_608
+MAX_CHUNK_BYTES = 4 * CHUNK_BYTES
+
+_CHUNK = 'chunk'
+_MANIFEST = 'manifest'
+_CONVERTER = cattrs.Converter()
+_COMPRESSION = 1
+_MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    zlib.error,
+    msgpack.UnpackException,
+    cattrs.BaseValidationError,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Chunk:
+    """A part of a snapshot's entries, packed."""
+
+    snapshot_id: str
+    index: int
+    data: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Manifest:
+    """Closes a snapshot and says what it holds.
+
+    ``offset`` is the last one folded and ``digest`` the fold's digest
+    there; ``first`` is the offset of the snapshot's first chunk.
+    """
+
+    snapshot_id: str
+    offset: int
+    digest: bytes
+    level: int
+    history: bytes
+    chunks: int
+    first: int
+    time_ms: int
+    audit: tuple[catalogue_fold.Decision, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Frozen:
+    """A fold as it was at one offset, ready to be written."""
+
+    offset: int
+    digest: bytes
+    level: int
+    history: bytes
+    audit: tuple[catalogue_fold.Decision, ...]
+    stored: dict[str, bytes]
+
+
+def freeze(fold: catalogue_fold.Fold) -> Frozen:
+    """Return what a snapshot of ``fold`` holds, apart from later changes."""
+    return Frozen(
+        offset=fold.offset,
+        digest=fold.digest,
+        level=fold.level,
+        history=fold.history,
+        audit=fold.audit,
+        stored=dict(fold.store.stored),
+    )
+
+
+def pack_chunks(frozen: Frozen) -> Iterator[bytes]:
+    """Yield the packed entries in pieces of bounded size."""
+    rows: list[tuple[str, bytes]] = []
+    size_bytes = 0
+    for key, stored in frozen.stored.items():
+        rows.append((key, stored))
+        size_bytes += len(key) + len(stored)
+        if size_bytes >= CHUNK_BYTES:
+            yield _compress(rows)
+            rows = []
+            size_bytes = 0
+    if rows:
+        yield _compress(rows)
+
+
+def _compress(rows: list[tuple[str, bytes]]) -> bytes:
+    return zlib.compress(msgpack.packb(rows), _COMPRESSION)
+
+
+def manifest_of(
+    frozen: Frozen, snapshot_id: str, chunks: int, first: int, time_ms: int
+) -> Manifest:
+    """Return the manifest that closes a snapshot."""
+    return Manifest(
+        snapshot_id=snapshot_id,
+        offset=frozen.offset,
+        digest=frozen.digest,
+        level=frozen.level,
+        history=frozen.history,
+        chunks=chunks,
+        first=first,
+        time_ms=time_ms,
+        audit=frozen.audit,
+    )
+
+
+def to_record(item: Chunk | Manifest) -> records.Record:
+    """Return the log record of a part of a snapshot."""
+    name = _CHUNK if isinstance(item, Chunk) else _MANIFEST
+    return records.Record(name, VERSION, attrs.asdict(item))
+
+
+def parse(data: bytes) -> Chunk | Manifest | None:
+    """Return the part of a snapshot that one append holds.
+
+    None when this program cannot use it, whatever the cause: an older
+    snapshot or a peer takes its place.
+    """
+    try:
+        [record] = records.unpack_envelope(data)
+        return _structure(record)
+    except (errors.VersionError, *_MALFORMED):
+        return None
+
+
+def _structure(record: records.Record) -> Chunk | Manifest | None:
+    match record:
+        case records.Record(type='chunk', version=1):
+            return Chunk(**record.fields)
+        case records.Record(type='manifest', version=1):
+            return _CONVERTER.structure(record.fields, Manifest)
+        case _:
+            return None
+
+
+@attrs.define
+class Restoring:
+    """Builds a fold from a manifest and its chunks, one at a time."""
+
+    _manifest: Manifest
+    _fold: catalogue_fold.Fold
+    _next: int = 0
+
+    @property
+    def missing(self) -> int:
+        """How many chunks are still to come."""
+        return self._manifest.chunks - self._next
+
+    def add(self, chunk: Chunk) -> None:
+        """Take the chunk that is next; ignore any other one.
+
+        Raises DigestError when the chunk cannot be unpacked.
+        """
+        mine = chunk.snapshot_id == self._manifest.snapshot_id
+        if not mine or chunk.index != self._next:
+            return
+        try:
+            for key, stored in _decompress(chunk.data):
+                self._fold.store.put(key, stored)
+        except _MALFORMED as error:
+            raise _damaged(self._manifest, f'chunk {chunk.index}') from error
+        self._next += 1
+
+    def finish(self) -> catalogue_fold.Fold:
+        """Return the fold.
+
+        Raises DigestError when it is not the state that the manifest
+        names.
+        """
+        if self.missing:
+            raise _damaged(self._manifest, f'{self.missing} chunks missing')
+        if self._fold.digest != self._manifest.digest:
+            raise _damaged(self._manifest, 'the digests differ')
+        return self._fold
+
+
+def restoring(manifest: Manifest) -> Restoring:
+    """Return what builds the fold of ``manifest``."""
+    fold = catalogue_fold.new_fold(
+        offset=manifest.offset,
+        level=manifest.level,
+        history=manifest.history,
+        audit=manifest.audit,
+    )
+    return Restoring(manifest, fold)
+
+
+def pack_whole(frozen: Frozen) -> bytes:
+    """Return a snapshot in one piece, as peers exchange it."""
+    chunks = list(pack_chunks(frozen))
+    manifest = manifest_of(frozen, '', len(chunks), 0, 0)
+    return msgpack.packb([VERSION, attrs.asdict(manifest), chunks])
+
+
+def unpack_whole(data: bytes) -> catalogue_fold.Fold:
+    """Return the fold of a snapshot in one piece.
+
+    Raises DigestError when it is damaged and VersionError when its format
+    is not known.
+    """
+    try:
+        version, fields, chunks = msgpack.unpackb(data)
+        if version != VERSION:
+            raise errors.VersionError(
+                f'a peer sent a snapshot of version {version}',
+                'run the same version of this program everywhere',
+            )
+        manifest = _CONVERTER.structure(fields, Manifest)
+    except _MALFORMED as error:
+        raise errors.DigestError(
+            f'a snapshot from a peer is malformed ({error})',
+            'see the page on digest alarms',
+        ) from error
+    return _restore(manifest, chunks)
+
+
+def _restore(
+    manifest: Manifest, chunks: Iterable[bytes]
+) -> catalogue_fold.Fold:
+    builder = restoring(manifest)
+    for index, data in enumerate(chunks):
+        builder.add(Chunk(snapshot_id='', index=index, data=data))
+    return builder.finish()
+
+
+def _decompress(data: bytes) -> list[tuple[str, bytes]]:
+    stream = zlib.decompressobj()
+    plain = stream.decompress(data, MAX_CHUNK_BYTES)
+    if not stream.eof:
+        raise ValueError('the chunk is too large')
+    rows: Any = msgpack.unpackb(plain)
+    return rows
+
+
+def _damaged(manifest: Manifest, found: str) -> errors.DigestError:
+    return errors.DigestError(
+        f'the snapshot of offset {manifest.offset} is damaged ({found})',
+        'it is not used; see the page on digest alarms',
+    )
