--- a/sycamorebeam/controllers/catalogue.py
+++ b/sycamorebeam/controllers/catalogue.py
@@ -227,7 +227,8 @@
             self.raise_alarm(alarm)
 
     async def _read_page(self) -> None:
-        wait_ms = 0 if self._cut_off_reason else POLL_WAIT_MS
+        waits = self._loaded and not self._cut_off_reason
+        wait_ms = POLL_WAIT_MS if waits else 0
         step = await catalogue_reader.advance(self._log, self._fold, wait_ms)
         match step:
             case results.LogUnavailable(reason=reason):
