Run the whole path: demo of both users with a kill and a drain

Cause: the parts had never served a request together. Change: `run` command, demo scaffolding (processes, site, load, ledger), prompts and pool inputs made of earlier outputs.

--- /dev/null
+++ b/demo/site.py
@@ -0,0 +1,217 @@
+"""One user's site on this machine: stand-ins and entry instances.
+
+The sample files of the user are copied with their ports shifted, so that
+several sites can run side by side.
+"""
+
+import asyncio
+import json
+import pathlib
+import re
+import signal
+from typing import Any
+
+import aiohttp
+
+from demo import processes
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_file
+from sycamorebeam import catalogue_records
+from sycamorebeam import clock as clocks
+from sycamorebeam import entries
+from sycamorebeam import jsonc
+from sycamorebeam import publishing
+from sycamorebeam.clients import log
+
+SAMPLES = processes.ROOT / 'samples'
+PORT_PATTERN = re.compile(r'127\.0\.0\.1:(\d+)')
+LOG_TIMEOUT_MS = 2_000
+# Several changes keep each record below the log's size limit.
+EDITS_PER_CHANGE = 200
+
+
+class Site:
+    """The processes of one user."""
+
+    def __init__(
+        self, user: str, folder: pathlib.Path, port_shift: int = 0
+    ) -> None:
+        self.user = user
+        self.folder = folder
+        self._shift = port_shift
+        self.items: list[dict[str, Any]] = []
+        self.entries: dict[str, catalogue.AnyEntry] = {}
+        self.settings: dict[int, dict[str, Any]] = {}
+        self.instances: dict[int, processes.Process] = {}
+        self._standins: list[processes.Process] = []
+        self.platform = ''
+
+    async def start(self, numbers: list[int], **overrides: Any) -> None:
+        """Start stand-ins and the entry instances ``numbers``."""
+        self._prepare(overrides)
+        await self._start_standins()
+        await self._list_instances(numbers)
+        await self.publish(self.entries)
+        for number in numbers:
+            await self.start_instance(number)
+        for number in numbers:
+            await self.wait_ready(number)
+
+    async def start_instance(self, number: int) -> None:
+        """Start one entry instance."""
+        path = self.folder / f'settings-{number}.json'
+        self.instances[number] = await processes.start(
+            f'entry-{number}', ['run', '--settings', str(path)], self.folder
+        )
+
+    async def wait_ready(self, number: int) -> None:
+        """Wait until an instance may serve."""
+        await processes.wait_until_up(self.callers(number), '/readyz')
+
+    def callers(self, number: int) -> str:
+        """Return where an instance serves callers."""
+        return self.settings[number]['addresses']['callers']
+
+    def admin(self, number: int) -> str:
+        """Return where an instance serves operators."""
+        return self.settings[number]['addresses']['admin']
+
+    async def publish(
+        self, wanted: dict[str, catalogue.AnyEntry]
+    ) -> publishing.PublishResult:
+        """Publish entries as they are in ``wanted``."""
+        client = log.new_log_client(f'http://{self.platform}', LOG_TIMEOUT_MS)
+        try:
+            fold = await publishing.read(client)
+            edits = [
+                catalogue_records.Edit(
+                    key, _revision(fold, key), entries.to_plain(wanted[key])
+                )
+                for key in wanted
+            ]
+            return await publishing.publish(
+                client,
+                clocks.Clock(),
+                edits,
+                publishing.Author('demo', 'the sample catalogue'),
+            )
+        finally:
+            await client.close()
+
+    async def post_platform(self, path: str, body: dict[str, Any]) -> None:
+        """Set a switch of the platform's stand-in."""
+        await self.post(self.platform, path, body)
+
+    async def post(
+        self, address: str, path: str, body: dict[str, Any]
+    ) -> None:
+        """Set a switch of a stand-in."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f'http://{address}{path}', json=body) as response,
+        ):
+            response.raise_for_status()
+
+    async def get(self, address: str, path: str) -> dict[str, Any]:
+        """Return the JSON at ``path`` of a process."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f'http://{address}{path}') as response,
+        ):
+            return await response.json()
+
+    async def action_runs(self) -> dict[str, int]:
+        """Return how often each key's action ran, as the targets count."""
+        operations = _action_operations(self.entries)
+        counts: dict[str, int] = {}
+        for item in self.items:
+            if item['group'] not in operations:
+                continue
+            found = await self.get(item['address'], '/standin/runs')
+            for run in found['runs']:
+                if run['operation'] in operations[item['group']]:
+                    counts[run['key']] = counts.get(run['key'], 0) + 1
+        return counts
+
+    def addresses(self, group: str) -> list[str]:
+        """Return the addresses of a group's replicas."""
+        return [
+            item['address'] for item in self.items if item['group'] == group
+        ]
+
+    async def stop(self) -> None:
+        """End every process of the site."""
+        running = [*self.instances.values(), *self._standins]
+        for process in running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        await asyncio.gather(*(process.wait() for process in running))
+
+    def _prepare(self, overrides: dict[str, Any]) -> None:
+        sample = SAMPLES / self.user
+        self.folder.mkdir(parents=True, exist_ok=True)
+        catalogue_path = sample / 'catalogue.jsonc'
+        self.entries = catalogue_file.load_catalogue_file(catalogue_path)
+        secret = (sample / 'peer.secret').read_bytes()
+        (self.folder / 'peer.secret').write_bytes(secret)
+        (self.folder / 'peer.secret').chmod(0o600)
+        self.items = self._copy(sample / 'replicas.jsonc')
+        for path in sorted(sample.glob('settings-*.jsonc')):
+            number = int(path.stem.split('-')[1])
+            self.settings[number] = self._copy(path, overrides)
+        first = next(iter(self.settings.values()))
+        self.platform = first['platform']['log'].removeprefix('http://')
+
+    def _copy(
+        self, path: pathlib.Path, overrides: dict[str, Any] | None = None
+    ) -> Any:
+        text = json.dumps(jsonc.load(path).value)
+        value = json.loads(PORT_PATTERN.sub(self._shifted, text))
+        if overrides:
+            value.update(overrides)
+        target = self.folder / f'{path.stem}.json'
+        target.write_text(json.dumps(value, indent=2))
+        return value
+
+    def _shifted(self, match: re.Match[str]) -> str:
+        return f'127.0.0.1:{int(match[1]) + self._shift}'
+
+    async def _start_standins(self) -> None:
+        platform = ['standin', 'platform', '--listen', self.platform]
+        targets = ['standin', 'targets', str(self.folder / 'replicas.json')]
+        sample = SAMPLES / self.user / 'catalogue.jsonc'
+        targets += ['--catalogue', str(sample)]
+        self._standins = [
+            await processes.start('platform', platform, self.folder),
+            await processes.start('targets', targets, self.folder),
+        ]
+        await processes.wait_until_up(self.platform, '/v1/instances')
+        last = [item for item in self.items if item['group'] != 'entry'][-1]
+        await processes.wait_until_up(last['address'], '/v1/load')
+
+    async def _list_instances(self, numbers: list[int]) -> None:
+        ids = {self.settings[number]['instance_id'] for number in numbers}
+        listed = [
+            item
+            for item in self.items
+            if item['group'] != 'entry' or item['id'] in ids
+        ]
+        await self.post_platform('/standin/instances', {'put': listed})
+
+
+def _revision(fold: Any, key: str) -> int:
+    found = fold.catalogue().entries.get(key)
+    return found.revision if found else catalogue_records.ABSENT
+
+
+def _action_operations(
+    known: dict[str, catalogue.AnyEntry],
+) -> dict[str, set[str]]:
+    operations: dict[str, set[str]] = {}
+    for entry in known.values():
+        if not isinstance(entry, catalogue.Pipeline):
+            continue
+        for stage in entry.stages:
+            if not stage.idempotent:
+                operations.setdefault(stage.target, set()).add(stage.operation)
+    return operations
--- a/sycamorebeam/cli/main.py
+++ b/sycamorebeam/cli/main.py
@@ -8,6 +8,7 @@
 from sycamorebeam.cli import catalogue_commands
 from sycamorebeam.cli import output
 from sycamorebeam.cli import request_command
+from sycamorebeam.cli import run_command
 from sycamorebeam.cli import settings_commands
 from sycamorebeam.cli import standin_commands
 from sycamorebeam.cli import status_command
@@ -24,6 +25,7 @@
 app.add_typer(settings_commands.app)
 app.add_typer(catalogue_commands.app)
 app.add_typer(standin_commands.app)
+app.command(epilog=output.EXIT_CODES)(run_command.run)
 app.command(epilog=output.EXIT_CODES)(request_command.request)
 app.command(epilog=output.EXIT_CODES)(status_command.status)
 
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
-import pathlib
 import random
 import signal
 from typing import Any
@@ -106,9 +105,7 @@
 
     def _build_clients(self) -> None:
         platform = self._settings.platform
-        self._log = log.new_log_client(
-            platform.log.removeprefix(URL_PREFIX), platform.log_timeout_ms
-        )
+        self._log = log.new_log_client(platform.log, platform.log_timeout_ms)
         self._list_client = instances.new_instance_list(
             platform.instances.removeprefix(URL_PREFIX), self._clock
         )
@@ -282,13 +279,10 @@
     return host, int(port)
 
 
-def run(settings: settings_module.Settings, base: pathlib.Path) -> int:
-    """Run an instance until it is stopped; return the exit code.
-
-    ``base`` is the folder that relative secret files are found in.
-    """
+def run(settings: settings_module.Settings) -> int:
+    """Run an instance until it is stopped; return the exit code."""
     telemetry.configure_logs(settings.instance_id)
-    secret = settings_module.read_secret(base / settings.peer_secret_file)
+    secret = settings_module.read_secret(settings.peer_secret_file)
     instance = Instance(settings, secret)
     with (
         aiomisc.entrypoint(
--- a/sycamorebeam/pipeline/inputs.py
+++ b/sycamorebeam/pipeline/inputs.py
@@ -1,5 +1,6 @@
 """Builds the input of a stage from the request and earlier results."""
 
+import json
 from typing import Any
 
 from sycamorebeam import catalogue
@@ -24,14 +25,18 @@
 ) -> dict[str, Any]:
     """Return the input of a stage.
 
-    An engine gets a prompt, a pool the request and the results it needs,
-    a service the request's own input.
+    A pool gets the request's input with the outputs of the stages it
+    needs laid over it, an engine a prompt made of both, a service the
+    request's input alone.
     """
     match kind:
         case catalogue.TargetKind.ENGINE:
             return {'prompt': _prompt(request_input, needed)}
         case catalogue.TargetKind.POOL:
-            return {'request': request_input, 'results': needed}
+            joined = dict(request_input)
+            for output in needed.values():
+                joined.update(output)
+            return joined
         case catalogue.TargetKind.SERVICE:
             return request_input
 
@@ -39,11 +44,11 @@
 def _prompt(
     request_input: dict[str, Any], needed: dict[str, dict[str, Any]]
 ) -> str:
-    question = str(request_input.get('text', ''))
-    passages = [
-        str(passage)
-        for output in needed.values()
-        for passage in output.get('passages', ())
+    """Return the prompt: what the stages found, then the request's text."""
+    found = [
+        json.dumps(needed[name], sort_keys=True, ensure_ascii=False)
+        for name in sorted(needed)
     ]
-    context = '\n'.join(passages)[:MAX_CONTEXT_CHARS]
+    context = '\n'.join(found)[:MAX_CONTEXT_CHARS]
+    question = str(request_input.get('text', ''))
     return f'{context}\n\n{question}' if context else question
