Hold the whole path against faults in separate processes

Cause: promises were only shown part by part. Change: nine scenarios (kill, drain, freeze past every deadline, log down, platform silent, lost and late appends, silent connections, spoiled answers, kill during a log outage) and racing operators; what callers were told is held against the targets' counts.

--- a/demo/load.py
+++ b/demo/load.py
@@ -11,13 +11,14 @@
 import aiohttp
 
 from demo import ledger
-from demo import site as sites
 from sycamorebeam import catalogue
 from sycamorebeam.clients import caller
 
 PROBE_PERIOD_S = 0.1
 RETRY_PAUSE_S = 0.2
 MAX_TRIES = 40
+# A caller turns to another instance when one is silent for so long.
+TRY_TIMEOUT_S = 4.0
 
 # Pipeline, team, share of the load, and what the caller asks.
 MIXES = {
@@ -76,8 +77,12 @@
     entries: dict[str, catalogue.AnyEntry],
     generator: random.Random,
     names: list[str] | None = None,
+    longest_ms: int = 600_000,
 ) -> Iterator[ledger.Row]:
-    """Yield requests of the user's mix without end."""
+    """Yield requests of the user's mix without end.
+
+    ``names`` picks pipelines, ``longest_ms`` bounds their deadlines.
+    """
     mix = [item for item in MIXES[user] if not names or item[0] in names]
     weights = [item[2] for item in mix]
     for number in itertools.count():
@@ -93,13 +98,12 @@
             pipeline=name,
             team=team,
             input=content,
-            deadline_ms=pipeline.deadline_ms,
+            deadline_ms=min(pipeline.deadline_ms, longest_ms),
             key=key,
         )
 
 
 async def run(
-    site: sites.Site,
     balancer: Balancer,
     rows: Iterator[ledger.Row],
     rate_per_s: float,
@@ -126,7 +130,7 @@
     while row.tries < MAX_TRIES:
         address = balancer.pick(address)
         row.tries += 1
-        result = await caller.send(_call(row, address, started))
+        result = await _send(_call(row, address, started))
         row.took_ms = (time.monotonic() - started) * 1000
         row.lost = row.problem = None
         match result:
@@ -142,6 +146,15 @@
         await asyncio.sleep(_pause_s(row))
 
 
+async def _send(call: caller.Call) -> caller.CallResult:
+    """Send once; an instance that says nothing for long is given up."""
+    try:
+        async with asyncio.timeout(TRY_TIMEOUT_S):
+            return await caller.send(call)
+    except TimeoutError:
+        return caller.CallLost('no answer in time', sent=True)
+
+
 def _call(row: ledger.Row, address: str, started: float) -> caller.Call:
     spent_ms = (time.monotonic() - started) * 1000
     return caller.Call(
--- a/demo/run.py
+++ b/demo/run.py
@@ -36,7 +36,7 @@
         faults = asyncio.create_task(disturb(site))
         rows = load.requests(user, site.entries, generator)
         sent = await load.run(
-            site, balancer, rows, RATE_PER_S, DURATION_S, generator
+            balancer, rows, RATE_PER_S, DURATION_S, generator
         )
         exit_code = await faults
         probes.cancel()
--- a/demo/site.py
+++ b/demo/site.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import re
 import signal
+import socket
 from typing import Any
 
 import aiohttp
@@ -26,8 +28,33 @@
 SAMPLES = processes.ROOT / 'samples'
 PORT_PATTERN = re.compile(r'127\.0\.0\.1:(\d+)')
 LOG_TIMEOUT_MS = 2_000
-# Several changes keep each record below the log's size limit.
-EDITS_PER_CHANGE = 200
+PORT_SHIFT = 1_000
+MAX_PORT_SHIFTS = 10
+
+
+def free_port_shift(user: str) -> int:
+    """Return a shift by which all ports of a user's sample are free."""
+    texts = [path.read_text() for path in (SAMPLES / user).glob('*.jsonc')]
+    ports = {
+        int(port) for text in texts for port in PORT_PATTERN.findall(text)
+    }
+    steps = range(MAX_PORT_SHIFTS)
+    first = os.getpid() % MAX_PORT_SHIFTS
+    for step in steps:
+        shift = PORT_SHIFT * (1 + (first + step) % MAX_PORT_SHIFTS)
+        if all(_is_free(port + shift) for port in ports):
+            return shift
+    raise OSError('no free range of ports for the stand-ins')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 class Site:
@@ -43,7 +70,7 @@
         self.entries: dict[str, catalogue.AnyEntry] = {}
         self.settings: dict[int, dict[str, Any]] = {}
         self.instances: dict[int, processes.Process] = {}
-        self._standins: list[processes.Process] = []
+        self.standins: dict[str, processes.Process] = {}
         self.platform = ''
 
     async def start(self, numbers: list[int], **overrides: Any) -> None:
@@ -77,15 +104,22 @@
         return self.settings[number]['addresses']['admin']
 
     async def publish(
-        self, wanted: dict[str, catalogue.AnyEntry]
+        self,
+        wanted: dict[str, catalogue.AnyEntry],
+        revisions: dict[str, int] | None = None,
     ) -> publishing.PublishResult:
-        """Publish entries as they are in ``wanted``."""
+        """Publish entries as they are in ``wanted``.
+
+        Without ``revisions`` they are made from the current ones.
+        """
         client = log.new_log_client(f'http://{self.platform}', LOG_TIMEOUT_MS)
         try:
-            fold = await publishing.read(client)
+            if revisions is None:
+                fold = await publishing.read(client)
+                revisions = {key: _revision(fold, key) for key in wanted}
             edits = [
                 catalogue_records.Edit(
-                    key, _revision(fold, key), entries.to_plain(wanted[key])
+                    key, revisions[key], entries.to_plain(wanted[key])
                 )
                 for key in wanted
             ]
@@ -141,7 +175,7 @@
 
     async def stop(self) -> None:
         """End every process of the site."""
-        running = [*self.instances.values(), *self._standins]
+        running = [*self.instances.values(), *self.standins.values()]
         for process in running:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
@@ -181,10 +215,10 @@
         targets = ['standin', 'targets', str(self.folder / 'replicas.json')]
         sample = SAMPLES / self.user / 'catalogue.jsonc'
         targets += ['--catalogue', str(sample)]
-        self._standins = [
-            await processes.start('platform', platform, self.folder),
-            await processes.start('targets', targets, self.folder),
-        ]
+        for name, arguments in (('platform', platform), ('targets', targets)):
+            self.standins[name] = await processes.start(
+                name, arguments, self.folder
+            )
         await processes.wait_until_up(self.platform, '/v1/instances')
         last = [item for item in self.items if item['group'] != 'entry'][-1]
         await processes.wait_until_up(last['address'], '/v1/load')
--- a/tests/base.py
+++ b/tests/base.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import inspect
+import tempfile
 
 import async_solipsism
 import testtools
@@ -20,6 +21,11 @@
     def new_loop(self) -> asyncio.AbstractEventLoop:
         return async_solipsism.EventLoop()
 
+    def make_temp_dir(self) -> str:
+        folder = tempfile.TemporaryDirectory(prefix='sycamorebeam-')
+        self.addCleanup(folder.cleanup)
+        return folder.name
+
     def _get_test_method(self) -> Callable[[], object]:
         method = super()._get_test_method()
         if not inspect.iscoroutinefunction(method):
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,231 @@
+"""The whole path in separate processes, under faults of every kind.
+
+Each scenario disturbs a site under load. Then what the callers were told
+is held against what the targets counted. Verdicts rest on the promises,
+never on how fast this machine is.
+"""
+
+import asyncio
+import pathlib
+import random
+import signal
+
+import attrs
+import ddt
+
+from demo import ledger
+from demo import load
+from demo import site as sites
+from sycamorebeam import publishing
+from tests import base
+
+INSTANCES = [1, 2, 3]
+RATE_PER_S = 20.0
+LOAD_S = 6.0
+LONGEST_MS = 5_000
+SEED = 11
+
+
+async def kill_instance(site):
+    """One instance dies at once and comes back."""
+    site.instances[1].signal(signal.SIGKILL)
+    await site.instances[1].wait()
+    await site.start_instance(1)
+    await site.wait_ready(1)
+
+
+async def drain_instances(site):
+    """Two instances are replaced by planned stops, one after the other."""
+    for number in (1, 2):
+        site.instances[number].signal(signal.SIGTERM)
+        code = await site.instances[number].wait()
+        assert code == 0, f'the planned stop ended with {code}'
+        await site.start_instance(number)
+        await site.wait_ready(number)
+
+
+async def freeze_instance(site):
+    """One instance is paused past every deadline, then goes on."""
+    site.instances[1].signal(signal.SIGSTOP)
+    await asyncio.sleep(LONGEST_MS / 1000 + 2)
+    site.instances[1].signal(signal.SIGCONT)
+
+
+async def stop_log(site):
+    """The log is down for a while."""
+    await site.post_platform('/standin/faults', {'down': True})
+    await asyncio.sleep(2.5)
+    await site.post_platform('/standin/faults', {'down': False})
+
+
+async def freeze_platform(site):
+    """The platform's connections go silent for a while."""
+    site.standins['platform'].signal(signal.SIGSTOP)
+    await asyncio.sleep(2.5)
+    site.standins['platform'].signal(signal.SIGCONT)
+
+
+async def lose_log_answers(site):
+    """Appends take effect, at once or late, but their answers are lost."""
+    for _ in range(3):
+        faults = {'lose_answers': 2, 'late_appends': 2, 'late_by_ms': 1_500}
+        await site.post_platform('/standin/faults', faults)
+        await asyncio.sleep(1)
+
+
+async def silence_targets(site):
+    """Open connections to some targets go silent, new ones work."""
+    for group in ('encoders', 'engines', 'crew-dispatch'):
+        address = site.addresses(group)[0]
+        await site.post(address, '/standin/faults', {'silent': 2})
+
+
+async def spoil_answers(site):
+    """Answers come doubled, late, cut off or for another request."""
+    for address in site.addresses('engines'):
+        faults = {'early_end': 2, 'doubled': 2, 'wrong_id': 1}
+        await site.post(address, '/standin/faults', faults)
+    for address in site.addresses('retrievers'):
+        faults = {'errors': 2, 'wrong_id': 2, 'late': 2, 'late_by_ms': 900}
+        await site.post(address, '/standin/faults', faults)
+    for address in site.addresses('crew-dispatch'):
+        await site.post(address, '/standin/faults', {'errors': 1, 'hang': 1})
+
+
+async def kill_while_log_is_down(site):
+    """An instance dies while the log is down; both come back."""
+    await site.post_platform('/standin/faults', {'down': True})
+    site.instances[2].signal(signal.SIGKILL)
+    await site.instances[2].wait()
+    await site.start_instance(2)
+    await asyncio.sleep(1.5)
+    await site.post_platform('/standin/faults', {'down': False})
+    await site.wait_ready(2)
+
+
+SCENARIOS = (
+    kill_instance,
+    drain_instances,
+    freeze_instance,
+    stop_log,
+    freeze_platform,
+    lose_log_answers,
+    silence_targets,
+    spoil_answers,
+    kill_while_log_is_down,
+)
+
+
+@ddt.ddt
+class WholePathTest(base.NetworkTestCase):
+    def setUp(self):
+        super().setUp()
+        folder = pathlib.Path(self.make_temp_dir())
+        self.site = sites.Site(
+            'kovacik', folder, sites.free_port_shift('kovacik')
+        )
+
+    async def start(self):
+        self.generator = random.Random(SEED)
+        await self.site.start(INSTANCES)
+        callers = [self.site.callers(number) for number in INSTANCES]
+        self.balancer = load.Balancer(callers)
+        self.probes = asyncio.create_task(self.balancer.probe_forever())
+
+    async def send_load(self):
+        rows = load.requests(
+            'kovacik',
+            self.site.entries,
+            self.generator,
+            longest_ms=LONGEST_MS,
+        )
+        return await load.run(
+            self.balancer, rows, RATE_PER_S, LOAD_S, self.generator
+        )
+
+    async def stop(self):
+        self.probes.cancel()
+        await self.site.stop()
+
+    @ddt.data(*SCENARIOS)
+    async def test_no_promise_is_broken(self, disturb):
+        await self.start()
+        try:
+            sending = asyncio.create_task(self.send_load())
+            await asyncio.sleep(1)
+            await disturb(self.site)
+            rows = await sending
+            runs = await self.site.action_runs()
+            await self.check_service_goes_on()
+        finally:
+            await self.stop()
+        broken = ledger.broken_promises(self.site.entries, rows, runs)
+        self.assertEqual([], broken)
+        complete = [row for row in rows if row.answer]
+        self.assertGreater(len(complete), len(rows) / 2)
+
+    async def check_service_goes_on(self):
+        """After the fault, each pipeline is answered again."""
+        for name in ('alarm-explanation', 'pump-restart'):
+            rows = load.requests(
+                'kovacik', self.site.entries, self.generator, [name]
+            )
+            row = next(rows)
+            await load.ask(self.balancer, row)
+            self.assertEqual('complete', row.outcome, row)
+
+    async def test_racing_operators_and_a_catalogue_in_force_everywhere(self):
+        await self.start()
+        try:
+            offsets = asyncio.create_task(self.watch_offsets())
+            results = await asyncio.gather(
+                *(self.change_limit(number) for number in range(4))
+            )
+            accepted = [
+                item
+                for item in results
+                if isinstance(item, publishing.Accepted)
+            ]
+            await self.wait_in_force(accepted[0].offset)
+            self.assertFalse(offsets.done(), 'an offset fell')
+            offsets.cancel()
+            states = [await self.catalogue(number) for number in INSTANCES]
+        finally:
+            await self.stop()
+        self.assertEqual(1, len(accepted), results)
+        for item in results:
+            if isinstance(item, publishing.Rejected):
+                self.assertEqual(accepted[0].offset, item.winner)
+        self.assertEqual(1, len({state['digest'] for state in states}))
+
+    async def change_limit(self, number):
+        key = 'team/maintenance'
+        entry = self.site.entries[key]
+        limits = attrs.evolve(entry.limits, concurrency=10 + number)
+        return await self.site.publish(
+            {key: attrs.evolve(entry, limits=limits)}, {key: 0}
+        )
+
+    async def catalogue(self, number):
+        status = await self.site.get(self.site.admin(number), '/admin/status')
+        return status['catalogue']
+
+    async def wait_in_force(self, offset):
+        async with asyncio.timeout(11):
+            for number in INSTANCES:
+                await self.wait_offset(number, offset)
+
+    async def wait_offset(self, number, offset):
+        reached = -1
+        while reached < offset:
+            reached = (await self.catalogue(number))['offset']
+            await asyncio.sleep(0.05)
+
+    async def watch_offsets(self):
+        highest = dict.fromkeys(INSTANCES, -1)
+        while True:
+            for number in INSTANCES:
+                offset = (await self.catalogue(number))['offset']
+                self.assertGreaterEqual(offset, highest[number])
+                highest[number] = offset
+            await asyncio.sleep(0.05)
