--- /dev/null
+++ b/sycamorebeam/catalogue_plan.py
@@ -0,0 +1,110 @@
+"""Compares a catalogue file with the catalogue on the log.
+
+The difference becomes the edits of one change, each made from the revision
+that the log has now. With the offset that the file was made from, entries
+that somebody changed since are conflicts in place of silent overwrites.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_fold
+from sycamorebeam import catalogue_records
+from sycamorebeam import entries
+
+
+@attrs.frozen
+class Conflict:
+    """An entry that was changed after the file was made."""
+
+    key: str
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What publishing a file would do.
+
+    ``not_in_file`` are the entries that only the log has and that stay.
+    """
+
+    offset: int
+    edits: tuple[catalogue_records.Edit, ...]
+    not_in_file: tuple[str, ...]
+    conflicts: tuple[Conflict, ...]
+
+
+def make_plan(
+    fold: catalogue_fold.Fold,
+    wanted: Mapping[str, catalogue.AnyEntry],
+    *,
+    base: int | None = None,
+    remove_missing: bool = False,
+) -> Plan:
+    """Return the edits that turn the log's catalogue into ``wanted``.
+
+    ``base`` is the offset that ``wanted`` was made from, None when that is
+    not known. Entries that are not wanted stay unless ``remove_missing``.
+    """
+    current = fold.catalogue().entries
+    missing = sorted(current.keys() - wanted.keys())
+    edits = [
+        _edit(key, wanted[key], current)
+        for key in sorted(wanted)
+        if key not in current or current[key].entry != wanted[key]
+    ]
+    if remove_missing:
+        edits.extend(_removal(key, current) for key in missing)
+    return Plan(
+        offset=fold.offset,
+        edits=tuple(edits),
+        not_in_file=() if remove_missing else tuple(missing),
+        conflicts=() if base is None else _conflicts(fold, edits, base),
+    )
+
+
+def _edit(
+    key: str,
+    entry: catalogue.AnyEntry,
+    current: Mapping[str, catalogue.Versioned],
+) -> catalogue_records.Edit:
+    found = current.get(key)
+    revision = found.revision if found else catalogue_records.ABSENT
+    return catalogue_records.Edit(key, revision, entries.to_plain(entry))
+
+
+def _removal(
+    key: str, current: Mapping[str, catalogue.Versioned]
+) -> catalogue_records.Edit:
+    return catalogue_records.Edit(key, current[key].revision, None)
+
+
+def _conflicts(
+    fold: catalogue_fold.Fold,
+    edits: list[catalogue_records.Edit],
+    base: int,
+) -> tuple[Conflict, ...]:
+    changed = _changed_since(fold, base)
+    found = []
+    for edit in edits:
+        offset = max(edit.base_revision, changed.get(edit.key, -1))
+        if offset > base:
+            reason = f'changed at offset {offset}, the file is from {base}'
+            found.append(Conflict(edit.key, reason))
+    return tuple(found)
+
+
+def _changed_since(fold: catalogue_fold.Fold, base: int) -> dict[str, int]:
+    """Return the keys that the audit trail names in later decisions.
+
+    A removal leaves no revision, so that only the audit trail tells of it;
+    it names at most ``MAX_AUDIT_KEYS`` entries of a change.
+    """
+    return {
+        key: decision.offset
+        for decision in fold.audit
+        if decision.accepted and decision.offset > base
+        for key in decision.keys
+    }
--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -23,6 +23,8 @@
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 60
 NEAR_RATIO = 0.7
+MAX_LISTED_NAMES = 12
+MAX_COMPARED_NAMES = 500
 
 
 @attrs.frozen
@@ -128,8 +130,14 @@
 
 
 def nearest(name: str, known: Iterable[str]) -> list[str]:
-    """Return the known name that is most like ``name``, if one is near."""
-    return difflib.get_close_matches(name, list(known), 1, NEAR_RATIO)
+    """Return the known name that is most like ``name``, if one is near.
+
+    Comparing is slow, so that among very many names none is proposed.
+    """
+    names = list(known)
+    if len(names) > MAX_COMPARED_NAMES:
+        return []
+    return difflib.get_close_matches(name, names, 1, NEAR_RATIO)
 
 
 def unknown_key(path: Path, known: list[str]) -> Fault:
@@ -145,8 +153,14 @@
     near = nearest(name, known)
     if near:
         remedy = f'write "{near[0]}", or {remedy}'
-    allowed = ', '.join(known) or 'none is known'
-    return Fault(path, show(name), allowed, remedy)
+    return Fault(path, show(name), _listed(known), remedy)
+
+
+def _listed(known: list[str]) -> str:
+    """Return the known names, or how many there are when there are many."""
+    if len(known) > MAX_LISTED_NAMES:
+        return f'one of {len(known)} known names'
+    return ', '.join(known) or 'a name that exists'
 
 
 def build(
--- a/sycamorebeam/cli/catalogue_commands.py
+++ b/sycamorebeam/cli/catalogue_commands.py
@@ -7,7 +7,9 @@
 import typer
 
 from sycamorebeam import catalogue_file
+from sycamorebeam.cli import history_commands
 from sycamorebeam.cli import output
+from sycamorebeam.cli import publish_command
 
 app = typer.Typer(
     name='catalogue',
@@ -40,3 +42,9 @@
                 for kind, count in counts.items()
             )
             typer.echo(f'{file}: valid, {listed or "no entries"}')
+
+
+app.command(epilog=output.EXIT_CODES)(publish_command.publish)
+app.command(epilog=output.EXIT_CODES)(publish_command.resolve)
+app.command(epilog=output.EXIT_CODES)(history_commands.show)
+app.command(epilog=output.EXIT_CODES)(history_commands.history)
--- /dev/null
+++ b/sycamorebeam/cli/history_commands.py
@@ -0,0 +1,252 @@
+"""The commands ``catalogue show``, ``catalogue history`` and ``audit``."""
+
+from collections.abc import Sequence
+import datetime
+import json
+from typing import Annotated
+from typing import Any
+
+import aiohttp
+import typer
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_fold
+from sycamorebeam import clock
+from sycamorebeam import entries
+from sycamorebeam import publishing
+from sycamorebeam.cli import log_access
+from sycamorebeam.cli import output
+
+MAX_SHOWN_KEYS = 3
+
+KeyOption = Annotated[
+    str | None, typer.Option('--key', help='Only this entry, kind/name.')
+]
+
+
+def show(
+    log: log_access.LogOption,
+    key: KeyOption = None,
+    as_file: Annotated[
+        bool,
+        typer.Option(
+            '--as-file', help='Print a catalogue file, to edit and publish.'
+        ),
+    ] = False,
+    form: output.FormOption = output.Form.TEXT,
+) -> None:
+    """Show the catalogue on the log with its revisions.
+
+    Example: sycamorebeam catalogue show --log http://127.0.0.1:21000
+    --as-file
+    """
+    found = output.run(_read(log)).catalogue()
+    wanted = {
+        name: item
+        for name, item in sorted(found.entries.items())
+        if key in (None, name)
+    }
+    if as_file:
+        typer.echo(f'// Publish with --base {found.offset}.')
+        output.print_json(_file_form(wanted))
+        return
+    match form:
+        case output.Form.JSON:
+            listed = {
+                name: {
+                    'revision': item.revision,
+                    'value': entries.to_plain(item.entry),
+                }
+                for name, item in wanted.items()
+            }
+            output.print_json({'offset': found.offset, 'entries': listed})
+        case output.Form.TEXT:
+            typer.echo(f'offset {found.offset}')
+            _print_entries(wanted)
+
+
+def history(
+    log: log_access.LogOption,
+    key: KeyOption = None,
+    form: output.FormOption = output.Form.TEXT,
+) -> None:
+    """Show the latest changes that were accepted, oldest first.
+
+    Example: sycamorebeam catalogue history --log http://127.0.0.1:21000
+    --key pipeline/shift-summary
+    """
+    decisions = [
+        item for item in _decisions(log, key) if item.rejection is None
+    ]
+    _print_decisions(decisions, {}, form)
+
+
+def audit(
+    log: log_access.LogOption,
+    key: KeyOption = None,
+    instance: Annotated[
+        list[str] | None,
+        typer.Option(
+            help='Admin address of an instance to ask what is in force there;'
+            ' may be repeated.'
+        ),
+    ] = None,
+    form: output.FormOption = output.Form.TEXT,
+) -> None:
+    """Show who changed what and when, and what became of it.
+
+    Rejected changes are listed with the reason. With --instance the last
+    column says where an accepted change is in force.
+
+    Example: sycamorebeam audit --log http://127.0.0.1:21000 --instance
+    127.0.0.1:21301 --output json
+    """
+    decisions = _decisions(log, key)
+    offsets = output.run(_offsets(tuple(instance or ())))
+    _print_decisions(decisions, offsets, form)
+
+
+async def _read(url: str) -> catalogue_fold.Fold:
+    async with log_access.open_log(url) as client:
+        return await log_access.read_fold(client)
+
+
+def _decisions(url: str, key: str | None) -> list[catalogue_fold.Decision]:
+    audit_rows = output.run(_read(url)).audit
+    return [item for item in audit_rows if key is None or key in item.keys]
+
+
+async def _offsets(addresses: Sequence[str]) -> dict[str, int | None]:
+    """Return the offset in force at each instance, None where unknown."""
+    if not addresses:
+        return {}
+    async with aiohttp.ClientSession() as session:
+        found = await publishing.in_force(
+            session, clock.Clock(), addresses, 0, timeout_ms=0
+        )
+    items = (*found.reached, *found.behind)
+    return {item.address: item.offset for item in items}
+
+
+def _file_form(
+    wanted: dict[str, catalogue.Versioned],
+) -> dict[str, dict[str, Any]]:
+    form: dict[str, dict[str, Any]] = {}
+    for key, item in wanted.items():
+        kind, name = entries.split_key(key)
+        section = form.setdefault(f'{kind}s', {})
+        section[name] = entries.to_plain(item.entry)
+    return form
+
+
+def _print_entries(wanted: dict[str, catalogue.Versioned]) -> None:
+    rows = []
+    for key, item in wanted.items():
+        plain = entries.to_plain(item.entry)
+        bounds = {
+            name: bound
+            for name, bound in plain['limits'].items()
+            if bound is not None
+        }
+        rows.append(
+            (
+                key,
+                item.revision,
+                plain['owner'],
+                plain['class'],
+                json.dumps(bounds),
+            )
+        )
+    output.print_table(('entry', 'revision', 'owner', 'class', 'limits'), rows)
+
+
+def _print_decisions(
+    decisions: Sequence[catalogue_fold.Decision],
+    offsets: dict[str, int | None],
+    form: output.Form,
+) -> None:
+    match form:
+        case output.Form.JSON:
+            output.print_json([_as_json(item, offsets) for item in decisions])
+        case output.Form.TEXT:
+            output.print_table(
+                (
+                    'offset',
+                    'time',
+                    'author',
+                    'verdict',
+                    'entries',
+                    'reason',
+                    'in force at',
+                ),
+                [_row(item, offsets) for item in decisions],
+            )
+
+
+def _as_json(
+    item: catalogue_fold.Decision, offsets: dict[str, int | None]
+) -> dict[str, Any]:
+    return {
+        'offset': item.offset,
+        'change_id': item.change_id,
+        'time': _time(item),
+        'author': item.author,
+        'reason': item.reason,
+        'keys': list(item.keys),
+        'accepted': item.accepted,
+        'rejection': item.rejection.reason if item.rejection else None,
+        'winner': item.rejection.winner if item.rejection else None,
+        'in_force_at': _reached(item, offsets),
+    }
+
+
+def _row(
+    item: catalogue_fold.Decision, offsets: dict[str, int | None]
+) -> tuple[object, ...]:
+    verdict = 'accepted'
+    if item.rejection is not None:
+        verdict = f'rejected: {item.rejection.reason}'
+    reached = ''
+    if offsets and item.accepted:
+        count = len(_reached(item, offsets))
+        reached = f'{count} of {len(offsets)} instances'
+    return (
+        item.offset,
+        _time(item),
+        item.author,
+        verdict,
+        _some_keys(item.keys),
+        item.reason,
+        reached,
+    )
+
+
+def _some_keys(keys: Sequence[str]) -> str:
+    if len(keys) <= MAX_SHOWN_KEYS:
+        return ' '.join(keys)
+    shown = ' '.join(keys[:MAX_SHOWN_KEYS])
+    or_more = ' or more' if len(keys) >= catalogue_fold.MAX_AUDIT_KEYS else ''
+    return f'{shown} and {len(keys) - MAX_SHOWN_KEYS}{or_more}'
+
+
+def _reached(
+    item: catalogue_fold.Decision, offsets: dict[str, int | None]
+) -> list[str]:
+    if not item.accepted:
+        return []
+    return [
+        address
+        for address, offset in offsets.items()
+        if offset is not None and offset >= item.offset
+    ]
+
+
+def _time(item: catalogue_fold.Decision) -> str:
+    """Return the author's time, as a number when it is no date."""
+    try:
+        moment = datetime.datetime.fromtimestamp(
+            item.time_ms / 1000, datetime.UTC
+        )
+    except (ValueError, OverflowError, OSError):
+        return f'{item.time_ms} ms'
+    return moment.isoformat(timespec='milliseconds')
--- /dev/null
+++ b/sycamorebeam/cli/log_access.py
@@ -0,0 +1,49 @@
+"""The log as the commands use it."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Annotated
+
+import typer
+
+from sycamorebeam import catalogue_fold
+from sycamorebeam import checking
+from sycamorebeam import errors
+from sycamorebeam import publishing
+from sycamorebeam.clients import log
+from sycamorebeam.clients import results
+
+LOG_TIMEOUT_MS = 2_000
+
+LogOption = Annotated[
+    str, typer.Option('--log', help='The log service, http://IP:port.')
+]
+
+
+@contextlib.asynccontextmanager
+async def open_log(url: str) -> AsyncIterator[log.LogClient]:
+    """Give a client of the log and close it in the end."""
+    if not checking.holds(checking.Url(), url):
+        raise errors.SettingsError(
+            f'{checking.show(url)} is not the URL of a log',
+            f'write {checking.describe_rule(checking.Url())}',
+        )
+    client = log.new_log_client(url, LOG_TIMEOUT_MS)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+async def read_fold(client: log.LogClient) -> catalogue_fold.Fold:
+    """Return the catalogue on the log.
+
+    Raises PlatformError when it cannot be read.
+    """
+    found = await publishing.read(client)
+    if isinstance(found, results.LogUnavailable):
+        raise errors.PlatformError(
+            f'the catalogue cannot be read ({found.reason})',
+            'check --log, or try again when the log answers',
+        )
+    return found
--- a/sycamorebeam/cli/main.py
+++ b/sycamorebeam/cli/main.py
@@ -6,6 +6,7 @@
 
 import sycamorebeam
 from sycamorebeam.cli import catalogue_commands
+from sycamorebeam.cli import history_commands
 from sycamorebeam.cli import output
 from sycamorebeam.cli import request_command
 from sycamorebeam.cli import settings_commands
@@ -25,6 +26,7 @@
 app.add_typer(catalogue_commands.app)
 app.add_typer(standin_commands.app)
 app.command(epilog=output.EXIT_CODES)(request_command.request)
+app.command(epilog=output.EXIT_CODES)(history_commands.audit)
 app.command(epilog=output.EXIT_CODES)(status_command.status)
 
 
--- a/sycamorebeam/cli/output.py
+++ b/sycamorebeam/cli/output.py
@@ -21,6 +21,7 @@
     'not run, 4 outcome unknown or not in force everywhere.'
 )
 COLUMN_GAP = '  '
+REPLACEMENT = '\ufffd'
 
 
 class ExitCode(enum.IntEnum):
@@ -79,8 +80,8 @@
 def print_table(
     heads: Sequence[str], rows: Sequence[Sequence[object]]
 ) -> None:
-    """Print rows under heads, in columns."""
-    lines = [list(heads), *([str(cell) for cell in row] for row in rows)]
+    """Print rows under heads, in columns, each on one line."""
+    lines = [list(heads), *([printable(cell) for cell in row] for row in rows)]
     widths = [max(len(line[i]) for line in lines) for i in range(len(heads))]
     for line in lines:
         cells = [
@@ -89,6 +90,13 @@
         typer.echo(COLUMN_GAP.join(cells).rstrip())
 
 
+def printable(value: object) -> str:
+    """Return a value as text that cannot move the cursor or break a line."""
+    return ''.join(
+        char if char.isprintable() else REPLACEMENT for char in str(value)
+    )
+
+
 def run(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine to its end on uvloop."""
     return uvloop.run(work)
