Split references from entries; list the proofs of checks and commands

Cause: entries.py had two jobs; the platform stand-in of the command line began with an empty instance list.

--- a/sycamorebeam/catalogue_file.py
+++ b/sycamorebeam/catalogue_file.py
@@ -10,6 +10,7 @@
 from sycamorebeam import checking
 from sycamorebeam import entries
 from sycamorebeam import jsonc
+from sycamorebeam import references
 
 SECTIONS = {f'{kind}s': kind for kind in catalogue.KINDS}
 AN_OBJECT = 'an object'
@@ -63,7 +64,7 @@
 
     def _references(self) -> None:
         known = self.entries | dict.fromkeys(self._faulty)
-        found = entries.reference_faults(known, self.entries)
+        found = references.reference_faults(known, self.entries)
         for key, fault in found:
             kind, name = entries.split_key(key)
             path = (f'{kind}s', name, *fault.path)
--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -300,13 +300,21 @@
             return bool(value)
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a valid address."""
+    host, _, port = address.rpartition(':')
+    return host.removeprefix('[').removesuffix(']'), int(port)
+
+
 def _is_address(text: str) -> bool:
     host, colon, port = text.rpartition(':')
     if not colon or re.fullmatch('[0-9]{1,5}', port) is None:
         return False
+    if not 0 < int(port) <= MAX_PORT:
+        return False
     if host.startswith('[') and host.endswith(']'):
-        return _is_ip(host[1:-1], 6) and 0 < int(port) <= MAX_PORT
-    return _is_ip(host, 4) and 0 < int(port) <= MAX_PORT
+        return _is_ip(host[1:-1], 6)
+    return _is_ip(host, 4)
 
 
 def _is_ip(text: str, version: int) -> bool:
--- a/sycamorebeam/cli/request_command.py
+++ b/sycamorebeam/cli/request_command.py
@@ -113,18 +113,19 @@
             return output.ExitCode.OK
         case caller.CallRefused(document):
             _print_problem(document, form)
-            is_unrun = document.get('outcome') == answers.Outcome.NOT_RUN.value
-            return (
-                output.ExitCode.REJECTED
-                if is_unrun
-                else output.ExitCode.UNKNOWN
-            )
+            return _refused_code(document)
         case caller.CallLost(reason, sent):
             _print_problem(_lost_document(call, reason, sent), form)
             failed = output.ExitCode.FAILED
             return output.ExitCode.UNKNOWN if sent else failed
 
 
+def _refused_code(document: dict[str, Any]) -> output.ExitCode:
+    if document.get('outcome') == answers.Outcome.NOT_RUN.value:
+        return output.ExitCode.REJECTED
+    return output.ExitCode.UNKNOWN
+
+
 def _lost_document(
     call: caller.Call, reason: str, sent: bool
 ) -> dict[str, Any]:
--- a/sycamorebeam/cli/standin_commands.py
+++ b/sycamorebeam/cli/standin_commands.py
@@ -13,6 +13,7 @@
 from sycamorebeam.cli import output
 from sycamorebeam.standins import platform as platform_standin
 from sycamorebeam.standins import replica
+from sycamorebeam.standins import server
 from sycamorebeam.standins import target as target_standin
 
 app = typer.Typer(
@@ -28,12 +29,27 @@
 
 
 @app.command(epilog=output.EXIT_CODES)
-def platform(listen: ListenOption = '127.0.0.1:21000') -> None:
+def platform(
+    listen: ListenOption = '127.0.0.1:21000',
+    replicas: Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Items that the instance list has at the start.'),
+    ] = None,
+) -> None:
     """Serve a log service and an instance list until a signal comes.
 
     Example: sycamorebeam standin platform --listen 127.0.0.1:21000
+    --replicas samples/kovacik/replicas.jsonc
     """
-    output.run(platform_standin.serve_platform(listen))
+    items = jsonc.load(replicas).value if replicas else []
+    output.run(_serve_platform(listen, items))
+
+
+async def _serve_platform(listen: str, items: list[dict[str, Any]]) -> None:
+    host, port = server.split_address(listen)
+    running = await platform_standin.start_platform(host, port)
+    running.instances.put(items)
+    await server.run_until_signal([running])
 
 
 @app.command(epilog=output.EXIT_CODES)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,7 @@
 from typer import testing
 
 from sycamorebeam.cli import main
+from sycamorebeam.cli import output
 from sycamorebeam.clients import caller
 from sycamorebeam.standins import target
 from tests import base
@@ -123,6 +124,12 @@
         self.assertEqual(2, found.exit_code, found.output)
 
 
+class TableTest(base.TestCase):
+    def test_a_cell_cannot_move_the_cursor(self):
+        shown = output.printable('a\n\x1b[2Jé')
+        self.assertEqual('a\ufffd\ufffd[2Jé', shown)
+
+
 class StandinTest(base.TestCase):
     def test_serves_the_targets_of_a_list(self):
         served = []
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -4,6 +4,7 @@
 import ddt
 
 from sycamorebeam import catalogue
+from sycamorebeam import checking
 from sycamorebeam import entries
 from sycamorebeam import errors
 from tests import base
@@ -39,6 +40,34 @@
     }
 
 
+@ddt.ddt
+class AddressTest(base.TestCase):
+    @ddt.data(
+        ('10.0.0.1:80', ('10.0.0.1', 80)),
+        ('[::1]:8080', ('::1', 8080)),
+    )
+    @ddt.unpack
+    def test_is_an_ip_number_with_a_port(self, text, parts):
+        self.assertTrue(checking.holds(checking.Address(), text))
+        self.assertTrue(checking.holds(checking.Url(), f'http://{text}'))
+        self.assertEqual(parts, checking.split_address(text))
+
+    @ddt.data(
+        '10.0.0.1',
+        'host:80',
+        '::1:80',
+        '10.0.0.1:65536',
+        '10.0.0.1:0',
+        '10.0.0.1:+1',
+        '10.0.0.1:',
+        '[10.0.0.1]:80',
+        '10.0.0.1:٣',
+    )
+    def test_is_nothing_else(self, text):
+        self.assertFalse(checking.holds(checking.Address(), text))
+        self.assertFalse(checking.holds(checking.Url(), f'http://{text}/x'))
+
+
 @ddt.ddt
 class PlainTest(base.TestCase):
     @ddt.data(*new_state())
