Bound resumes by progress and report all bytes

Cause: a long stream could end after four breaks however far it came, a failed attempt's bytes were counted nowhere, and an engine that streams on without end was not stopped. Change: resumes in a row without a token and in all are bounded apart, `on_bytes` is told the bytes of every exchange, a token beyond the number asked for or an answer beyond the size limit ends the attempt.

--- a/sycamorebeam/clients/engine.py
+++ b/sycamorebeam/clients/engine.py
@@ -20,10 +20,15 @@
 
 @attrs.frozen(kw_only=True)
 class StreamSettings:
-    """When a stream counts as silent, and how often it is resumed."""
+    """When a stream counts as silent, and how often it is resumed.
+
+    ``resumes`` bounds those in a row that bring no token and
+    ``resumes_in_all`` those of one attempt.
+    """
 
     silence_ms: int = 3_000
     resumes: int = 4
+    resumes_in_all: int = 32
     resume_pause_ms: int = 50
 
 
@@ -109,7 +114,9 @@
     ) -> results.TargetResult:
         exchange = self._first(generation, prompt)
         reason = reasons.Reason.ENDED_EARLY
-        for _ in range(self._settings.resumes + 1):
+        idle = 0
+        for _ in range(self._settings.resumes_in_all + 1):
+            came = generation.table.next
             ending = await self._stream(generation, exchange)
             match ending:
                 case Whole():
@@ -119,8 +126,11 @@
                 case Broken(reason):
                     if not generation.sent:
                         return results.TargetNotRun(reason)
+            idle = 0 if generation.table.next > came else idle + 1
             if reason is reasons.Reason.DEADLINE:
                 break
+            if idle > self._settings.resumes:
+                break
             await self._http.clock.sleep_ms(self._settings.resume_pause_ms)
             exchange = self._resume(generation)
         return results.TargetMaybeRun(_incomplete(generation, reason))
@@ -178,6 +188,7 @@
             generation.sent |= exchange.connected
             generation.sent_bytes += exchange.sent_bytes
             generation.received_bytes += exchange.received_bytes
+            self._http.account(exchange)
 
     async def _receive(
         self, generation: Generation, exchange: http.Exchange
@@ -187,7 +198,10 @@
             generation.draining |= http.is_draining(response)
             if response.status != 200:
                 return await _refusal(generation, response)
-            return await _read_events(generation, exchange, response)
+            limit_bytes = self._http.limits.answer_bytes
+            return await _read_events(
+                generation, exchange, response, limit_bytes
+            )
         finally:
             response.close()
 
@@ -222,10 +236,13 @@
     generation: Generation,
     exchange: http.Exchange,
     response: aiohttp.ClientResponse,
+    limit_bytes: int,
 ) -> Ending:
     parser = sse.EventParser()
     async for chunk in response.content.iter_any():
         exchange.received_bytes += len(chunk)
+        if exchange.received_bytes > limit_bytes:
+            return Final(_maybe_run(generation, reasons.Reason.TOO_LARGE))
         for event in parser.feed(chunk):
             ending = await _take(generation, event)
             if ending is not None:
@@ -252,8 +269,10 @@
     generation: Generation, data: dict[str, Any]
 ) -> Ending | None:
     index, text = data.get('i'), data.get('text')
-    if not isinstance(index, int) or not isinstance(text, str) or index < 0:
+    if not isinstance(index, int) or not isinstance(text, str):
         return Broken(reasons.Reason.MALFORMED)
+    if not 0 <= index < generation.attempt.max_tokens:
+        return Final(_maybe_run(generation, reasons.Reason.MALFORMED))
     due = generation.table.add(index, text)
     if due is None:
         return Broken(reasons.Reason.MALFORMED)
--- a/sycamorebeam/clients/http.py
+++ b/sycamorebeam/clients/http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextvars
 import enum
 from typing import Any
@@ -34,8 +35,8 @@
     was idle for ``idle_age_ms`` is not used again.
     """
 
-    connections: int = 1_024
-    connections_per_target: int = 128
+    connections: int = 2_048
+    connections_per_target: int = 512
     fresh_connections: int = 512
     idle_age_ms: int = 4_000
     connect_timeout_ms: int = 1_000
@@ -93,6 +94,9 @@
     request_id: str | None = None
 
 
+OnBytes = Callable[[str, int, int], None]
+
+
 class HiddenRetryError(aiohttp.ClientError):
     """The library tried to send an exchange a second time."""
 
@@ -127,11 +131,21 @@
 
 
 class Http:
-    """Sends exchanges over bounded sets of connections."""
+    """Sends exchanges over bounded sets of connections.
 
-    def __init__(self, clock: clock_module.Clock, limits: HttpLimits) -> None:
+    ``on_bytes`` is told the address, sent and received bytes of each
+    exchange that had a connection, whatever came of it.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        limits: HttpLimits,
+        on_bytes: OnBytes | None = None,
+    ) -> None:
         self._clock = clock
         self._limits = limits
+        self._on_bytes = on_bytes
         self._sessions: dict[Lane, aiohttp.ClientSession] = {}
         self._suspects: dict[str, int] = {}
         self._silent_connections = 0
@@ -142,6 +156,11 @@
         """The clock of its deadlines."""
         return self._clock
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The bounds on connections and answers."""
+        return self._limits
+
     @property
     def silent_connections(self) -> int:
         """How many connections went silent and were abandoned."""
@@ -173,12 +192,23 @@
                     response.close()
         except FAILURES as error:
             return self.failure(exchange, error, request_id)
+        finally:
+            self.account(exchange)
         return _reply(response, body)
 
+    def account(self, exchange: Exchange) -> None:
+        """Report the bytes of an exchange that has ended."""
+        if self._on_bytes is None or not exchange.connected:
+            return
+        self._on_bytes(
+            exchange.address, exchange.sent_bytes, exchange.received_bytes
+        )
+
     async def send(self, exchange: Exchange) -> aiohttp.ClientResponse:
         """Send ``exchange`` and return the answer's head.
 
-        The deadline is left to the caller, as is closing the response.
+        The deadline, closing the response and ``account`` are left to the
+        caller.
         Raises one of FAILURES, which ``failure`` turns into a value.
         """
         session = self._session(self._lane(exchange))
@@ -218,10 +248,10 @@
         size_bytes = 0
         async for chunk in response.content.iter_chunked(READ_BYTES):
             size_bytes += len(chunk)
+            exchange.received_bytes += len(chunk)
             if size_bytes > self._limits.answer_bytes:
                 raise AnswerTooLargeError('the answer is too large')
             chunks.append(chunk)
-        exchange.received_bytes += size_bytes
         return b''.join(chunks)
 
     def _lane(self, exchange: Exchange) -> Lane:
@@ -325,7 +355,7 @@
         case aiohttp.SocketTimeoutError():
             return reasons.Reason.SILENT
         case aiohttp.ConnectionTimeoutError():
-            return reasons.Reason.NO_FREE_CONNECTION
+            return reasons.Reason.NO_CONNECTION_IN_TIME
         case aiohttp.ClientConnectorError():
             return reasons.Reason.UNREACHABLE
         case aiohttp.ClientPayloadError():
--- a/sycamorebeam/clients/reasons.py
+++ b/sycamorebeam/clients/reasons.py
@@ -8,7 +8,7 @@
 
     DEADLINE = 'the deadline passed'
     UNREACHABLE = 'no connection'
-    NO_FREE_CONNECTION = 'no connection in time'
+    NO_CONNECTION_IN_TIME = 'no connection in time'
     CLOSED = 'the connection closed before an answer'
     SILENT = 'the connection went silent'
     ENDED_EARLY = 'the answer ended early'
--- a/sycamorebeam/clients/targets.py
+++ b/sycamorebeam/clients/targets.py
@@ -33,10 +33,13 @@
     """Implements ``ports.TargetClient`` over HTTP."""
 
     def __init__(
-        self, clock: clock_module.Clock, settings: TargetSettings
+        self,
+        clock: clock_module.Clock,
+        settings: TargetSettings,
+        on_bytes: http.OnBytes | None = None,
     ) -> None:
         self._clock = clock
-        self._http = http.Http(clock, settings.limits)
+        self._http = http.Http(clock, settings.limits, on_bytes)
         self._canceller = cancels.Canceller(self._http)
         calls = plain.PlainClient(self._http, self._canceller, settings.calls)
         self._engines = engine.EngineClient(
@@ -97,10 +100,16 @@
 
 
 def new_targets(
-    clock: clock_module.Clock, settings: TargetSettings | None = None
+    clock: clock_module.Clock,
+    settings: TargetSettings | None = None,
+    on_bytes: http.OnBytes | None = None,
 ) -> HttpTargets:
-    """Return a client of targets; close it when done."""
-    return HttpTargets(clock, settings or TargetSettings())
+    """Return a client of targets; close it when done.
+
+    ``on_bytes`` is told the address, sent and received bytes of each
+    exchange, also of those that failed, cancelled or only asked.
+    """
+    return HttpTargets(clock, settings or TargetSettings(), on_bytes)
 
 
 def _load_report(
--- a/sycamorebeam/standins/engine.py
+++ b/sycamorebeam/standins/engine.py
@@ -30,6 +30,17 @@
     fence: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class StreamShape:
+    """How one stream of tokens differs from a correct one."""
+
+    id: str
+    lost: int | None
+    doubled: bool
+    shuffled: bool
+    babble: bool
+
+
 class Engine(replica.Replica):
     """An engine replica that streams a text made from the prompt."""
 
@@ -129,9 +140,7 @@
     async def _events(
         self, generation: batch.Generation, start: int, stop: int
     ) -> AsyncIterator[bytes]:
-        twice = self.faults.take('doubled')
-        shuffled = self.faults.take('shuffled')
-        call_id = self.echo(generation.id)
+        shape = self._take_shape(generation, start, stop)
         held = b''
         async for item in generation.read(start, BEAT_MS):
             if item is None:
@@ -140,14 +149,30 @@
             index, text = item
             if index >= stop:
                 return
-            event = _event('token', {'id': call_id, 'i': index, 'text': text})
-            if shuffled and index % 2 == 0 and index + 1 < stop:
+            if index == shape.lost:
+                continue
+            event = _token(shape.id, index, text)
+            if shape.shuffled and index % 2 == 0 and index + 1 < stop:
                 held = event
                 continue
-            yield event + held + (event if twice else b'')
+            yield event + held + (event if shape.doubled else b'')
             held = b''
-        if held:
-            yield held
+        yield held
+        if shape.babble:
+            yield _token(shape.id, generation.max_tokens, 'more')
+
+    def _take_shape(
+        self, generation: batch.Generation, start: int, stop: int
+    ) -> StreamShape:
+        last = min(stop, generation.max_tokens)
+        middle = (start + last) // 2
+        return StreamShape(
+            id=self.echo(generation.id),
+            lost=middle if self.faults.take('gap') else None,
+            doubled=self.faults.take('doubled'),
+            shuffled=self.faults.take('shuffled'),
+            babble=self.faults.take('babble'),
+        )
 
     def _end(self, generation: batch.Generation) -> bytes:
         digest = generation.digest
@@ -234,6 +259,10 @@
         ) from error
 
 
+def _token(call_id: str, index: int, text: str) -> bytes:
+    return _event('token', {'id': call_id, 'i': index, 'text': text})
+
+
 def _event(name: str, data: dict[str, object]) -> bytes:
     text = json.dumps(data, ensure_ascii=False, separators=(',', ':'))
     return f'event: {name}\ndata: {text}\n\n'.encode()
--- a/sycamorebeam/standins/faults.py
+++ b/sycamorebeam/standins/faults.py
@@ -29,6 +29,8 @@
     doubled: int = 0
     doubled_after_ms: float = 0
     shuffled: int = 0
+    gap: int = 0
+    babble: int = 0
     refuse: int = 0
     silent: int = 0
     stall: int = 0
--- a/sycamorebeam/standins/replica.py
+++ b/sycamorebeam/standins/replica.py
@@ -107,7 +107,8 @@
     def not_run(self, call_id: str) -> web.Response:
         """Return the answer that says that nothing ran."""
         headers = self.headers() | {'Not-Run': '1'}
-        return web.json_response({'id': call_id}, status=503, headers=headers)
+        refusal = {'id': self.echo(call_id)}
+        return web.json_response(refusal, status=503, headers=headers)
 
     def headers(self) -> dict[str, str]:
         """Return the headers of any answer."""
--- a/tests/target_case.py
+++ b/tests/target_case.py
@@ -39,6 +39,7 @@
     server: target.TargetServer
     given: list = attrs.field(factory=list)
     take: object = None
+    bytes: list = attrs.field(factory=list)
 
     @property
     def runs(self):
@@ -71,12 +72,15 @@
 
 @contextlib.asynccontextmanager
 async def stand(kind, settings=QUICK, **options):
-    client = targets.new_targets(CLOCK, settings)
+    moved = []
+    client = targets.new_targets(
+        CLOCK, settings, lambda _, *counts: moved.append(counts)
+    )
     server = await target.start_target(
         kind, options=replica.TargetOptions(**options)
     )
     try:
-        yield Stand(kind, client, server)
+        yield Stand(kind, client, server, bytes=moved)
     finally:
         await client.close()
         await server.close()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -132,7 +132,7 @@
             ]
             found = await asyncio.gather(*calls)
             refused = http.HttpFailure(
-                reasons.Reason.NO_FREE_CONNECTION, sent=False
+                reasons.Reason.NO_CONNECTION_IN_TIME, sent=False
             )
             self.assertEqual(3, found.count(refused))
             self.assertEqual((2, 2), (served.most, len(served.requests)))
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -20,6 +20,16 @@
 FAULTS = [
     ('none', {}, (case.ENGINE, *PLAIN), ANSWER, None, 1),
     ('refuse', {}, (case.ENGINE, *PLAIN), NOT_RUN, Reason.REFUSED, 0),
+    ('refuse', {'wrong_id': 1}, PLAIN, MAYBE_RUN, Reason.WRONG_ID, 0),
+    (
+        'refuse',
+        {'wrong_id': 1},
+        (case.ENGINE,),
+        MAYBE_RUN,
+        Reason.NOT_FOUND,
+        0,
+    ),
+    ('gap', {}, (case.ENGINE,), ANSWER, None, 1),
     ('errors', {}, (case.ENGINE, *PLAIN), MAYBE_RUN, Reason.FAILED, 1),
     ('wrong_digest', {}, PLAIN, MAYBE_RUN, Reason.WRONG_DIGEST, 1),
     ('wrong_digest', {}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_DIGEST, 1),
@@ -28,7 +38,9 @@
     ('wrong_id', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_ID, 1),
     ('early_end', {}, PLAIN, MAYBE_RUN, Reason.ENDED_EARLY, 1),
     ('early_end', {}, (case.ENGINE,), ANSWER, None, 1),
-    ('early_end', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('early_end', {'n': 99}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('early_end', {'n': 3}, (case.ENGINE,), ANSWER, None, 1),
+    ('babble', {}, (case.ENGINE,), MAYBE_RUN, Reason.MALFORMED, 1),
     ('hang', {}, PLAIN, MAYBE_RUN, Reason.DEADLINE, 1),
     ('hang', {}, (case.ENGINE,), ANSWER, None, 1),
     ('late', {'late_by_ms': 100}, PLAIN, ANSWER, None, 1),
@@ -116,6 +128,9 @@
     async def test_counts_bytes(self, kind):
         async with case.stand(kind) as stand:
             found = await stand.call()
+            self.assertEqual(
+                [(found.sent_bytes, found.received_bytes)], stand.bytes
+            )
             self.assertGreater(found.sent_bytes, len('prompt of a1'))
             self.assertGreater(found.received_bytes, len(str(found.output)))
 
@@ -148,6 +163,27 @@
             await case.until(lambda: stand.runs.cancels == 1)
             self.assertEqual(0, stand.client.resumes)
 
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_counts_bytes_of_failure(self, kind):
+        async with case.stand(kind) as stand:
+            stand.faults.errors = 1
+            await stand.call()
+            sent_bytes, received_bytes = stand.bytes[0]
+            self.assertGreater(sent_bytes, len('prompt of a1'))
+            self.assertGreater(received_bytes, len('HTTP/1.1 500'))
+
+    async def test_deadline_ends_stream(self):
+        async with case.stand(case.ENGINE, token_ms=50) as stand:
+            started_ms = case.CLOCK.monotonic_ms()
+            found = await stand.call(deadline_ms=200)
+            took_ms = case.CLOCK.monotonic_ms() - started_ms
+            self.assertThat(found.reason, matchers.StartsWith(Reason.DEADLINE))
+            self.assertTrue(190 <= took_ms < 300, took_ms)
+            await case.until(lambda: stand.runs.cancels == 1)
+            await case.until(
+                lambda: stand.runs.of_id('a1')[0].state.value == 'cancelled'
+            )
+
     async def test_silence_ends_reuse(self):
         # The second call must not wait on an idle silent connection.
         async with case.stand(case.SERVICE) as stand:
