Ask targets within bounds whether they still work on a call

Cause: with one question at a time to a target, many calls on silent connections would have waited on each other's turn; and no test saw that idle connections are left alone after one went silent. Change: up to four questions a target, and a failed one speaks for those that waited behind it. The stand-in can silence all open connections. Exchanges and the connector are modules of their own.

--- a/sycamorebeam/clients/cancels.py
+++ b/sycamorebeam/clients/cancels.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import results
 
@@ -13,8 +14,8 @@
 class Canceller:
     """Sends DELETE calls that nobody waits for."""
 
-    def __init__(self, exchanges: http.Http) -> None:
-        self._http = exchanges
+    def __init__(self, client: http.Http) -> None:
+        self._http = client
         self._tasks: set[asyncio.Task[object]] = set()
         self._dropped = 0
 
@@ -28,12 +29,12 @@
         if len(self._tasks) >= CANCELS_AT_ONCE:
             self._dropped += 1
             return
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='DELETE',
             address=replica.address,
             path=path,
             deadline=clock_module.deadline_in(self._http.clock, TIMEOUT_MS),
-            lane=http.Lane.FRESH,
+            lane=exchanges.Lane.FRESH,
         )
         task: asyncio.Task[object] = asyncio.create_task(
             self._http.fetch(exchange)
--- a/sycamorebeam/clients/engine.py
+++ b/sycamorebeam/clients/engine.py
@@ -9,6 +9,7 @@
 
 from sycamorebeam import errors
 from sycamorebeam.clients import cancels
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import plain
 from sycamorebeam.clients import ports
@@ -76,11 +77,11 @@
 
     def __init__(
         self,
-        exchanges: http.Http,
+        client: http.Http,
         canceller: cancels.Canceller,
         settings: StreamSettings,
     ) -> None:
-        self._http = exchanges
+        self._http = client
         self._canceller = canceller
         self._settings = settings
         self._resumes = 0
@@ -135,7 +136,9 @@
             exchange = self._resume(generation)
         return results.TargetMaybeRun(_incomplete(generation, reason))
 
-    def _first(self, generation: Generation, prompt: str) -> http.Exchange:
+    def _first(
+        self, generation: Generation, prompt: str
+    ) -> exchanges.Exchange:
         attempt = generation.attempt
         body = {
             'id': attempt.id,
@@ -147,21 +150,21 @@
         lane = plain.lane_of(attempt)
         return self._exchange(generation, '/v1/generate', body, lane)
 
-    def _resume(self, generation: Generation) -> http.Exchange:
+    def _resume(self, generation: Generation) -> exchanges.Exchange:
         self._resumes += 1
         attempt_id = generation.attempt.id
         body = {'id': attempt_id, 'from': generation.table.next}
         path = f'/v1/generate/{attempt_id}/resume'
-        return self._exchange(generation, path, body, http.Lane.FRESH)
+        return self._exchange(generation, path, body, exchanges.Lane.FRESH)
 
     def _exchange(
         self,
         generation: Generation,
         path: str,
         body: dict[str, Any],
-        lane: http.Lane,
-    ) -> http.Exchange:
-        return http.Exchange(
+        lane: exchanges.Lane,
+    ) -> exchanges.Exchange:
+        return exchanges.Exchange(
             method='POST',
             address=generation.replica.address,
             path=path,
@@ -172,7 +175,7 @@
         )
 
     async def _stream(
-        self, generation: Generation, exchange: http.Exchange
+        self, generation: Generation, exchange: exchanges.Exchange
     ) -> Ending:
         remaining_ms = exchange.deadline.remaining_ms(self._http.clock)
         if not remaining_ms:
@@ -180,7 +183,7 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 return await self._receive(generation, exchange)
-        except http.FAILURES as error:
+        except exchanges.FAILURES as error:
             return Broken(self._http.failure(exchange, error).reason)
         except errors.PlatformError:
             return Broken(reasons.Reason.MALFORMED)
@@ -191,11 +194,11 @@
             self._http.account(exchange)
 
     async def _receive(
-        self, generation: Generation, exchange: http.Exchange
+        self, generation: Generation, exchange: exchanges.Exchange
     ) -> Ending:
         response = await self._http.send(exchange)
         try:
-            generation.draining |= http.is_draining(response)
+            generation.draining |= exchanges.is_draining(response)
             if response.status != 200:
                 return await _refusal(generation, response)
             limit_bytes = self._http.limits.answer_bytes
@@ -214,7 +217,7 @@
     generation: Generation, response: aiohttp.ClientResponse
 ) -> Ending:
     body = await response.content.read(http.READ_BYTES)
-    same_id = plain.parse(body).get('id') == generation.attempt.id
+    same_id = exchanges.parse(body).get('id') == generation.attempt.id
     not_run = response.headers.get('Not-Run') == '1'
     first = not generation.sent
     match response.status:
@@ -234,7 +237,7 @@
 
 async def _read_events(
     generation: Generation,
-    exchange: http.Exchange,
+    exchange: exchanges.Exchange,
     response: aiohttp.ClientResponse,
     limit_bytes: int,
 ) -> Ending:
@@ -251,7 +254,7 @@
 
 
 async def _take(generation: Generation, event: sse.Event) -> Ending | None:
-    data = plain.parse(event.data)
+    data = exchanges.parse(event.data)
     if data.get('id') != generation.attempt.id:
         return Broken(reasons.Reason.WRONG_ID)
     match event.name:
--- a/sycamorebeam/clients/http.py
+++ b/sycamorebeam/clients/http.py
@@ -7,22 +7,18 @@
 
 import asyncio
 from collections.abc import Callable
-import contextvars
-import enum
-from typing import Any
 
 import aiohttp
 import attrs
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import oneshot
 from sycamorebeam.clients import reasons
 
 READ_BYTES = 65_536
 SUSPECTS_KEPT = 4_096
 NO_CEILING_S = float('inf')
-# Spaces, version and line end of a request line, and the empty line after
-# the headers.
-LINE_BYTES = 14
 
 
 @attrs.frozen(kw_only=True)
@@ -44,92 +40,9 @@
     answer_bytes: int = 8_388_608
 
 
-class Lane(enum.Enum):
-    """Which connection an exchange takes."""
-
-    POOLED = 'pooled'
-    FRESH = 'fresh'
-
-
-@attrs.define(kw_only=True)
-class Exchange:
-    """One request, and what became of it on the wire.
-
-    ``connected`` turns true right before the first byte is sent: an
-    exchange that fails with it false sent nothing. ``sent_bytes`` and
-    ``received_bytes`` count headers and bodies. Without ``silence_ms`` the
-    answer may take until the deadline.
-    """
-
-    method: str
-    address: str
-    path: str
-    deadline: clock_module.Deadline
-    body: bytes | None = None
-    lane: Lane = Lane.POOLED
-    silence_ms: int | None = None
-    connected: bool = False
-    silent: bool = False
-    sent_bytes: int = 0
-    received_bytes: int = 0
-
-
-@attrs.frozen
-class HttpReply:
-    """A whole answer."""
-
-    status: int
-    body: bytes
-    not_run: bool
-    draining: bool
-    request_id: str | None
-
-
-@attrs.frozen
-class HttpFailure:
-    """No whole answer; ``sent`` says whether anything may have arrived."""
-
-    reason: reasons.Reason
-    sent: bool
-    request_id: str | None = None
-
-
 OnBytes = Callable[[str, int, int], None]
 
 
-class HiddenRetryError(aiohttp.ClientError):
-    """The library tried to send an exchange a second time."""
-
-
-class AnswerTooLargeError(aiohttp.ClientError):
-    """The answer has more bytes than the limit."""
-
-
-FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
-
-_current: contextvars.ContextVar[Exchange] = contextvars.ContextVar('exchange')
-
-
-class OneShotConnector(aiohttp.TCPConnector):
-    """Gives each exchange one connection at most.
-
-    The library sends a GET or DELETE again when a kept-alive connection
-    drops; here the second try ends with HiddenRetryError.
-    """
-
-    async def connect(
-        self, req: Any, traces: Any, timeout: Any
-    ) -> aiohttp.connector.Connection:
-        """Return a connection and note that the exchange has it."""
-        exchange = _current.get()
-        if exchange.connected:
-            raise HiddenRetryError(f'{exchange.method} was sent before')
-        connection = await super().connect(req, traces, timeout)
-        exchange.connected = True
-        exchange.sent_bytes += _head_bytes(req) + len(exchange.body or b'')
-        return connection
-
-
 class Http:
     """Sends exchanges over bounded sets of connections.
 
@@ -146,7 +59,7 @@
         self._clock = clock
         self._limits = limits
         self._on_bytes = on_bytes
-        self._sessions: dict[Lane, aiohttp.ClientSession] = {}
+        self._sessions: dict[exchanges.Lane, aiohttp.ClientSession] = {}
         self._suspects: dict[str, int] = {}
         self._silent_connections = 0
         self._closed = False
@@ -173,8 +86,10 @@
             await session.close()
 
     async def fetch(
-        self, exchange: Exchange, scope: asyncio.Timeout | None = None
-    ) -> HttpReply | HttpFailure:
+        self,
+        exchange: exchanges.Exchange,
+        scope: asyncio.Timeout | None = None,
+    ) -> exchanges.HttpReply | exchanges.HttpFailure:
         """Return the whole answer to ``exchange``, or how it failed.
 
         ``scope`` is a timeout, not yet entered, by which a watch can end
@@ -190,13 +105,13 @@
                     body = await self._read(exchange, response)
                 finally:
                     response.close()
-        except FAILURES as error:
+        except exchanges.FAILURES as error:
             return self.failure(exchange, error, request_id)
         finally:
             self.account(exchange)
-        return _reply(response, body)
+        return exchanges.reply_of(response, body)
 
-    def account(self, exchange: Exchange) -> None:
+    def account(self, exchange: exchanges.Exchange) -> None:
         """Report the bytes of an exchange that has ended."""
         if self._on_bytes is None or not exchange.connected:
             return
@@ -204,15 +119,17 @@
             exchange.address, exchange.sent_bytes, exchange.received_bytes
         )
 
-    async def send(self, exchange: Exchange) -> aiohttp.ClientResponse:
+    async def send(
+        self, exchange: exchanges.Exchange
+    ) -> aiohttp.ClientResponse:
         """Send ``exchange`` and return the answer's head.
 
         The deadline, closing the response and ``account`` are left to the
         caller.
-        Raises one of FAILURES, which ``failure`` turns into a value.
+        Raises one of exchanges.FAILURES, which ``failure`` turns into a value.
         """
         session = self._session(self._lane(exchange))
-        token = _current.set(exchange)
+        token = oneshot.current.set(exchange)
         try:
             response = await session.request(
                 exchange.method,
@@ -223,7 +140,7 @@
                 allow_redirects=False,
             )
         finally:
-            _current.reset(token)
+            oneshot.current.reset(token)
         exchange.received_bytes += sum(
             len(name) + len(value) + 4 for name, value in response.raw_headers
         )
@@ -231,18 +148,18 @@
 
     def failure(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         error: BaseException,
         request_id: str | None = None,
-    ) -> HttpFailure:
+    ) -> exchanges.HttpFailure:
         """Return what ``error`` says about ``exchange``."""
-        reason = _reason(exchange, error)
+        reason = exchanges.reason_of(exchange, error)
         if reason is reasons.Reason.SILENT:
             self._note_silent(exchange.address)
-        return HttpFailure(reason, exchange.connected, request_id)
+        return exchanges.HttpFailure(reason, exchange.connected, request_id)
 
     async def _read(
-        self, exchange: Exchange, response: aiohttp.ClientResponse
+        self, exchange: exchanges.Exchange, response: aiohttp.ClientResponse
     ) -> bytes:
         chunks = []
         size_bytes = 0
@@ -250,16 +167,16 @@
             size_bytes += len(chunk)
             exchange.received_bytes += len(chunk)
             if size_bytes > self._limits.answer_bytes:
-                raise AnswerTooLargeError('the answer is too large')
+                raise exchanges.AnswerTooLargeError('the answer is too large')
             chunks.append(chunk)
         return b''.join(chunks)
 
-    def _lane(self, exchange: Exchange) -> Lane:
+    def _lane(self, exchange: exchanges.Exchange) -> exchanges.Lane:
         until_ms = self._suspects.get(exchange.address)
         if until_ms is None:
             return exchange.lane
         if self._clock.monotonic_ms() < until_ms:
-            return Lane.FRESH
+            return exchanges.Lane.FRESH
         del self._suspects[exchange.address]
         return exchange.lane
 
@@ -272,7 +189,7 @@
         now_ms = self._clock.monotonic_ms()
         self._suspects[address] = now_ms + self._limits.idle_age_ms
 
-    def _session(self, lane: Lane) -> aiohttp.ClientSession:
+    def _session(self, lane: exchanges.Lane) -> aiohttp.ClientSession:
         if self._closed:
             raise aiohttp.ClientConnectionError('the client is closed')
         if lane not in self._sessions:
@@ -284,31 +201,31 @@
             )
         return self._sessions[lane]
 
-    def _connector(self, lane: Lane) -> OneShotConnector:
+    def _connector(self, lane: exchanges.Lane) -> oneshot.OneShotConnector:
         match lane:
-            case Lane.POOLED:
-                return OneShotConnector(
+            case exchanges.Lane.POOLED:
+                return oneshot.OneShotConnector(
                     limit=self._limits.connections,
                     limit_per_host=self._limits.connections_per_target,
                     keepalive_timeout=self._limits.idle_age_ms / 1000,
                     timeout_ceil_threshold=NO_CEILING_S,
                 )
-            case Lane.FRESH:
-                return OneShotConnector(
+            case exchanges.Lane.FRESH:
+                return oneshot.OneShotConnector(
                     limit=self._limits.fresh_connections,
                     limit_per_host=self._limits.connections_per_target,
                     force_close=True,
                     timeout_ceil_threshold=NO_CEILING_S,
                 )
 
-    def _headers(self, exchange: Exchange) -> dict[str, str]:
+    def _headers(self, exchange: exchanges.Exchange) -> dict[str, str]:
         remaining_ms = exchange.deadline.remaining_ms(self._clock)
         headers = {'Deadline-Ms': str(remaining_ms)}
         if exchange.body is not None:
             headers['Content-Type'] = 'application/json'
         return headers
 
-    def _timeout(self, exchange: Exchange) -> aiohttp.ClientTimeout:
+    def _timeout(self, exchange: exchanges.Exchange) -> aiohttp.ClientTimeout:
         silence_ms = exchange.silence_ms
         return aiohttp.ClientTimeout(
             total=None,
@@ -318,51 +235,6 @@
             ceil_threshold=NO_CEILING_S,
         )
 
-    def _deadline_s(self, exchange: Exchange) -> float:
+    def _deadline_s(self, exchange: exchanges.Exchange) -> float:
         remaining_ms = exchange.deadline.remaining_ms(self._clock)
         return asyncio.get_running_loop().time() + remaining_ms / 1000
-
-
-def _head_bytes(request: Any) -> int:
-    size = len(request.method) + len(request.url.raw_path_qs) + LINE_BYTES
-    for name, value in request.headers.items():
-        size += len(name) + len(value) + 4
-    return size
-
-
-def _reply(response: aiohttp.ClientResponse, body: bytes) -> HttpReply:
-    headers = response.headers
-    return HttpReply(
-        status=response.status,
-        body=body,
-        not_run=headers.get('Not-Run') == '1',
-        draining=is_draining(response),
-        request_id=headers.get('Request-Id'),
-    )
-
-
-def is_draining(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the target says that it is leaving."""
-    return response.headers.get('Draining') == '1'
-
-
-def _reason(exchange: Exchange, error: BaseException) -> reasons.Reason:
-    if exchange.silent:
-        return reasons.Reason.SILENT
-    match error:
-        case AnswerTooLargeError():
-            return reasons.Reason.TOO_LARGE
-        case aiohttp.SocketTimeoutError():
-            return reasons.Reason.SILENT
-        case aiohttp.ConnectionTimeoutError():
-            return reasons.Reason.NO_CONNECTION_IN_TIME
-        case aiohttp.ClientConnectorError():
-            return reasons.Reason.UNREACHABLE
-        case aiohttp.ClientPayloadError():
-            return reasons.Reason.ENDED_EARLY
-        case TimeoutError():
-            return reasons.Reason.DEADLINE
-        case OSError() | HiddenRetryError() | aiohttp.ClientConnectionError():
-            return reasons.Reason.CLOSED
-        case _:
-            return reasons.Reason.MALFORMED
--- a/sycamorebeam/clients/instances.py
+++ b/sycamorebeam/clients/instances.py
@@ -5,8 +5,8 @@
 import attrs
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
-from sycamorebeam.clients import plain
 from sycamorebeam.clients import reasons
 from sycamorebeam.clients import results
 
@@ -45,18 +45,18 @@
         """Return the list, at once or when it is newer than a version."""
         query = f'after={after_version}&wait_ms={wait_ms}'
         limit_ms = wait_ms + ANSWER_TIMEOUT_MS
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='GET',
             address=self._address,
             path=f'/v1/instances?{query}',
             deadline=clock_module.deadline_in(self._clock, limit_ms),
         )
         reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure):
+        if isinstance(reply, exchanges.HttpFailure):
             return InstancesUnavailable(reply.reason)
         if reply.status != 200:
             return InstancesUnavailable(f'status {reply.status}')
-        return _page(plain.parse(reply.body))
+        return _page(exchanges.parse(reply.body))
 
     async def close(self) -> None:
         """Close the connections."""
--- /dev/null
+++ b/sycamorebeam/clients/oneshot.py
@@ -0,0 +1,48 @@
+"""Connections of which each exchange gets one at most."""
+
+import contextvars
+from typing import Any
+
+import aiohttp
+
+from sycamorebeam.clients import exchanges
+
+# Spaces, version and line end of a request line, and the empty line after
+# the headers.
+LINE_BYTES = 14
+
+# The exchange that the running task is about to send.
+current: contextvars.ContextVar[exchanges.Exchange] = contextvars.ContextVar(
+    'exchange'
+)
+
+
+class HiddenRetryError(aiohttp.ClientConnectionError):
+    """The library tried to send an exchange a second time."""
+
+
+class OneShotConnector(aiohttp.TCPConnector):
+    """Gives each exchange one connection at most.
+
+    The library sends a GET or DELETE again when a kept-alive connection
+    drops; here the second try ends with HiddenRetryError.
+    """
+
+    async def connect(
+        self, req: Any, traces: Any, timeout: Any
+    ) -> aiohttp.connector.Connection:
+        """Return a connection and note that the exchange has it."""
+        exchange = current.get()
+        if exchange.connected:
+            raise HiddenRetryError(f'{exchange.method} was sent before')
+        connection = await super().connect(req, traces, timeout)
+        exchange.connected = True
+        exchange.sent_bytes += _head_bytes(req) + len(exchange.body or b'')
+        return connection
+
+
+def _head_bytes(request: Any) -> int:
+    size = len(request.method) + len(request.url.raw_path_qs) + LINE_BYTES
+    for name, value in request.headers.items():
+        size += len(name) + len(value) + 4
+    return size
--- a/sycamorebeam/clients/orders.py
+++ b/sycamorebeam/clients/orders.py
@@ -6,8 +6,8 @@
 import attrs
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
-from sycamorebeam.clients import plain
 from sycamorebeam.clients import reasons
 from sycamorebeam.clients import results
 
@@ -88,8 +88,8 @@
 class OrderClient:
     """Orders and questions to engine replicas."""
 
-    def __init__(self, exchanges: http.Http) -> None:
-        self._http = exchanges
+    def __init__(self, client: http.Http) -> None:
+        self._http = client
 
     async def order(
         self,
@@ -98,16 +98,16 @@
         deadline: clock_module.Deadline,
     ) -> OrderResult:
         """Send ``order`` once, on a fresh connection."""
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='POST',
             address=replica.address,
             path='/v1/orders',
             deadline=deadline,
             body=json.dumps(attrs.asdict(order)).encode(),
-            lane=http.Lane.FRESH,
+            lane=exchanges.Lane.FRESH,
         )
         reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure):
+        if isinstance(reply, exchanges.HttpFailure):
             return _failed(reply)
         return _order_result(order, reply)
 
@@ -136,31 +136,33 @@
         self, replica: results.Replica, path: str
     ) -> dict[str, Any] | StateUnavailable:
         deadline = clock_module.deadline_in(self._http.clock, READ_TIMEOUT_MS)
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='GET',
             address=replica.address,
             path=path,
             deadline=deadline,
-            lane=http.Lane.FRESH,
+            lane=exchanges.Lane.FRESH,
         )
         reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure):
+        if isinstance(reply, exchanges.HttpFailure):
             return StateUnavailable(reply.reason)
         if reply.status != 200:
             return StateUnavailable(reasons.Reason.FAILED)
-        return plain.parse(reply.body)
+        return exchanges.parse(reply.body)
 
 
 def _failed(
-    failure: http.HttpFailure,
+    failure: exchanges.HttpFailure,
 ) -> results.TargetNotRun | results.TargetMaybeRun:
     if not failure.sent:
         return results.TargetNotRun(failure.reason)
     return results.TargetMaybeRun(failure.reason)
 
 
-def _order_result(order: EngineOrder, reply: http.HttpReply) -> OrderResult:
-    answer = plain.parse(reply.body)
+def _order_result(
+    order: EngineOrder, reply: exchanges.HttpReply
+) -> OrderResult:
+    answer = exchanges.parse(reply.body)
     if answer.get('id', order.id) != order.id:
         return results.TargetMaybeRun(reasons.Reason.WRONG_ID)
     if reply.status == 409 and isinstance(answer.get('fence'), int):
--- a/sycamorebeam/clients/plain.py
+++ b/sycamorebeam/clients/plain.py
@@ -5,32 +5,30 @@
 import json
 from typing import Any
 
-from sycamorebeam import clock as clock_module
 from sycamorebeam import hashing
 from sycamorebeam.clients import cancels
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import ports
+from sycamorebeam.clients import probes
 from sycamorebeam.clients import reasons
 from sycamorebeam.clients import results
 from sycamorebeam.clients import watch
 
-PROBE_TIMEOUT_MS = 1_000
-PROBES_AT_ONCE = 32
-
 
 class PlainClient:
     """Sends one call and verifies its answer."""
 
     def __init__(
         self,
-        exchanges: http.Http,
+        client: http.Http,
         canceller: cancels.Canceller,
         settings: watch.WatchSettings,
     ) -> None:
-        self._http = exchanges
+        self._http = client
         self._canceller = canceller
         self._settings = settings
-        self._probes: set[str] = set()
+        self._prober = probes.Prober(client)
 
     async def call(
         self,
@@ -40,7 +38,7 @@
         body: dict[str, Any],
     ) -> results.TargetResult:
         """Send ``body`` to ``path`` and return what came of it."""
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='POST',
             address=replica.address,
             path=path,
@@ -55,27 +53,27 @@
                 self._cancel(replica, attempt)
             raise
         match reply:
-            case http.HttpFailure(sent=True):
+            case exchanges.HttpFailure(sent=True):
                 self._cancel(replica, attempt)
                 return failed(reply)
-            case http.HttpFailure():
+            case exchanges.HttpFailure():
                 return failed(reply)
-            case http.HttpReply():
+            case exchanges.HttpReply():
                 return verify(attempt, exchange, reply)
 
     async def _fetch(
         self,
         replica: results.Replica,
         attempt: ports.Attempt,
-        exchange: http.Exchange,
-    ) -> http.HttpReply | http.HttpFailure:
+        exchange: exchanges.Exchange,
+    ) -> exchanges.HttpReply | exchanges.HttpFailure:
         if not attempt.deadline.remaining_ms(self._http.clock):
-            return http.HttpFailure(reasons.Reason.DEADLINE, sent=False)
+            return exchanges.HttpFailure(reasons.Reason.DEADLINE, sent=False)
         scope = asyncio.timeout(None)
         calls = watch.CallWatch(
             self._http.clock,
             self._settings,
-            lambda: self._probe(replica, attempt),
+            lambda: self._prober.ask(replica, attempt.id),
             _expire(exchange, scope),
         )
         try:
@@ -83,45 +81,6 @@
         finally:
             calls.stop()
 
-    async def _probe(
-        self, replica: results.Replica, attempt: ports.Attempt
-    ) -> watch.CallState:
-        # One probe for each target at a time: slow targets get no more load.
-        busy = replica.address in self._probes
-        if busy or len(self._probes) >= PROBES_AT_ONCE:
-            return watch.CallState.RUNNING
-        self._probes.add(replica.address)
-        try:
-            return await self._ask(replica, attempt)
-        finally:
-            self._probes.discard(replica.address)
-
-    async def _ask(
-        self, replica: results.Replica, attempt: ports.Attempt
-    ) -> watch.CallState:
-        exchange = http.Exchange(
-            method='GET',
-            address=replica.address,
-            path=f'/v1/calls/{attempt.id}',
-            deadline=clock_module.deadline_in(
-                self._http.clock, PROBE_TIMEOUT_MS
-            ),
-            lane=http.Lane.FRESH,
-        )
-        reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure):
-            return watch.CallState.UNREACHABLE
-        answer = parse(reply.body)
-        if reply.status != 200 or answer.get('id') != attempt.id:
-            return watch.CallState.UNSUPPORTED
-        match answer.get('state'):
-            case 'running':
-                return watch.CallState.RUNNING
-            case 'none':
-                return watch.CallState.NONE
-            case _:
-                return watch.CallState.UNSUPPORTED
-
     def _cancel(
         self, replica: results.Replica, attempt: ports.Attempt
     ) -> None:
@@ -129,7 +88,7 @@
 
 
 def _expire(
-    exchange: http.Exchange, scope: asyncio.Timeout
+    exchange: exchanges.Exchange, scope: asyncio.Timeout
 ) -> Callable[[], None]:
     def expire() -> None:
         exchange.silent = True
@@ -138,34 +97,27 @@
     return expire
 
 
-def lane_of(attempt: ports.Attempt) -> http.Lane:
+def lane_of(attempt: ports.Attempt) -> exchanges.Lane:
     """Return the lane for the first exchange of ``attempt``."""
     if attempt.fresh_connection:
-        return http.Lane.FRESH
-    return http.Lane.POOLED
+        return exchanges.Lane.FRESH
+    return exchanges.Lane.POOLED
 
 
-def failed(failure: http.HttpFailure) -> results.TargetResult:
+def failed(failure: exchanges.HttpFailure) -> results.TargetResult:
     """Return what a failed exchange says about its attempt."""
     if not failure.sent:
         return results.TargetNotRun(failure.reason)
     return results.TargetMaybeRun(failure.reason, failure.request_id)
 
 
-def parse(body: bytes) -> dict[str, Any]:
-    """Return the JSON object in ``body``, an empty one if there is none."""
-    try:
-        value = json.loads(body)
-    except ValueError:
-        return {}
-    return value if isinstance(value, dict) else {}
-
-
 def verify(
-    attempt: ports.Attempt, exchange: http.Exchange, reply: http.HttpReply
+    attempt: ports.Attempt,
+    exchange: exchanges.Exchange,
+    reply: exchanges.HttpReply,
 ) -> results.TargetResult:
     """Return the answer in ``reply`` if it is this attempt's and whole."""
-    answer = parse(reply.body)
+    answer = exchanges.parse(reply.body)
     if answer.get('id') != attempt.id:
         return results.TargetMaybeRun(_mismatch(reply, answer))
     if reply.status == 503 and reply.not_run:
@@ -187,7 +139,9 @@
     )
 
 
-def _mismatch(reply: http.HttpReply, answer: dict[str, Any]) -> reasons.Reason:
+def _mismatch(
+    reply: exchanges.HttpReply, answer: dict[str, Any]
+) -> reasons.Reason:
     if 'id' in answer:
         return reasons.Reason.WRONG_ID
     if reply.status != 200:
--- /dev/null
+++ b/sycamorebeam/clients/probes.py
@@ -0,0 +1,89 @@
+"""Asks targets whether they still work on a call, on fresh connections."""
+
+import asyncio
+
+import attrs
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import http
+from sycamorebeam.clients import results
+from sycamorebeam.clients import watch
+
+TIMEOUT_MS = 1_000
+PROBES_PER_TARGET = 4
+
+
+@attrs.define
+class _Target:
+    """The probes of one target; ``failed_ms`` is when the last one failed."""
+
+    slots: asyncio.Semaphore
+    users: int = 0
+    failed_ms: int = -1
+
+
+class Prober:
+    """Bounds the probes of each target, so that a slow one gets no storm.
+
+    A probe that could not reach its target speaks for those that waited
+    behind it.
+    """
+
+    def __init__(self, client: http.Http) -> None:
+        self._http = client
+        self._targets: dict[str, _Target] = {}
+
+    async def ask(
+        self, replica: results.Replica, attempt_id: str
+    ) -> watch.CallState:
+        """Return what ``replica`` says about a call."""
+        asked_ms = self._http.clock.monotonic_ms()
+        target = self._enter(replica.address)
+        try:
+            async with target.slots:
+                if target.failed_ms >= asked_ms:
+                    return watch.CallState.UNREACHABLE
+                state = await self._get(replica, attempt_id)
+                if state is watch.CallState.UNREACHABLE:
+                    target.failed_ms = self._http.clock.monotonic_ms()
+                return state
+        finally:
+            self._leave(replica.address)
+
+    def _enter(self, address: str) -> _Target:
+        if address not in self._targets:
+            slots = asyncio.Semaphore(PROBES_PER_TARGET)
+            self._targets[address] = _Target(slots)
+        self._targets[address].users += 1
+        return self._targets[address]
+
+    def _leave(self, address: str) -> None:
+        self._targets[address].users -= 1
+        if not self._targets[address].users:
+            del self._targets[address]
+
+    async def _get(
+        self, replica: results.Replica, attempt_id: str
+    ) -> watch.CallState:
+        clock = self._http.clock
+        exchange = exchanges.Exchange(
+            method='GET',
+            address=replica.address,
+            path=f'/v1/calls/{attempt_id}',
+            deadline=clock_module.deadline_in(clock, TIMEOUT_MS),
+            lane=exchanges.Lane.FRESH,
+        )
+        reply = await self._http.fetch(exchange)
+        if isinstance(reply, exchanges.HttpFailure):
+            return watch.CallState.UNREACHABLE
+        answer = exchanges.parse(reply.body)
+        if reply.status != 200 or answer.get('id') != attempt_id:
+            return watch.CallState.UNSUPPORTED
+        match answer.get('state'):
+            case 'running':
+                return watch.CallState.RUNNING
+            case 'none':
+                return watch.CallState.NONE
+            case _:
+                return watch.CallState.UNSUPPORTED
--- a/sycamorebeam/clients/targets.py
+++ b/sycamorebeam/clients/targets.py
@@ -8,6 +8,7 @@
 from sycamorebeam import clock as clock_module
 from sycamorebeam.clients import cancels
 from sycamorebeam.clients import engine
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import orders
 from sycamorebeam.clients import plain
@@ -81,7 +82,7 @@
 
     async def load(self, replica: results.Replica) -> ports.LoadReport | None:
         """Return the replica's load report, None when it gave none."""
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='GET',
             address=replica.address,
             path='/v1/load',
@@ -89,9 +90,9 @@
             silence_ms=LOAD_TIMEOUT_MS // 2,
         )
         reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure) or reply.status != 200:
+        if isinstance(reply, exchanges.HttpFailure) or reply.status != 200:
             return None
-        return _load_report(plain.parse(reply.body), reply.draining)
+        return _load_report(exchanges.parse(reply.body), reply.draining)
 
     async def close(self) -> None:
         """Wait for open cancels and close all connections."""
--- a/sycamorebeam/standins/replica.py
+++ b/sycamorebeam/standins/replica.py
@@ -84,6 +84,9 @@
     ) -> web.StreamResponse | None:
         """Count a call; return its answer when a fault ends it unrun."""
         self._runs.calls += 1
+        self._silent.note(request)
+        if self._faults.take('silent_all'):
+            self._silent.add_all()
         if self._faults.take('silent'):
             self._silent.add(request)
         if self._silent.holds(request):
--- a/sycamorebeam/standins/server.py
+++ b/sycamorebeam/standins/server.py
@@ -29,6 +29,11 @@
     address: str
     _runner: web.AppRunner
 
+    async def stop_listening(self) -> None:
+        """Refuse new connections, and keep those that are open."""
+        for site in list(self._runner.sites):
+            await site.stop()
+
     async def close(self) -> None:
         """Stop listening and drop what is still open."""
         await self._runner.cleanup()
--- a/sycamorebeam/standins/target.py
+++ b/sycamorebeam/standins/target.py
@@ -27,6 +27,10 @@
         """Where it listens, ``IP:port``."""
         return self._server.address
 
+    async def stop_listening(self) -> None:
+        """Refuse new connections, and keep those that are open."""
+        await self._server.stop_listening()
+
     async def close(self) -> None:
         """Stop the server."""
         await self._server.close()
