--- a/sycamorebeam/clients/plain.py
+++ b/sycamorebeam/clients/plain.py
@@ -91,6 +91,8 @@
     exchange: exchanges.Exchange, scope: asyncio.Timeout
 ) -> Callable[[], None]:
     def expire() -> None:
+        if scope.expired():
+            return
         exchange.silent = True
         scope.reschedule(asyncio.get_running_loop().time())
 
