--- a/tests/target_case.py
+++ b/tests/target_case.py
@@ -39,6 +39,7 @@
     server: target.TargetServer
     given: list = attrs.field(factory=list)
     take: object = None
+    bytes: list = attrs.field(factory=list)
 
     @property
     def runs(self):
@@ -53,11 +54,14 @@
         address = self.server.address
         return results.Replica('r1', 'group', address, 'zone', 'region')
 
-    async def call(self, attempt_id='a1', deadline_ms=2_000, **fields):
+    async def call(
+        self, attempt_id='a1', deadline_ms=2_000, prompt=None, **fields
+    ):
+        prompt = prompt or f'prompt of {attempt_id}'
         attempt = ports.Attempt(
             id=attempt_id,
             operation=OPERATIONS[self.kind],
-            input={'prompt': f'prompt of {attempt_id}', 'key': attempt_id},
+            input={'prompt': prompt, 'key': attempt_id},
             deadline=clock.deadline_in(CLOCK, deadline_ms),
             max_tokens=8,
             on_token=self.take or self._take,
@@ -71,12 +75,15 @@
 
 @contextlib.asynccontextmanager
 async def stand(kind, settings=QUICK, **options):
-    client = targets.new_targets(CLOCK, settings)
+    moved = []
+    client = targets.new_targets(
+        CLOCK, settings, lambda _, *counts: moved.append(counts)
+    )
     server = await target.start_target(
         kind, options=replica.TargetOptions(**options)
     )
     try:
-        yield Stand(kind, client, server)
+        yield Stand(kind, client, server, bytes=moved)
     finally:
         await client.close()
         await server.close()
