Check random histories of the catalogue, and publishing

Operators that race, followers that are cut off, lost and late appends, outages and retention meet in any order, so single cases are not enough.

A change's size falls to 250 edits, since the checks of one edit take about 0.2 ms and requests wait meanwhile. Peers' states are unpacked a chunk at a time for the same reason.

--- a/sycamorebeam/catalogue_checks.py
+++ b/sycamorebeam/catalogue_checks.py
@@ -38,10 +38,12 @@
 
 
 def _build(edit: catalogue_records.Edit) -> catalogue.AnyEntry | None:
-    kind, _ = entries.split_key(edit.key)
     if edit.value is None:
+        entries.split_key(edit.key)
         return None
-    return entries.from_plain(kind, edit.value)
+    return catalogue_store.build(
+        edit.key, catalogue_store.pack_value(edit.value)
+    )
 
 
 def _may_break(entry: catalogue.AnyEntry | None) -> bool:
--- a/sycamorebeam/catalogue_exchange.py
+++ b/sycamorebeam/catalogue_exchange.py
@@ -35,7 +35,9 @@
     )
 
 
-def unpack(fold: catalogue_fold.Fold, data: bytes) -> catalogue_fold.Fold:
+async def unpack(
+    fold: catalogue_fold.Fold, data: bytes
+) -> catalogue_fold.Fold:
     """Return the fold that follows ``fold``, which stays as it is.
 
     Raises DigestError when the data is damaged or at odds with ``fold``,
@@ -46,7 +48,7 @@
             case ['tail', bytes() as digest, list() as tail]:
                 return _apply(fold.copy(), digest, tail)
             case ['whole', bytes() as state]:
-                return snapshots.unpack_whole(state)
+                return await snapshots.unpack_whole(state)
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise _damaged(str(error)) from error
     except errors.GapError as error:
--- a/sycamorebeam/catalogue_records.py
+++ b/sycamorebeam/catalogue_records.py
@@ -21,7 +21,7 @@
 KNOWN_VERSION = 1
 ABSENT = -1
 """The base revision of an edit that creates an entry."""
-MAX_EDITS = 1_000
+MAX_EDITS = 250
 
 _CHANGE = 'change'
 _FORMAT = 'format'
--- a/sycamorebeam/catalogue_store.py
+++ b/sycamorebeam/catalogue_store.py
@@ -26,10 +26,14 @@
 _TOKEN_DIGITS = 15
 
 
+def pack_value(value: dict[str, Any]) -> bytes:
+    """Return the packed form of a plain value, whatever its key order."""
+    return msgpack.packb(hashing.sort_keys(value))
+
+
 def pack(revision: int, value: dict[str, Any]) -> bytes:
     """Return the stored form of an entry."""
-    head = revision.to_bytes(REVISION_BYTES, 'big')
-    return head + msgpack.packb(hashing.sort_keys(value))
+    return revision.to_bytes(REVISION_BYTES, 'big') + pack_value(value)
 
 
 def revision_of(stored: bytes) -> int:
@@ -43,10 +47,18 @@
 
 
 @functools.lru_cache(DECODED_ENTRIES)
+def build(key: str, packed: bytes) -> catalogue.AnyEntry:
+    """Return the entry of a packed value.
+
+    Raises SettingsError when key or value is not valid.
+    """
+    kind, _ = entries.split_key(key)
+    return entries.from_plain(kind, msgpack.unpackb(packed))
+
+
 def decode(key: str, stored: bytes) -> catalogue.Versioned:
     """Return the entry of a stored form."""
-    kind, _ = entries.split_key(key)
-    entry = entries.from_plain(kind, value_of(stored))
+    entry = build(key, stored[REVISION_BYTES:])
     return catalogue.Versioned(revision_of(stored), entry)
 
 
--- a/sycamorebeam/controllers/catalogue.py
+++ b/sycamorebeam/controllers/catalogue.py
@@ -284,11 +284,11 @@
             return
         answer = await self._peers.fetch_state(best.peer_id, self._fold.offset)
         if answer is not None:
-            self._take_state(best, answer.state)
+            await self._take_state(best, answer.state)
 
-    def _take_state(self, best: PeerOffset, state: bytes) -> None:
+    async def _take_state(self, best: PeerOffset, state: bytes) -> None:
         try:
-            fold = catalogue_exchange.unpack(self._fold, state)
+            fold = await catalogue_exchange.unpack(self._fold, state)
         except errors.SycamoreError as error:
             self.raise_alarm(error)
             return
--- a/sycamorebeam/snapshots.py
+++ b/sycamorebeam/snapshots.py
@@ -6,6 +6,7 @@
 only when its digest is the one that the manifest names.
 """
 
+import asyncio
 from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
@@ -214,7 +215,7 @@
     return msgpack.packb([VERSION, attrs.asdict(manifest), chunks])
 
 
-def unpack_whole(data: bytes) -> catalogue_fold.Fold:
+async def unpack_whole(data: bytes) -> catalogue_fold.Fold:
     """Return the fold of a snapshot in one piece.
 
     Raises DigestError when it is damaged and VersionError when its format
@@ -233,15 +234,17 @@
             f'a snapshot from a peer is malformed ({error})',
             'see the page on digest alarms',
         ) from error
-    return _restore(manifest, chunks)
+    return await _restore(manifest, chunks)
 
 
-def _restore(
+async def _restore(
     manifest: Manifest, chunks: Iterable[bytes]
 ) -> catalogue_fold.Fold:
     builder = restoring(manifest)
     for index, data in enumerate(chunks):
         builder.add(Chunk(snapshot_id='', index=index, data=data))
+        # Let requests run while a large state is unpacked.
+        await asyncio.sleep(0)
     return builder.finish()
 
 
--- a/tests/test_catalogue_fold.py
+++ b/tests/test_catalogue_fold.py
@@ -174,23 +174,23 @@
         self.assertIn('team/b', self.fold.store.stored)
         self.assertNotEqual(copy.digest, self.fold.digest)
 
-    def test_snapshot_restores_everything(self):
+    async def test_snapshot_restores_everything(self):
         data = snapshots.pack_whole(snapshots.freeze(self.fold))
-        restored = snapshots.unpack_whole(data)
+        restored = await snapshots.unpack_whole(data)
         self.assertEqual(self.fold.digest, restored.digest)
         self.assertEqual(self.fold.audit, restored.audit)
         next_ = bench.change(5, bench.team_edit('a', 0, owner='x'))
         self.assertEqual(applied(self.fold, next_), applied(restored, next_))
         self.assertEqual(self.fold.digest, restored.digest)
 
-    def test_damaged_snapshot_is_an_error(self):
+    async def test_damaged_snapshot_is_an_error(self):
         data = bytearray(snapshots.pack_whole(snapshots.freeze(self.fold)))
         for place in range(0, len(data), 7):
             damaged = bytes(data[:place]) + b'?' + bytes(data[place + 1 :])
             if damaged == data:
                 continue
             try:
-                found = snapshots.unpack_whole(damaged)
+                found = await snapshots.unpack_whole(damaged)
             except (errors.DigestError, errors.VersionError):
                 continue
             self.assertEqual(self.fold.digest, found.digest)
--- /dev/null
+++ b/tests/test_catalogue_histories.py
@@ -0,0 +1,250 @@
+"""Seeded random histories of operators, followers, faults and retention."""
+
+import asyncio
+import random
+
+from sycamorebeam import batching
+from sycamorebeam import catalogue_fold
+from sycamorebeam import catalogue_records
+from sycamorebeam import publishing
+from sycamorebeam import snapshot_writer
+from sycamorebeam import snapshots
+from sycamorebeam.clients import results
+from tests import base
+from tests import catalogue_bench
+from tests import fake_log
+
+HISTORIES = 2_000
+FIRST_SEED = 1
+MAX_OPERATORS = 3
+MAX_FOLLOWERS = 3
+MAX_CHANGES = 3
+MAX_DISTURBANCES = 8
+MAX_PAUSE_MS = 4_000
+SETTLE_MS = 15_000
+STREAM = catalogue_records.STREAM
+CLOCK = catalogue_bench.CLOCK
+NAMES = ('a', 'b')
+
+
+class CutLog:
+    """One reader's way to the log, which can be cut."""
+
+    def __init__(self, log):
+        self._log = log
+        self.cut = False
+
+    async def append(self, stream, data):
+        if self.cut:
+            return results.AppendRefused('cut')
+        return await self._log.append(stream, data)
+
+    async def read(self, stream, start, limit=100, wait_ms=0):
+        if self.cut:
+            return results.LogUnavailable('cut')
+        found = await self._log.read(stream, start, limit, wait_ms)
+        return results.LogUnavailable('cut') if self.cut else found
+
+    async def bounds(self, stream):
+        if self.cut:
+            return results.LogUnavailable('cut')
+        return await self._log.bounds(stream)
+
+
+class History:
+    """One seeded run; ``check`` compares it with the whole log."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.log = fake_log.FakeLog()
+        self.answers = []
+        self.seen = {}
+        self.benches = []
+        self.cuts = []
+        for _ in range(self.random.randint(1, MAX_FOLLOWERS)):
+            self.add_follower()
+
+    def add_follower(self):
+        cut = CutLog(self.log)
+        others = [bench.follower for bench in self.benches]
+        bench = catalogue_bench.Bench(cut, *others, seed=self.random.random())
+        for other in self.benches:
+            other.peers.followers.append(bench.follower)
+        self.cuts.append(cut)
+        self.benches.append(bench)
+        highest = [-1]
+
+        def watch(found):
+            assert found.offset > highest[0], 'the offset fell'
+            highest[0] = found.offset
+            offset, digest = bench.follower.in_force()
+            assert offset == found.offset
+            assert self.seen.setdefault(offset, digest) == digest, 'forked'
+
+        bench.follower.subscribe(watch)
+        bench.start()
+
+    async def run(self):
+        count = self.random.randint(2, MAX_OPERATORS)
+        operators = [self.operate(number) for number in range(count)]
+        await asyncio.gather(self.disturb(), *operators)
+        self.log.down = False
+        for cut in self.cuts:
+            cut.cut = False
+        await CLOCK.sleep_ms(SETTLE_MS)
+        for bench in self.benches:
+            await bench.follower.stop()
+
+    async def operate(self, number):
+        for _ in range(self.random.randint(1, MAX_CHANGES)):
+            await CLOCK.sleep_ms(self.random.randrange(MAX_PAUSE_MS))
+            fold = await publishing.read(self.log)
+            if isinstance(fold, results.LogUnavailable):
+                continue
+            await CLOCK.sleep_ms(self.random.choice((0, 0, 700)))
+            edits = tuple(self.edits(fold, number))
+            author = publishing.Author(f'op{number}', 'test')
+            self.answers.append(
+                await publishing.publish(
+                    self.log, CLOCK, edits, author, timeout_ms=3_000
+                )
+            )
+
+    def edits(self, fold, number):
+        for name in NAMES[: self.random.randint(1, len(NAMES))]:
+            key = f'team/{name}'
+            stored = fold.store.stored.get(key)
+            base_ = fold._revision(key)
+            if stored is not None and self.random.random() < 0.3:
+                yield catalogue_bench.edit(key, base_)
+            else:
+                owner = f'op{number}'
+                yield catalogue_bench.team_edit(name, base_, owner=owner)
+
+    async def disturb(self):
+        steps = [
+            self.lose,
+            self.land_late,
+            self.toggle_log,
+            self.toggle_cut,
+            self.retain,
+            self.write_snapshot,
+            self.start_follower,
+        ]
+        for _ in range(self.random.randint(0, MAX_DISTURBANCES)):
+            await CLOCK.sleep_ms(self.random.randrange(MAX_PAUSE_MS // 2))
+            await self.random.choice(steps)()
+
+    async def lose(self):
+        self.log.lose_answers = 1
+
+    async def land_late(self):
+        self.log.late_by_ms = self.random.randrange(6_000)
+        self.log.late_appends = 1
+
+    async def toggle_log(self):
+        self.log.down = not self.log.down
+
+    async def toggle_cut(self):
+        cut = self.random.choice(self.cuts)
+        cut.cut = not cut.cut
+
+    async def retain(self):
+        """Cut what the newest snapshot covers, as retention would."""
+        rows = self.log.streams.get(snapshots.STREAM, [])
+        for row in reversed(rows):
+            item = snapshots.parse(row.data)
+            if isinstance(item, snapshots.Manifest):
+                self.log.truncate(STREAM, item.offset + 1)
+                self.log.truncate(snapshots.STREAM, item.first)
+                return
+
+    async def write_snapshot(self):
+        bench = self.random.choice(self.benches)
+        fold = bench.follower.fold
+        if fold.offset < self.log.oldest.get(STREAM, 0):
+            return
+        appender = batching.new_appender(
+            self.log, CLOCK, 40.0, 5, random.Random(1)
+        )
+        frozen = snapshots.freeze(fold)
+        await snapshot_writer.write(appender, CLOCK, frozen)
+        await appender.stop()
+
+    async def start_follower(self):
+        self.add_follower()
+
+    def check(self):
+        rows = self.log.streams.get(STREAM, [])
+        oracle = Oracle()
+        fold = catalogue_fold.Fold()
+        decisions = []
+        for row in rows:
+            decided = fold.apply(row.offset, row.data)
+            oracle.apply(row)
+            decisions.extend(decided)
+            if row.offset in self.seen:
+                assert self.seen[row.offset] == fold.digest, 'forked'
+        assert oracle.accepted == [item.accepted for item in decisions]
+        for bench in self.benches:
+            follower = bench.follower
+            state = (follower.offset, follower.readiness, bench.alarms)
+            assert follower.in_force() == (fold.offset, fold.digest), state
+            assert not bench.alarms, bench.alarms
+        by_id = {item.change_id: item for item in decisions}
+        assert len(by_id) == len(decisions), 'a change was sent twice'
+        for answer in self.answers:
+            check_answer(answer, by_id.get(answer.change_id))
+
+
+def check_answer(answer, decision):
+    match answer:
+        case publishing.Accepted(offset=offset):
+            assert decision.accepted
+            assert decision.offset == offset
+        case publishing.Rejected(sent=True):
+            assert not decision.accepted
+        case publishing.Rejected():
+            assert decision is None
+        case publishing.Unresolved():
+            pass
+
+
+class Oracle:
+    """Decides by the rule alone: is each base revision current?"""
+
+    def __init__(self):
+        self.revisions = {}
+        self.accepted = []
+
+    def apply(self, row):
+        for item in catalogue_records.parse(row.data, 1):
+            current = all(
+                self.revisions.get(edit.key, -1) == edit.base_revision
+                for edit in item.edits
+            )
+            self.accepted.append(current)
+            for edit in item.edits if current else ():
+                found = -1 if edit.value is None else row.offset
+                self.revisions[edit.key] = found
+
+
+class HistoriesTest(base.TestCase):
+    async def test_random_histories(self):
+        answers = set()
+        for seed in range(FIRST_SEED, FIRST_SEED + HISTORIES):
+            history = History(seed)
+            try:
+                await history.run()
+                history.check()
+            except Exception as error:
+                raise AssertionError(f'seed {seed}: {error}') from error
+            answers.update(type(item) for item in history.answers)
+        self.assertEqual(
+            {
+                publishing.Accepted,
+                publishing.Rejected,
+                publishing.Unresolved,
+            },
+            answers,
+        )
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,142 @@
+"""Tests of publishing changes and of where they are in force."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import ddt
+
+from sycamorebeam import catalogue_records
+from sycamorebeam import publishing
+from sycamorebeam.clients import results
+from tests import base
+from tests import catalogue_bench
+from tests import fake_log
+
+CLOCK = catalogue_bench.CLOCK
+AUTHOR = publishing.Author('ann', 'test')
+STREAM = catalogue_records.STREAM
+
+
+async def publish(log, *edits, timeout_ms=5_000):
+    return await publishing.publish(log, CLOCK, edits, AUTHOR, timeout_ms)
+
+
+@ddt.ddt
+class PublishTest(base.TestCase):
+    async def test_accepted_and_in_the_history(self):
+        log = fake_log.FakeLog()
+        found = await publish(log, catalogue_bench.team_edit('a'))
+        self.assertIsInstance(found, publishing.Accepted)
+        self.assertEqual(0, found.offset)
+        [row] = await publishing.history(log)
+        self.assertEqual(
+            ('ann', 'test', ('team/a',), True),
+            (row.author, row.reason, row.keys, row.accepted),
+        )
+
+    async def test_of_racing_operators_one_wins(self):
+        log = fake_log.FakeLog()
+        found = await asyncio.gather(
+            *(publish(log, catalogue_bench.team_edit('a')) for _ in range(8))
+        )
+        accepted = [
+            item for item in found if isinstance(item, publishing.Accepted)
+        ]
+        self.assertEqual(1, len(accepted))
+        for item in found:
+            if item is not accepted[0]:
+                self.assertEqual(accepted[0].offset, item.winner)
+                self.assertIn('read it again', item.reason)
+
+    @ddt.data('lose_answers', 'late_appends')
+    async def test_after_a_lost_answer_finds_its_own_change(self, fault):
+        log = fake_log.FakeLog()
+        log.late_by_ms = 2_000
+        setattr(log, fault, 1)
+        found = await publish(log, catalogue_bench.team_edit('a'))
+        self.assertIsInstance(found, publishing.Accepted)
+        self.assertEqual(1, log.append_calls)
+
+    async def test_lands_after_it_gave_up(self):
+        log = fake_log.FakeLog()
+        log.late_appends = 1
+        log.late_by_ms = 8_000
+        found = await publish(log, catalogue_bench.team_edit('a'))
+        self.assertIsInstance(found, publishing.Unresolved)
+        again = await publishing.resolve(log, CLOCK, found.change_id, 9_000)
+        self.assertEqual(publishing.Accepted(0, found.change_id), again)
+        self.assertEqual(1, log.append_calls)
+
+    @ddt.data('down', 'write_down')
+    async def test_log_down_sends_nothing(self, fault):
+        log = fake_log.FakeLog()
+        setattr(log, fault, True)
+        found = await publish(log, catalogue_bench.team_edit('a'))
+        self.assertIsInstance(found, publishing.Rejected)
+        self.assertFalse(found.sent)
+        self.assertEqual({}, log.streams)
+
+    async def test_log_down_while_it_waits(self):
+        log = fake_log.FakeLog()
+        log.lose_answers = 1
+        task = asyncio.create_task(
+            publish(log, catalogue_bench.team_edit('a'))
+        )
+        await CLOCK.sleep_ms(500)
+        log.down = True
+        await CLOCK.sleep_ms(2_000)
+        log.down = False
+        self.assertIsInstance(await task, publishing.Accepted)
+
+    async def test_raises_the_format_level(self):
+        log = fake_log.FakeLog()
+        found = await publishing.raise_format_level(log, CLOCK, 2, AUTHOR)
+        self.assertIsInstance(found, publishing.Accepted)
+        fold = await publishing.read(log)
+        self.assertEqual(2, fold.level)
+
+    async def test_history_without_log(self):
+        log = fake_log.FakeLog()
+        log.down = True
+        found = await publishing.history(log)
+        self.assertIsInstance(found, results.LogUnavailable)
+
+
+class InForceTest(base.NetworkTestCase):
+    async def test_says_where_it_is_in_force_and_where_not(self):
+        self.offsets = {'new': [3], 'slow': [1, 1, 3], 'old': [2]}
+        async with contextlib.AsyncExitStack() as stack:
+            address = {
+                name: await stack.enter_async_context(self.serve(name))
+                for name in self.offsets
+            }
+            gone = '127.0.0.1:1'
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            report = await publishing.in_force(
+                session, CLOCK, [*address.values(), gone], 3, 800
+            )
+        self.assertFalse(report.everywhere)
+        reached = {item.address for item in report.reached}
+        self.assertEqual({address['new'], address['slow']}, reached)
+        behind = {item.address: item.offset for item in report.behind}
+        self.assertEqual({address['old']: 2, gone: None}, behind)
+
+    @contextlib.asynccontextmanager
+    async def serve(self, name):
+        async def status(request):
+            offsets = self.offsets[name]
+            offset = offsets.pop(0) if len(offsets) > 1 else offsets[0]
+            return web.json_response({'catalogue': {'offset': offset}})
+
+        app = web.Application()
+        app.router.add_get('/admin/status', status)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        host, port = runner.addresses[0][:2]
+        try:
+            yield f'{host}:{port}'
+        finally:
+            await runner.cleanup()
