Take the log's address without the scheme, as callers give it

The instance strips the scheme from the settings' URL before it makes its clients; the log client had come to expect a URL and refused every call.

--- a/sycamorebeam/clients/log.py
+++ b/sycamorebeam/clients/log.py
@@ -104,8 +104,8 @@
         )
 
 
-def new_log_client(url: str, timeout_ms: int) -> LogClient:
-    """Return a client of the log at ``url`` (an IP number with a port).
+def new_log_client(address: str, timeout_ms: int) -> LogClient:
+    """Return a client of the log at ``address`` (IP number and port).
 
     Must be called on a running event loop.
     """
@@ -115,7 +115,7 @@
     session = aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar()
     )
-    return LogClient(session, url, timeout_ms)
+    return LogClient(session, f'http://{address}', timeout_ms)
 
 
 def _name(error: BaseException) -> str:
