--- a/sycamorebeam/catalogue_fold.py
+++ b/sycamorebeam/catalogue_fold.py
@@ -178,18 +178,12 @@
         if len(keys) < len(change.edits):
             return Rejection('the change edits an entry twice')
         for edit in change.edits:
-            current = self._revision(edit.key)
+            current = self._store.revision(edit.key)
             if edit.base_revision != current:
                 return _lost_race(edit, current)
         problem = catalogue_checks.check(self._store, change.edits)
         return Rejection(problem[:MAX_REASON_CHARS]) if problem else None
 
-    def _revision(self, key: str) -> int:
-        stored = self._store.stored.get(key)
-        if stored is None:
-            return catalogue_records.ABSENT
-        return catalogue_store.revision_of(stored)
-
     def _accept(self, offset: int, change: catalogue_records.Change) -> None:
         for edit in change.edits:
             self._store.remove(edit.key)
@@ -256,10 +250,10 @@
 
 def _lost_race(edit: catalogue_records.Edit, current: int) -> Rejection:
     found = f'is at revision {current}'
-    if current == catalogue_records.ABSENT:
+    if current == catalogue_store.ABSENT:
         found = 'does not exist'
     made_from = f'revision {edit.base_revision}'
-    if edit.base_revision == catalogue_records.ABSENT:
+    if edit.base_revision == catalogue_store.ABSENT:
         made_from = 'no entry'
     return Rejection(
         f'{edit.key} {found}, the change was made from {made_from}; read it '
--- a/sycamorebeam/catalogue_records.py
+++ b/sycamorebeam/catalogue_records.py
@@ -19,8 +19,6 @@
 STREAM = 'catalogue'
 FIRST_LEVEL = 1
 KNOWN_VERSION = 1
-ABSENT = -1
-"""The base revision of an edit that creates an entry."""
 MAX_EDITS = 250
 
 _CHANGE = 'change'
@@ -31,7 +29,8 @@
 class Edit:
     """A new value of one entry, None to remove it.
 
-    ``base_revision`` is the revision that the edit was made from.
+    ``base_revision`` is the revision that the edit was made from,
+    ``catalogue_store.ABSENT`` for an entry that did not exist.
     """
 
     key: str
--- a/sycamorebeam/catalogue_store.py
+++ b/sycamorebeam/catalogue_store.py
@@ -18,6 +18,8 @@
 from sycamorebeam import entries
 from sycamorebeam import hashing
 
+ABSENT = -1
+"""The revision of an entry that does not exist."""
 REVISION_BYTES = 8
 DECODED_ENTRIES = 1_024
 TEAM_PREFIX = 'team/'
@@ -114,6 +116,11 @@
         """The sum of the digests of all entries."""
         return self._sum.to_bytes(DIGEST_BYTES, 'big')
 
+    def revision(self, key: str) -> int:
+        """Return the revision of an entry, ABSENT when there is none."""
+        stored = self._stored.get(key)
+        return ABSENT if stored is None else revision_of(stored)
+
     def owner_of(self, token: int) -> str | None:
         """Return the key of the team with a token's number, if any."""
         return self._owners.get(token)
--- a/tests/catalogue_bench.py
+++ b/tests/catalogue_bench.py
@@ -6,13 +6,14 @@
 import attrs
 
 from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
 from sycamorebeam import clock
 from sycamorebeam import errors
 from sycamorebeam import records
 from sycamorebeam.controllers import catalogue as catalogue_controller
 
 STALE_MS = 30_000
-ABSENT = catalogue_records.ABSENT
+ABSENT = catalogue_store.ABSENT
 CLOCK = clock.Clock()
 
 
--- a/tests/test_catalogue_follower.py
+++ b/tests/test_catalogue_follower.py
@@ -15,6 +15,7 @@
 from sycamorebeam.clients import results
 from sycamorebeam.controllers import catalogue as catalogue_controller
 from sycamorebeam.controllers import readiness
+from sycamorebeam.controllers import snapshots as snapshot_duty
 from tests import base
 from tests import catalogue_bench
 from tests import fake_log
@@ -360,15 +361,13 @@
 class SnapshotDutyTest(FollowerCase):
     async def new_duty(self, instance_id='a', members=('a', 'b')):
         await self.follow()
-        return snapshot_writer.SnapshotDuty(
+        return snapshot_duty.new_snapshot_duty(
             instance_id,
             self.log,
             new_appender(self.log),
             CLOCK,
-            lambda: self.follower.fold,
-            self.follower.fold.digest_at,
+            self.follower,
             lambda: members,
-            self.follower.raise_alarm,
             random.Random(1),
         )
 
@@ -383,10 +382,10 @@
 
     async def test_others_take_over_after_a_time(self):
         await self.prepare()
-        picked = hashing.pick(snapshot_writer.DUTY, 'ab')
+        picked = hashing.pick(snapshot_duty.DUTY, 'ab')
         duty = await self.new_duty('b' if picked == 'a' else 'a')
         self.assertIsNone(await duty.check())
-        await CLOCK.sleep_ms(snapshot_writer.TAKE_OVER_MS)
+        await CLOCK.sleep_ms(snapshot_duty.TAKE_OVER_MS)
         self.assertEqual(snapshot_writer.Written(1), await duty.check())
 
     @ddt.unpack
@@ -395,7 +394,7 @@
         await self.prepare(changes=1)
         duty = await self.new_duty(members=('a',))
         await duty.check()
-        for _ in range(snapshot_writer.MAX_RECORDS_BEHIND + extra):
+        for _ in range(snapshot_duty.MAX_RECORDS_BEHIND + extra):
             self.log.put(STREAM, b'')
         await CLOCK.sleep_ms(SETTLE_MS)
         self.assertEqual(snapshots_, 1 if await duty.check() else 0)
--- a/tests/test_catalogue_histories.py
+++ b/tests/test_catalogue_histories.py
@@ -114,7 +114,7 @@
         for name in NAMES[: self.random.randint(1, len(NAMES))]:
             key = f'team/{name}'
             stored = fold.store.stored.get(key)
-            base_ = fold._revision(key)
+            base_ = fold.store.revision(key)
             if stored is not None and self.random.random() < 0.3:
                 yield catalogue_bench.edit(key, base_)
             else:
