--- a/demo/site.py
+++ b/demo/site.py
@@ -19,6 +19,7 @@
 from sycamorebeam import catalogue
 from sycamorebeam import catalogue_file
 from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
 from sycamorebeam import clock as clocks
 from sycamorebeam import entries
 from sycamorebeam import jsonc
@@ -235,7 +236,7 @@
 
 def _revision(fold: Any, key: str) -> int:
     found = fold.catalogue().entries.get(key)
-    return found.revision if found else catalogue_records.ABSENT
+    return found.revision if found else catalogue_store.ABSENT
 
 
 def _action_operations(
