End a test's processes also when its start fails

Cause: the log client's address form changed under demo/site.py; the start failed before the clean-up was armed and left stand-ins running on ten port ranges. Change: the start stands inside the clean-up; the address is given without its scheme.

--- a/demo/site.py
+++ b/demo/site.py
@@ -113,7 +113,7 @@
 
         Without ``revisions`` they are made from the current ones.
         """
-        client = log.new_log_client(f'http://{self.platform}', LOG_TIMEOUT_MS)
+        client = log.new_log_client(self.platform, LOG_TIMEOUT_MS)
         try:
             if revisions is None:
                 fold = await publishing.read(client)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -121,6 +121,7 @@
     def setUp(self):
         super().setUp()
         folder = pathlib.Path(self.make_temp_dir())
+        self.probes = None
         self.site = sites.Site(
             'kovacik', folder, sites.free_port_shift('kovacik')
         )
@@ -144,13 +145,14 @@
         )
 
     async def stop(self):
-        self.probes.cancel()
+        if self.probes is not None:
+            self.probes.cancel()
         await self.site.stop()
 
     @ddt.data(*SCENARIOS)
     async def test_no_promise_is_broken(self, disturb):
-        await self.start()
         try:
+            await self.start()
             sending = asyncio.create_task(self.send_load())
             await asyncio.sleep(1)
             await disturb(self.site)
@@ -175,8 +177,8 @@
             self.assertEqual('complete', row.outcome, row)
 
     async def test_racing_operators_and_a_catalogue_in_force_everywhere(self):
-        await self.start()
         try:
+            await self.start()
             offsets = asyncio.create_task(self.watch_offsets())
             results = await asyncio.gather(
                 *(self.change_limit(number) for number in range(4))
