Bound what a check reads and what it costs

Cause: the fold of every instance runs these checks on what operators send. A text of 1 MB in place of a kind took 0.20 s, types were resolved again for each entry, lists and texts had no bound, and a number too large for a float or for the log ended in an untyped error. Change: lists, texts, unknown keys and names to compare are bounded; types are resolved once per class.

--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -9,10 +9,11 @@
 from collections.abc import Mapping
 import difflib
 import enum
+import functools
 import ipaddress
 import json
-import math
 import re
+import sys
 import types
 import typing
 from typing import Any
@@ -22,6 +23,8 @@
 Path = tuple[str | int, ...]
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 60
+MAX_TEXT_CHARS = 1_000
+MAX_UNKNOWN_KEYS = 20
 NEAR_RATIO = 0.7
 MAX_LISTED_NAMES = 12
 MAX_COMPARED_NAMES = 500
@@ -87,13 +90,15 @@
 
 
 @attrs.frozen
-class NotEmpty:
-    """A list with at least one item; ``item`` is the rule of each."""
+class Items:
+    """A list of ``low`` to ``high`` items; ``item`` is the rule of each."""
 
+    low: int
+    high: int
     item: 'Rule | None' = None
 
 
-Rule = Range | Positive | Pattern | OneOf | Address | Url | NotEmpty
+Rule = Range | Positive | Pattern | OneOf | Address | Url | Items
 Rules = Mapping[type, Mapping[str, Rule]]
 
 
@@ -132,17 +137,20 @@
 def nearest(name: str, known: Iterable[str]) -> list[str]:
     """Return the known name that is most like ``name``, if one is near.
 
-    Comparing is slow, so that among very many names none is proposed.
+    Comparing is slow, so that none is proposed among very many names or
+    for a very long one.
     """
     names = list(known)
-    if len(names) > MAX_COMPARED_NAMES:
+    if len(names) > MAX_COMPARED_NAMES or len(name) > MAX_SHOWN_CHARS:
         return []
     return difflib.get_close_matches(name, names, 1, NEAR_RATIO)
 
 
 def unknown_key(path: Path, known: list[str]) -> Fault:
     """Return the fault of an unknown key, with the nearest known one."""
-    near = nearest(str(path[-1]), known)
+    key = str(path[-1])
+    near = nearest(key, known)
+    path = (*path[:-1], key[:MAX_SHOWN_CHARS])
     remedy = f'write "{near[0]}"' if near else 'remove the key'
     allowed = ', '.join(known) or 'no key'
     return Fault(path, 'an unknown key', allowed, remedy)
@@ -172,6 +180,12 @@
     return (None if walker.faults else built), walker.faults
 
 
+@functools.cache
+def type_hints(cls: type) -> dict[str, Any]:
+    """Return the types of the fields of an attrs class."""
+    return typing.get_type_hints(cls)
+
+
 class _Walker:
     """Walks classes and plain values side by side and collects faults."""
 
@@ -184,14 +198,12 @@
         if not isinstance(value, dict):
             return self._wrong(path, value, 'an object')
         before = len(self.faults)
-        hints = typing.get_type_hints(cls)
+        hints = type_hints(cls)
         fields = {
             self._schema.key_of(field.name): field
             for field in attrs.fields(cls)
         }
-        for key in value:
-            if key not in fields:
-                self.faults.append(unknown_key((*path, key), list(fields)))
+        self._unknown_keys(value, list(fields), path)
         built = {}
         for key, field in fields.items():
             if key in value:
@@ -206,12 +218,28 @@
                 self._missing((*path, key), hints[field.name])
         return None if len(self.faults) > before else cls(**built)
 
+    def _unknown_keys(
+        self, value: dict[Any, Any], known: list[str], path: Path
+    ) -> None:
+        unknown = [key for key in value if key not in known]
+        for key in unknown[:MAX_UNKNOWN_KEYS]:
+            self.faults.append(unknown_key((*path, key), known))
+        if len(unknown) > MAX_UNKNOWN_KEYS:
+            count = len(unknown) - MAX_UNKNOWN_KEYS
+            found = f'{count} more unknown keys'
+            allowed = ', '.join(known)
+            self.faults.append(Fault(path, found, allowed, 'remove the keys'))
+
     def _field(
         self, cls: type, name: str, hint: Any, value: object, path: Path
     ) -> Any:
+        rule = self._schema.rules.get(cls, {}).get(name)
+        match rule, value:
+            case Items(), list() | tuple() if not holds(rule, value):
+                found = f'{len(value)} items'
+                return self._fault(path, found, describe_rule(rule))
         before = len(self.faults)
         built = self._typed(hint, value, path)
-        rule = self._schema.rules.get(cls, {}).get(name)
         if rule and built is not None and len(self.faults) == before:
             self._apply(rule, built, path)
         return built
@@ -256,17 +284,18 @@
                 pass
             case int() if hint is int:
                 return value
-            case int() | float() if hint is float and math.isfinite(value):
+            case int() | float() if hint is float and _is_finite(value):
                 return float(value)
-            case str() if hint is str and value:
+            case str() if hint is str and _is_text(value):
                 return value
         return self._wrong(path, value, _describe_type(hint))
 
     def _apply(self, rule: Rule, value: Any, path: Path) -> None:
         match rule:
-            case NotEmpty(item=item) if value and item is not None:
+            case Items(item=item):
                 for index, each in enumerate(value):
-                    self._apply(item, each, (*path, index))
+                    if item is not None:
+                        self._apply(item, each, (*path, index))
             case _ if not holds(rule, value):
                 self._wrong(path, value, describe_rule(rule))
 
@@ -276,9 +305,22 @@
 
     def _wrong(
         self, path: Path, value: object, allowed: str, remedy: str = ''
+    ) -> Any:
+        self._fault(path, show(value), allowed, remedy)
+
+    def _fault(
+        self, path: Path, found: str, allowed: str, remedy: str = ''
     ) -> Any:
         remedy = remedy or 'change the value'
-        self.faults.append(Fault(path, show(value), allowed, remedy))
+        self.faults.append(Fault(path, found, allowed, remedy))
+
+
+def _is_finite(number: float) -> bool:
+    return abs(number) <= sys.float_info.max
+
+
+def _is_text(text: str) -> bool:
+    return 0 < len(text) <= MAX_TEXT_CHARS and text.isprintable()
 
 
 def holds(rule: Rule, value: Any) -> bool:
@@ -296,8 +338,8 @@
             return _is_address(value)
         case Url():
             return value.startswith('http://') and _is_address(value[7:])
-        case NotEmpty():
-            return bool(value)
+        case Items(low=low, high=high):
+            return low <= len(value) <= high
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -339,10 +381,8 @@
             return 'an IP number with a port, 10.0.0.1:8080'
         case Url():
             return 'http:// with an IP number and a port'
-        case NotEmpty(item=item) if item is not None:
-            return f'at least one of: {describe_rule(item)}'
-        case NotEmpty():
-            return 'at least one item'
+        case Items(low=low, high=high):
+            return f'a list of {low} to {high} items'
 
 
 def _alternatives(values: typing.Iterable[str]) -> str:
@@ -359,7 +399,7 @@
     if issubclass(hint, enum.Enum):
         return _alternatives(member.value for member in hint)
     names = {
-        str: 'a text that is not empty',
+        str: f'a printable text of 1 to {MAX_TEXT_CHARS} characters',
         int: 'a whole number',
         float: 'a finite number',
         bool: 'true or false',
--- a/sycamorebeam/entries.py
+++ b/sycamorebeam/entries.py
@@ -28,29 +28,39 @@
 MAX_DEADLINE_MS = 600_000
 MAX_TOKENS = 1_000_000
 MAX_COST = 1e9
+MAX_CONCURRENCY = 1_000_000
+MAX_STAGES = 32
+MAX_TEAMS = 1_000
+MAX_ADAPTERS = 100
+MAX_TOKEN_DIGESTS = 16
 
 SCHEMA = checking.Schema(
     keys={'service_class': 'class'},
     rules={
         catalogue.Limits: {
             'requests_per_s': checking.Positive(),
-            'concurrency': checking.Positive(),
+            'concurrency': checking.Range(1, MAX_CONCURRENCY),
             'tokens_per_s': checking.Positive(),
             'bytes_per_s': checking.Positive(),
         },
         catalogue.Stage: {
             'name': NAME,
             'max_tokens': checking.Range(1, MAX_TOKENS),
+            'after': checking.Items(0, MAX_STAGES),
         },
         catalogue.Pipeline: {
             'deadline_ms': checking.Range(1, MAX_DEADLINE_MS),
-            'stages': checking.NotEmpty(),
+            'stages': checking.Items(1, MAX_STAGES),
+            'teams': checking.Items(0, MAX_TEAMS),
         },
         catalogue.Target: {
             'cost_per_call': checking.Range(0, MAX_COST),
             'cost_per_token': checking.Range(0, MAX_COST),
         },
-        catalogue.Team: {'token_sha256': checking.NotEmpty(TOKEN_DIGEST)},
+        catalogue.Model: {'adapters': checking.Items(0, MAX_ADAPTERS)},
+        catalogue.Team: {
+            'token_sha256': checking.Items(1, MAX_TOKEN_DIGESTS, TOKEN_DIGEST)
+        },
         catalogue.SharedLimit: {
             'resource': checking.OneOf(('region_link', 'weight_store')),
         },
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -11,7 +11,6 @@
 import json
 import pathlib
 import types
-import typing
 from typing import Any
 
 import attrs
@@ -254,7 +253,7 @@
 def _paths(cls: type, path: checking.Path) -> dict[checking.Path, Any]:
     """Return the path and type of every single setting."""
     found: dict[checking.Path, Any] = {}
-    for name, hint in typing.get_type_hints(cls).items():
+    for name, hint in checking.type_hints(cls).items():
         if attrs.has(hint):
             found |= _paths(hint, (*path, name))
         else:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -34,7 +34,9 @@
         yield (
             f'{path}{field.name}',
             show_default(field),
-            checking.describe_rule(rule) if rule else 'a text that is not ',
+            checking.describe_rule(rule)
+            if rule
+            else 'a printable text of 1 to 1000 ',
         )
 
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -81,7 +81,12 @@
     @ddt.data(
         ('pipeline', plain_pipeline(deadline_ms=0), 'deadline_ms: found 0'),
         ('pipeline', plain_pipeline(deadline_ms=True), 'a whole number'),
-        ('pipeline', plain_pipeline() | {'stages': []}, 'at least one item'),
+        ('pipeline', plain_pipeline() | {'stages': []}, 'list of 1 to 32'),
+        ('pipeline', plain_pipeline(*[plain_stage()] * 33), 'found 33 items'),
+        ('pipeline', plain_pipeline(owner='a\nb'), 'a printable text'),
+        ('pipeline', plain_pipeline(owner='a' * 1001), 'a printable text'),
+        ('pipeline', plain_pipeline(limits={'tokens_per_s': 10**400}), 'fini'),
+        ('pipeline', dict.fromkeys(map(str, range(999))), 'more unknown'),
         ('pipeline', plain_pipeline(deadlin_ms=1), 'write "deadline_ms"'),
         ('pipeline', plain_pipeline(plain_stage(), plain_stage()), 'twice'),
         (
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -139,7 +139,7 @@
         ('127.0.0.1:7001', '0.0.0.0:1', '5: addresses.advertised_callers'),
         ('127.0.0.1:7001', '127.0.0.1:7002', '7: addresses.peers: found the'),
         ('"callers"', '"caller"', '6: addresses.caller: found an unknown'),
-        ('"z1"', '7', '4: placement.zone: found 7, allowed a text'),
+        ('"z1"', '7', '4: placement.zone: found 7, allowed a print'),
         ('http://127.0.0.1:7100', 'ftp://127.0.0.1:7100', '10: platform.log'),
         ('"instance_id": "i1",', '', '2: instance_id: found nothing'),
         ('"region": "r1"', '"zone": "z2"', '4: placement.zone: found the key'),
@@ -190,7 +190,7 @@
         expected = (
             '4: teams.ops.token_sha256[0]: found "short"',
             '15: pipelines.Notes: found "Notes"',
-            '17: pipelines.Notes.stages: found []',
+            '17: pipelines.Notes.stages: found 0 items',
             '27: limit: found an unknown key',
             '12: models.small.target: found "engine"',
             '23: pipelines.memo.stages[0].model: found "large"',
