--- a/sycamorebeam/clients/targets.py
+++ b/sycamorebeam/clients/targets.py
@@ -8,6 +8,7 @@
 from sycamorebeam import clock as clock_module
 from sycamorebeam.clients import cancels
 from sycamorebeam.clients import engine
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import orders
 from sycamorebeam.clients import plain
@@ -33,10 +34,13 @@
     """Implements ``ports.TargetClient`` over HTTP."""
 
     def __init__(
-        self, clock: clock_module.Clock, settings: TargetSettings
+        self,
+        clock: clock_module.Clock,
+        settings: TargetSettings,
+        on_bytes: http.OnBytes | None = None,
     ) -> None:
         self._clock = clock
-        self._http = http.Http(clock, settings.limits)
+        self._http = http.Http(clock, settings.limits, on_bytes)
         self._canceller = cancels.Canceller(self._http)
         calls = plain.PlainClient(self._http, self._canceller, settings.calls)
         self._engines = engine.EngineClient(
@@ -78,7 +82,7 @@
 
     async def load(self, replica: results.Replica) -> ports.LoadReport | None:
         """Return the replica's load report, None when it gave none."""
-        exchange = http.Exchange(
+        exchange = exchanges.Exchange(
             method='GET',
             address=replica.address,
             path='/v1/load',
@@ -86,9 +90,9 @@
             silence_ms=LOAD_TIMEOUT_MS // 2,
         )
         reply = await self._http.fetch(exchange)
-        if isinstance(reply, http.HttpFailure) or reply.status != 200:
+        if isinstance(reply, exchanges.HttpFailure) or reply.status != 200:
             return None
-        return _load_report(plain.parse(reply.body), reply.draining)
+        return _load_report(exchanges.parse(reply.body), reply.draining)
 
     async def close(self) -> None:
         """Wait for open cancels and close all connections."""
@@ -97,10 +101,16 @@
 
 
 def new_targets(
-    clock: clock_module.Clock, settings: TargetSettings | None = None
+    clock: clock_module.Clock,
+    settings: TargetSettings | None = None,
+    on_bytes: http.OnBytes | None = None,
 ) -> HttpTargets:
-    """Return a client of targets; close it when done."""
-    return HttpTargets(clock, settings or TargetSettings())
+    """Return a client of targets; close it when done.
+
+    ``on_bytes`` is told the address, sent and received bytes of each
+    exchange, also of those that failed, cancelled or only asked.
+    """
+    return HttpTargets(clock, settings or TargetSettings(), on_bytes)
 
 
 def _load_report(
