--- a/sycamorebeam/cli/request_command.py
+++ b/sycamorebeam/cli/request_command.py
@@ -5,11 +5,11 @@
 import sys
 from typing import Annotated
 from typing import Any
-import uuid
 
 import typer
 
 from sycamorebeam import answers
+from sycamorebeam import clock
 from sycamorebeam import errors
 from sycamorebeam.cli import output
 from sycamorebeam.clients import caller
@@ -59,7 +59,7 @@
     if key is not None and new_key:
         raise typer.BadParameter('give --key or --new-key, not both')
     if new_key:
-        key = uuid.uuid4().hex
+        key = caller.new_key(clock.Clock().wall_ms())
         typer.echo(f'key {key}', err=True)
     call = caller.Call(
         address=to,
--- a/sycamorebeam/clients/caller.py
+++ b/sycamorebeam/clients/caller.py
@@ -3,7 +3,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import json
+import secrets
 from typing import Any
+import uuid
 
 import aiohttp
 import attrs
@@ -15,6 +17,12 @@
 EVENT_STREAM = 'text/event-stream'
 PROBLEM = 'application/problem+json'
 
+UUID_RANDOM_BITS = 80
+UUID_VERSION_MASK = 0xF << 76
+UUID_VERSION_7 = 0x7 << 76
+UUID_VARIANT_MASK = 0x3 << 62
+UUID_VARIANT = 0x2 << 62
+
 OnToken = Callable[[str], None]
 
 
@@ -61,6 +69,17 @@
 CallResult = CallAnswered | CallRefused | CallLost
 
 
+def new_key(now_ms: int) -> str:
+    """Return a new idempotency key: a UUID of version 7 for Unix time.
+
+    Its time lets an instance tell how old the key can be at most.
+    """
+    value = now_ms << UUID_RANDOM_BITS | secrets.randbits(UUID_RANDOM_BITS)
+    value = value & ~UUID_VERSION_MASK | UUID_VERSION_7
+    value = value & ~UUID_VARIANT_MASK | UUID_VARIANT
+    return str(uuid.UUID(int=value))
+
+
 async def send(call: Call, on_token: OnToken | None = None) -> CallResult:
     """Send a request once, never again, and return what came of it.
 
--- a/tests/test_caller_client.py
+++ b/tests/test_caller_client.py
@@ -5,9 +5,12 @@
 from aiohttp import web
 import ddt
 
+from sycamorebeam import claim_records
+from sycamorebeam import claims
 from sycamorebeam.clients import caller
 from tests import base
 
+NOW_MS = 1_796_000_000_123
 RESULT = b'event: result\ndata: {"output": {"text": "ab"}}\n\n'
 TOKENS = b'event: token\ndata: {"i": 0, "text": "a"}\n\n'
 ERROR = b'event: error\ndata: {"outcome": "partial"}\n\n'
@@ -99,3 +102,14 @@
             )
             result = await caller.send(call)
         self.assertFalse(result.sent)
+
+
+class KeyTest(base.TestCase):
+    def test_a_new_key_tells_its_time_and_is_unique(self):
+        keys = {caller.new_key(NOW_MS) for _ in range(100)}
+        self.assertEqual(100, len(keys))
+        times = {
+            claim_records.born_ms(claims.ClaimKey('team', 'pipeline', key))
+            for key in keys
+        }
+        self.assertEqual({NOW_MS}, times)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,11 +6,13 @@
 
 import attrs
 import ddt
+import typer
 
 from sycamorebeam import catalogue
 from sycamorebeam import checking
 from sycamorebeam import entries
 from sycamorebeam import settings
+from sycamorebeam.cli import main
 from tests import base
 
 DOCS = pathlib.Path(__file__).parents[1] / 'docs'
@@ -70,6 +72,14 @@
             self.assertEqual(default, found[key][0], key)
             self.assertTrue(found[key][1].startswith(allowed), key)
 
+    def test_the_page_names_every_command(self):
+        text = (DOCS / 'COMMANDS.md').read_text()
+        command = typer.main.get_command(main.app)
+        for name, found in command.commands.items():
+            for leaf in getattr(found, 'commands', None) or [None]:
+                shown = f'{name} {leaf}' if leaf else name
+                self.assertRegex(text, rf'\| `{shown}[ `]')
+
     def test_the_page_names_every_key_of_the_catalogue(self):
         rows = {(key, default) for key, default, _ in table('CATALOGUE.md')}
         classes = (*catalogue.KINDS.values(), catalogue.Stage)
