Print streamed text once; refuse changes that the log would not take

Cause: request printed a streamed text a second time in its result; a file with more edits than a change may have was appended and then never found. Change: the result leaves out what was streamed; publish counts the edits first. Conclusion: lint clean, tests of the commands pass.

--- a/sycamorebeam/cli/publish_command.py
+++ b/sycamorebeam/cli/publish_command.py
@@ -10,7 +10,9 @@
 
 from sycamorebeam import catalogue_file
 from sycamorebeam import catalogue_plan
+from sycamorebeam import catalogue_records
 from sycamorebeam import clock
+from sycamorebeam import errors
 from sycamorebeam import publishing
 from sycamorebeam.cli import log_access
 from sycamorebeam.cli import output
@@ -114,6 +116,8 @@
     Example: sycamorebeam catalogue publish samples/kovacik/catalogue.jsonc
     --log http://127.0.0.1:21000 --author jana --wait-for 127.0.0.1:21301
     """
+    if not author.strip():
+        raise typer.BadParameter('--author is empty')
     wanted = catalogue_file.load_catalogue_file(file)
     wishes = Wishes(
         log=log,
@@ -160,6 +164,7 @@
             base=wishes.base,
             remove_missing=wishes.remove_missing,
         )
+        _check_size(plan)
         result: Result
         if plan.conflicts:
             result = Conflicting(plan.conflicts)
@@ -179,6 +184,16 @@
     )
 
 
+def _check_size(plan: catalogue_plan.Plan) -> None:
+    """Raise SettingsError when the log would take no such change."""
+    if len(plan.edits) > catalogue_records.MAX_EDITS:
+        raise errors.SettingsError(
+            f'the file changes {len(plan.edits)} entries, one change takes '
+            f'{catalogue_records.MAX_EDITS}',
+            'publish files with a part of the entries, one after the other',
+        )
+
+
 async def _resolve(
     change_id: str, url: str, wait_for: tuple[str, ...], wait_ms: int
 ) -> Report:
--- a/sycamorebeam/cli/request_command.py
+++ b/sycamorebeam/cli/request_command.py
@@ -6,6 +6,7 @@
 from typing import Annotated
 from typing import Any
 
+import attrs
 import typer
 
 from sycamorebeam import answers
@@ -71,7 +72,11 @@
         deadline_ms=deadline_ms,
     )
     streams = stream and form is output.Form.TEXT
-    result = output.run(caller.send(call, _print_token if streams else None))
+    printer = TokenPrinter() if streams else None
+    result = output.run(caller.send(call, printer))
+    if printer is not None and printer.count:
+        typer.echo()
+        result = _without_text(result)
     output.end(_report(call, result, form))
 
 
@@ -100,8 +105,26 @@
     return text.strip()
 
 
-def _print_token(text: str) -> None:
-    typer.echo(text, nl=False)
+@attrs.define
+class TokenPrinter:
+    """Prints tokens as they come."""
+
+    count: int = 0
+
+    def __call__(self, text: str) -> None:
+        """Print one token."""
+        self.count += 1
+        typer.echo(text, nl=False)
+
+
+def _without_text(result: caller.CallResult) -> caller.CallResult:
+    """Return a result without the text that was printed already."""
+    match result:
+        case caller.CallAnswered({'output': dict() as fields} as document):
+            rest = {name: fields[name] for name in fields if name != 'text'}
+            return caller.CallAnswered(document | {'output': rest})
+        case _:
+            return result
 
 
 def _report(
@@ -154,7 +177,6 @@
         case output.Form.JSON:
             output.print_json(document)
         case output.Form.TEXT:
-            typer.echo()
             for name, value in document.items():
                 typer.echo(f'{name}: {json.dumps(value, ensure_ascii=False)}')
 
--- a/tests/test_catalogue_commands.py
+++ b/tests/test_catalogue_commands.py
@@ -7,6 +7,7 @@
 import ddt
 from typer import testing
 
+from sycamorebeam import catalogue_records
 from sycamorebeam.cli import main
 from tests import base
 from tests import platform_thread
@@ -135,6 +136,11 @@
         key = ('--key', 'target/none')
         self.assertEqual([], self.invoke('catalogue', 'history', *key)[1])
 
+    def test_a_change_that_is_too_large_is_not_sent(self):
+        self.patch(catalogue_records, 'MAX_EDITS', ENTRIES - 1)
+        self.assertEqual(1, self.publish(KOVACIK)[0])
+        self.assertEqual([], self.invoke('audit')[1])
+
     def test_what_show_prints_can_be_published(self):
         self.publish(KOVACIK)
         log = ('--log', self.platform.log_url)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -70,6 +70,9 @@
     def send(self, result, *args):
         async def answer(call, on_token):
             self.call = call
+            if on_token is not None:
+                on_token('some ')
+                on_token('text')
             return result
 
         self.patch(caller, 'send', answer)
@@ -103,6 +106,13 @@
         document = json.loads(found.stdout)
         self.assertEqual(outcome, document['outcome'])
 
+    @ddt.data(('--stream', 1), ('--no-stream', 1))
+    @ddt.unpack
+    def test_prints_the_text_once(self, option, count):
+        answer = caller.CallAnswered({'output': {'text': 'some text'}})
+        found = self.send(answer, '--text', 'x', option)
+        self.assertEqual(count, found.stdout.count('some text'), found.stdout)
+
     def test_a_new_key_is_a_first_attempt(self):
         found = self.send(
             caller.CallAnswered({}), '--input', '{"a": 1}', '--new-key'
