--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -56,8 +56,8 @@
     ('drop', {}, (case.ENGINE,), MAYBE_RUN, Reason.NOT_FOUND, 0),
 ]
 ROWS = [
-    [f'{fault}_{number}_{kind.value}', fault, switches, kind, *rest]
-    for number, (fault, switches, kinds, *rest) in enumerate(FAULTS)
+    [f'{fault}_{kind.value}', fault, switches, kind, *rest]
+    for fault, switches, kinds, *rest in FAULTS
     for kind in kinds
 ]
 
