--- a/sycamorebeam/clients/exchanges.py
+++ b/sycamorebeam/clients/exchanges.py
@@ -8,6 +8,7 @@
 import attrs
 
 from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import ports
 from sycamorebeam.clients import reasons
 
 
@@ -25,7 +26,8 @@
     ``connected`` turns true right before the first byte is sent: an
     exchange that fails with it false sent nothing. ``sent_bytes`` and
     ``received_bytes`` count headers and bodies. Without ``silence_ms`` the
-    answer may take until the deadline.
+    answer may take until the deadline. ``before_send`` runs when the
+    connection stands; when it raises, nothing is sent.
     """
 
     method: str
@@ -35,6 +37,7 @@
     body: bytes | None = None
     lane: Lane = Lane.POOLED
     silence_ms: int | None = None
+    before_send: ports.BeforeSend | None = None
     connected: bool = False
     silent: bool = False
     sent_bytes: int = 0
--- a/sycamorebeam/clients/oneshot.py
+++ b/sycamorebeam/clients/oneshot.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import ports
 
 # Spaces, version and line end of a request line, and the empty line after
 # the headers.
@@ -36,11 +37,23 @@
         if exchange.connected:
             raise HiddenRetryError(f'{exchange.method} was sent before')
         connection = await super().connect(req, traces, timeout)
+        if exchange.before_send is not None:
+            _run_or_close(exchange.before_send, connection)
         exchange.connected = True
         exchange.sent_bytes += _head_bytes(req) + len(exchange.body or b'')
         return connection
 
 
+def _run_or_close(
+    before_send: ports.BeforeSend, connection: aiohttp.connector.Connection
+) -> None:
+    try:
+        before_send()
+    except BaseException:
+        connection.close()
+        raise
+
+
 def _head_bytes(request: Any) -> int:
     size = len(request.method) + len(request.url.raw_path_qs) + LINE_BYTES
     for name, value in request.headers.items():
