Test claims under a fault at each step

Cause: the model showed that a free, covered key does not prove "not run": an earlier attempt may still land. A hung log held claims to their deadline, and a new reader took its catch-up time for the present. Change: only a first attempt is told "not run" of its key, filters before the claim included; unanswered appends and reads end a wait early; a table of seven faults at seven steps, outages, stops and lost callers. Conclusion: the target ran each key at most once in every case.

--- a/sycamorebeam/claim_fold.py
+++ b/sycamorebeam/claim_fold.py
@@ -13,7 +13,7 @@
 
 MAX_ABANDONED = 16
 OVERDUE_MARGIN_MS = 2_000
-KEY_CLOCK_SKEW_MS = 30_000
+KEY_CLOCK_SKEW_MS = 5_000
 
 
 @attrs.frozen(order=True)
@@ -57,7 +57,7 @@
 
 def apply(
     state: KeyState | None,
-    item: claim_records.ClaimRecord,
+    item: claim_records.KeyRecord,
     position: Position,
     window_ms: int,
 ) -> KeyState | None:
@@ -226,14 +226,15 @@
     ``born_ms`` is the time that the key itself carries. A claim is granted
     only when its key was born no later than ``KEY_CLOCK_SKEW_MS`` after the
     log's time, so every earlier claim of the key is younger than that, on
-    whatever clock the key was made. ``since_offset`` is the reader's next
-    offset when a first attempt began: no earlier record can be of its key.
+    whatever clock the key was made. For a key without that time,
+    ``since_offset`` is the reader's next offset when an attempt arrived
+    that its caller marked as the first: no earlier record is of its key.
     """
     if horizon is None:
         return True
-    if since_offset is not None and horizon.offset < since_offset:
-        return True
-    if born_ms is None or horizon.time_ms is None:
+    if born_ms is None:
+        return since_offset is not None and horizon.offset < since_offset
+    if horizon.time_ms is None:
         return False
     return born_ms - KEY_CLOCK_SKEW_MS > horizon.time_ms
 
--- a/sycamorebeam/claim_partition.py
+++ b/sycamorebeam/claim_partition.py
@@ -92,7 +92,7 @@
 
     def fold(
         self,
-        item: claim_records.ClaimRecord,
+        item: claim_records.KeyRecord,
         position: claim_fold.Position,
     ) -> claim_fold.KeyState | None:
         """Apply one record and return the state of its key."""
@@ -109,7 +109,7 @@
 
     def _hold_output(
         self,
-        item: claim_records.ClaimRecord,
+        item: claim_records.KeyRecord,
         state: claim_fold.KeyState,
         position: claim_fold.Position,
     ) -> None:
--- a/sycamorebeam/claim_records.py
+++ b/sycamorebeam/claim_records.py
@@ -59,13 +59,20 @@
     target_request_id: str | None = None
 
 
-ClaimRecord = Claim | Abandon | Release | Outcome
+@attrs.frozen
+class Tick:
+    """Tells the log's time on a stream that is seldom written."""
 
-_TYPES: dict[str, type[Claim | Abandon | Release | Outcome]] = {
+
+KeyRecord = Claim | Abandon | Release | Outcome
+ClaimRecord = KeyRecord | Tick
+
+_TYPES: dict[str, type[ClaimRecord]] = {
     'claim': Claim,
     'abandon': Abandon,
     'release': Release,
     'outcome': Outcome,
+    'tick': Tick,
 }
 _NAMES = {kind: name for name, kind in _TYPES.items()}
 
--- a/sycamorebeam/controllers/claim_settling.py
+++ b/sycamorebeam/controllers/claim_settling.py
@@ -87,7 +87,7 @@
             logger.warning('event=claims_unsettled count={}', len(self._tasks))
 
     def _settle(
-        self, stream: str, items: Sequence[claim_records.ClaimRecord]
+        self, stream: str, items: Sequence[claim_records.KeyRecord]
     ) -> None:
         if len(self._tasks) >= MAX_UNSETTLED:
             logger.error(
@@ -103,7 +103,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _append_all(
-        self, stream: str, items: Sequence[claim_records.ClaimRecord]
+        self, stream: str, items: Sequence[claim_records.KeyRecord]
     ) -> None:
         give_up_ms = self._clock.monotonic_ms() + self._window_ms
         try:
@@ -113,11 +113,11 @@
             self._forget(items[0])
 
     async def _append(
-        self, stream: str, item: claim_records.ClaimRecord, give_up_ms: int
+        self, stream: str, item: claim_records.KeyRecord, give_up_ms: int
     ) -> None:
         record = claim_records.to_record(item)
         retry_ms = FIRST_RETRY_MS
-        while self._clock.monotonic_ms() < give_up_ms:
+        while True:
             submitted = await self._appender.submit(
                 stream, record, batching.Priority.NORMAL
             )
@@ -128,11 +128,15 @@
                     wait_ms = max(after_ms, retry_ms)
                 case results.AppendUnknown():
                     wait_ms = retry_ms
+            # The check follows the try, so that a process that was paused
+            # beyond the window still tries once.
+            if self._clock.monotonic_ms() >= give_up_ms:
+                return
             jittered_ms = wait_ms * self._random.uniform(1, 1.5)
             await self._clock.sleep_ms(jittered_ms)
             retry_ms = min(MAX_RETRY_MS, retry_ms * 2)
 
-    def _forget(self, item: claim_records.ClaimRecord) -> None:
+    def _forget(self, item: claim_records.KeyRecord) -> None:
         match item:
             case claim_records.Outcome(key_digest=digest):
                 if self._outcomes.get(digest) is item:
--- a/sycamorebeam/controllers/claim_view.py
+++ b/sycamorebeam/controllers/claim_view.py
@@ -18,7 +18,7 @@
 from sycamorebeam.clients import results
 
 PAGE_RECORDS = 500
-FOLLOW_WAIT_MS = 500
+FOLLOW_WAIT_MS = 5_000
 READ_GUARD_MS = 500
 FIRST_RETRY_MS = 10
 MAX_RETRY_MS = 1_000
@@ -79,6 +79,7 @@
     _blocked: str | None = None
     _waiters: dict[str, asyncio.Future[Verdict]] = attrs.field(factory=dict)
     _task: asyncio.Task[None] | None = None
+    _reading: asyncio.Timeout | None = None
 
     @property
     def blocked(self) -> str | None:
@@ -90,6 +91,16 @@
         """Whether no claim waits for this stream."""
         return not self._waiters
 
+    @property
+    def knows_time(self) -> bool:
+        """Whether a record was read that came while following.
+
+        Older records do not tell the log's present time.
+        """
+        return self.ready.is_set() and (
+            self.state.next_offset > self._target_offset
+        )
+
     def now_ms(self) -> int:
         """Return the log's time as far as it is known here.
 
@@ -111,6 +122,14 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
+    def read_again(self) -> None:
+        """Give up the read that is waiting and read anew.
+
+        The connection of the old one may have gone silent.
+        """
+        if self._reading is not None and not self._reading.expired():
+            self._reading.reschedule(asyncio.get_running_loop().time())
+
     def expect(self, claim_id: str) -> asyncio.Future[Verdict]:
         """Return a future that gets the verdict on a claim."""
         future = asyncio.get_running_loop().create_future()
@@ -150,9 +169,8 @@
 
     async def _step(self) -> bool:
         """Read once; return whether the log answered."""
-        wait_ms = 0
-        if self._opened and self.ready.is_set():
-            wait_ms = 0 if self._health.reads_down else FOLLOW_WAIT_MS
+        waits = self.ready.is_set() and not self._health.is_read_suspect
+        wait_ms = FOLLOW_WAIT_MS if waits else 0
         result = await self._read(wait_ms)
         match result:
             case results.LogUnavailable(reason=reason):
@@ -169,7 +187,7 @@
     async def _read(self, wait_ms: int) -> results.ReadResult:
         guard_s = (wait_ms + READ_GUARD_MS) / 1000
         try:
-            async with asyncio.timeout(guard_s):
+            async with asyncio.timeout(guard_s) as self._reading:
                 if not self._opened:
                     return await self._log.bounds(self.stream)
                 return await self._log.read(
@@ -180,6 +198,8 @@
                 )
         except TimeoutError:
             return results.LogUnavailable(f'no answer within {guard_s} s')
+        finally:
+            self._reading = None
 
     def _take(self, page: results.LogPage) -> None:
         if not self._opened:
@@ -219,13 +239,15 @@
             self._block(item.offset, error)
             return
         for index, record in enumerate(found):
+            if isinstance(record, claim_records.Tick):
+                continue
             position = claim_fold.Position(item.offset, index, item.time_ms)
             state = self.state.fold(record, position)
             self._announce(record, state, item.time_ms)
 
     def _announce(
         self,
-        record: claim_records.ClaimRecord,
+        record: claim_records.KeyRecord,
         state: claim_fold.KeyState | None,
         time_ms: int,
     ) -> None:
--- a/sycamorebeam/controllers/claims.py
+++ b/sycamorebeam/controllers/claims.py
@@ -33,11 +33,13 @@
 
 MAX_STORED_OUTPUT_BYTES = 16_384
 ABANDON_AFTER_MS = 500
+READ_BACK_MS = 250
 FAILED_RETRY_MS = 1_000
 MIN_PROGRESS_RETRY_MS = 200
 MAX_PROGRESS_RETRY_MS = 2_000
 IDLE_VIEW_MS = 600_000
 REAP_INTERVAL_MS = 60_000
+TICKS_PER_WINDOW = 4
 OUTPUT_READ_TIMEOUT_MS = 500
 SETTLE_TIMEOUT_MS = 5_000
 
@@ -81,7 +83,9 @@
         init=False, factory=dict
     )
     _senders: set[asyncio.Task[None]] = attrs.field(init=False, factory=set)
-    _reaper: asyncio.Task[None] | None = attrs.field(init=False, default=None)
+    _periodic: tuple[asyncio.Task[None], ...] = attrs.field(
+        init=False, default=()
+    )
 
     def __attrs_post_init__(self) -> None:
         self._health = log_health.LogHealth(self._clock, self._cut_all)
@@ -92,15 +96,17 @@
         return self._settler.unsettled
 
     async def start(self) -> None:
-        """Begin to stop following streams that nobody asks for."""
-        self._reaper = asyncio.create_task(self._reap())
+        """Begin the periodic duties."""
+        self._periodic = (
+            asyncio.create_task(self._reap()),
+            asyncio.create_task(self._tick()),
+        )
 
     async def stop(self, timeout_ms: int = SETTLE_TIMEOUT_MS) -> None:
         """Store what is not stored yet, within a bound, and stop."""
         await self._settler.stop(timeout_ms)
-        for task in [self._reaper, *self._senders]:
-            if task is not None:
-                task.cancel()
+        for task in [*self._periodic, *self._senders]:
+            task.cancel()
         for view in self._views.values():
             await view.stop()
         self._views.clear()
@@ -221,6 +227,7 @@
         match submitted.result:
             case results.Appended():
                 self._health.append_worked()
+                await self._read_again_later(view, attempt)
             case results.AppendRefused() as refused:
                 verdict = claim_view.Refused(
                     refused.reason, refused.retry_after_ms
@@ -228,21 +235,35 @@
                 view.decide(attempt.claim_id, verdict)
             case results.AppendUnknown() if view.awaits(attempt.claim_id):
                 self._health.append_unknown()
+                view.read_again()
                 await self._abandon_later(view, attempt)
 
+    async def _read_again_later(
+        self, view: claim_view.PartitionView, attempt: _Attempt
+    ) -> None:
+        """Renew a read that does not show a record that the log has."""
+        await self._clock.sleep_ms(READ_BACK_MS)
+        if view.awaits(attempt.claim_id):
+            view.read_again()
+
     async def _abandon_later(
         self, view: claim_view.PartitionView, attempt: _Attempt
     ) -> None:
         """Let the log decide between the claim and an abandon of it.
 
-        Until then the claim may still be seen and own the key.
+        Until then the claim may still be seen and own the key. Where the
+        abandon has no answer either, the attempt ends.
         """
         await self._clock.sleep_ms(ABANDON_AFTER_MS)
-        if view.awaits(attempt.claim_id):
-            abandon = claim_records.Abandon(
-                key_digest=attempt.digest, claim_id=attempt.claim_id
-            )
-            await self._submit(view, abandon)
+        if not view.awaits(attempt.claim_id):
+            return
+        abandon = claim_records.Abandon(
+            key_digest=attempt.digest, claim_id=attempt.claim_id
+        )
+        submitted = await self._submit(view, abandon)
+        if not isinstance(submitted.result, results.Appended):
+            reason = 'the log did not answer the claim'
+            view.decide(attempt.claim_id, claim_view.Cut(reason))
 
     async def _submit(
         self,
@@ -303,10 +324,8 @@
             return claims.KeyTooOld()
         if not attempt.deadline.remaining_ms(self._clock):
             self._withdraw(view, attempt)
-            return claims.ClaimFailed(
-                'the deadline passed before the claim was read',
-                proved_not_run=True,
-                retry_after_ms=MIN_PROGRESS_RETRY_MS,
+            return self._failed(
+                attempt, 'the deadline passed before the claim was read'
             )
         permit = claims.DispatchPermit(
             attempt.claim_id, attempt.partition, attempt.digest
@@ -325,11 +344,7 @@
         result = await self._answer(view, attempt, standing)
         if result is not None:
             return result
-        return claims.ClaimFailed(
-            'the claim came too late and was abandoned',
-            proved_not_run=attempt.is_covered(seen.horizon),
-            retry_after_ms=self._retry_ms(),
-        )
+        return self._failed(attempt, 'the claim came too late')
 
     async def _known(
         self, view: claim_view.PartitionView, attempt: _Attempt
@@ -339,6 +354,9 @@
         standing = claim_fold.standing(
             state, attempt.request_digest, view.now_ms()
         )
+        if isinstance(standing, claim_fold.Open) and not view.knows_time:
+            # The claim is void, but it tells the log's time.
+            return None
         result = await self._answer(view, attempt, standing)
         if result is not None:
             return result
@@ -421,8 +439,9 @@
     ) -> claims.ClaimFailed:
         """Return a failure before any permit.
 
-        This attempt runs nothing; that no other ran is proved only where
-        the caller never sent the key before.
+        This attempt runs nothing. That no other one ran is proved only by
+        the caller's word that this is its first: a free key in the log
+        proves nothing, because an earlier attempt's claim may yet land.
         """
         return claims.ClaimFailed(
             reason,
@@ -478,7 +497,25 @@
         for view in self._views.values():
             view.cut(reason)
 
+    async def _tick(self) -> None:
+        """Keep the streams from being empty, one at random at a time.
+
+        A reader that begins on a stream whose records are all gone cannot
+        tell their age, and would refuse keys for a while.
+        """
+        interval_ms = self._window_ms / (TICKS_PER_WINDOW * self._partitions)
+        while True:
+            spread = self._random.uniform(0.5, 1.5)
+            await self._clock.sleep_ms(interval_ms * spread)
+            partition = self._random.randrange(self._partitions)
+            await self._appender.submit(
+                claim_records.stream_of(partition),
+                claim_records.to_record(claim_records.Tick()),
+                batching.Priority.HOUSEKEEPING,
+            )
+
     async def _reap(self) -> None:
+        """Stop to follow streams that nobody asks for."""
         while True:
             await self._clock.sleep_ms(REAP_INTERVAL_MS)
             oldest_ms = self._clock.monotonic_ms() - IDLE_VIEW_MS
--- a/sycamorebeam/filters/idempotency.py
+++ b/sycamorebeam/filters/idempotency.py
@@ -11,6 +11,7 @@
 from sycamorebeam import hashing
 from sycamorebeam.controllers import claims as claims_controller
 from sycamorebeam.filters import chain
+from sycamorebeam.filters import not_run
 
 MAX_KEY_CHARS = 255
 
@@ -68,6 +69,7 @@
         permit: claims.DispatchPermit,
         proceed: chain.Handler,
     ) -> answers.Answer:
+        """Run the request that owns its key, and end its claim."""
         request.permit = permit
         try:
             answer = await proceed(request)
@@ -84,8 +86,9 @@
                 outcome = claims.RunOutcome(
                     known=False, target_request_id=target_request_id
                 )
-                released = await self._settle(permit, outcome)
-                return answer if released else _honest(answer)
+                if await self._settle(permit, outcome):
+                    return not_run.narrow(request, answer)
+                return _unproved(answer)
 
     async def _settle(
         self, permit: claims.DispatchPermit, outcome: claims.RunOutcome
@@ -121,7 +124,7 @@
     return hashing.digest(json.dumps(request.body, sort_keys=True).encode())
 
 
-def _honest(answer: answers.Problem) -> answers.Problem:
+def _unproved(answer: answers.Problem) -> answers.Problem:
     """Return ``answer`` without a "not run" that nothing proves."""
     match answer.outcome:
         case answers.Outcome.NOT_RUN | answers.Outcome.ATTEMPT_NOT_RUN:
--- a/sycamorebeam/log_health.py
+++ b/sycamorebeam/log_health.py
@@ -30,6 +30,11 @@
         """Whether reads fail."""
         return self._failed_reads >= FAILED_READS_DOWN
 
+    @property
+    def is_read_suspect(self) -> bool:
+        """Whether the last read failed."""
+        return self._failed_reads > 0
+
     @property
     def appends_down(self) -> bool:
         """Whether the last append that ended had no answer."""
--- a/tests/claim_bench.py
+++ b/tests/claim_bench.py
@@ -178,6 +178,11 @@
             self.claims, self.clock
         )
 
+    async def answer(self, *args):
+        answer = await self.serve(*args)
+        await self.process.step('answer')
+        return answer
+
     async def serve(self, key, first=False, deadline_ms=DEADLINE_MS, number=1):
         request = chain.Request(
             request_id='r',
@@ -227,14 +232,16 @@
     async def ask(
         self, instance, key, first=False, deadline_ms=DEADLINE_MS, number=1
     ):
-        """Send one attempt as a caller that hangs up after its deadline."""
+        """Send one attempt as a caller that hangs up after its deadline.
+
+        The instance goes on: a paused one does not notice.
+        """
         began_ms = self.clock.monotonic_ms()
-        answer = None
-        try:
-            async with asyncio.timeout(deadline_ms / 1000 + 1):
-                answer = await instance.serve(key, first, deadline_ms, number)
-        except TimeoutError:
-            pass
+        serving = asyncio.create_task(
+            instance.answer(key, first, deadline_ms, number)
+        )
+        await asyncio.wait({serving}, timeout=deadline_ms / 1000 + 1)
+        answer = serving.result() if serving.done() else None
         told = Told(key, began_ms, self.clock.monotonic_ms(), answer)
         self.told.append(told)
         return told
@@ -251,7 +258,7 @@
             envelope = records.unpack_envelope(row.data)
             for index, record in enumerate(envelope):
                 item = claim_records.from_record(record)
-                if item.key_digest == digest:
+                if getattr(item, 'key_digest', None) == digest:
                     position = claim_fold.Position(
                         row.offset, index, row.time_ms
                     )
--- /dev/null
+++ b/tests/test_claim_faults.py
@@ -0,0 +1,239 @@
+"""Tests of claims under a fault at each step of the owner."""
+
+import asyncio
+
+import ddt
+
+from tests import base
+from tests import claim_bench
+
+STEPS = (
+    'before_claim',
+    'after_claim',
+    'read_claim',
+    'dispatch',
+    'ran',
+    'before_outcome',
+    'after_outcome',
+)
+HOUR_MS = 3_600_000
+PAUSE_MS = 30_000
+OUTAGE_MS = 20_000
+LATE_BY_MS = 3_000
+NOTICED_MS = 50
+FIRST_NOTICE_MS = 2_000
+LETTERS = {
+    'nothing': '-',
+    'completed': 'C',
+    'in_progress': 'P',
+    'unknown': 'U',
+    'not_run': 'N',
+    'attempt_not_run': 'A',
+    'too_old': 'O',
+}
+
+
+def later(duration_ms, call, *args):
+    asyncio.get_running_loop().call_later(duration_ms / 1000, call, *args)
+
+
+def die(log, process):
+    process.dead = True
+
+
+def pause(log, process):
+    process.pause(PAUSE_MS)
+
+
+def pause_long(log, process):
+    """Pause beyond the window, and lose all records meanwhile."""
+    process.pause(2 * HOUR_MS)
+    later(
+        2 * HOUR_MS - 1_000,
+        lambda: log.truncate('claims.0', len(log.streams['claims.0'])),
+    )
+
+
+def lose_answer(log, process):
+    log.lose_answers = 1
+
+
+def append_late(log, process):
+    log.late_appends = 1
+    log.late_by_ms = LATE_BY_MS
+
+
+def fall(log, process):
+    log.down = True
+    later(OUTAGE_MS, setattr, log, 'down', False)
+
+
+def hang(log, process):
+    log.hang = True
+    later(OUTAGE_MS, setattr, log, 'hang', False)
+
+
+# For each fault, one case per step: how often the target ran, what five
+# attempts were told (the first at the faulty instance, two soon after and
+# two much later at another), and what the log says of the key at the end.
+FAULTS = {
+    die: [
+        '1 -CCCC known',
+        '0 -PPUU open',
+        '0 -PPUU open',
+        '0 -PPUU open',
+        '1 -PPUU open',
+        '1 CPPUU open',
+        '1 CCCCC known',
+    ],
+    pause: [
+        '1 -CCCC known',
+        '1 -PPCC known',
+        '1 -PPCC known',
+        '1 -PPCC known',
+        '1 -PPCC known',
+        '1 CPPCC known',
+        '1 CCCCC known',
+    ],
+    pause_long: [
+        '1 -CCCO known',
+        '0 -PPUO free',
+        '0 -PPUO free',
+        '1 -PPUO known',
+        '1 -PPUO known',
+        '1 CPPUO known',
+        '1 CCCCC known',
+    ],
+    lose_answer: ['1 CCCCC known'] * 7,
+    append_late: [
+        '1 NCCCC known',
+        *['1 CPPCC known'] * 5,
+        '1 CCCCC known',
+    ],
+    fall: [
+        '1 NAACC known',
+        '1 NAACC known',
+        *['1 CAACC known'] * 5,
+    ],
+    hang: ['1 NAACC known', *['1 CAACC known'] * 6],
+}
+
+
+def cases():
+    for fault, expected in FAULTS.items():
+        for step, case in zip(STEPS, expected, strict=True):
+            yield fault, step, case
+
+
+def in_log(state):
+    if state is None or state.claim_id is None:
+        return 'free'
+    if state.outcome is None:
+        return 'open'
+    return 'known' if state.outcome.known else 'unknown'
+
+
+@ddt.ddt
+class StepFaultTest(base.TestCase):
+    @ddt.data(*cases())
+    @ddt.unpack
+    async def test_fault_at(self, fault, step, expected):
+        bench = claim_bench.Bench()
+        one = bench.instance('a', {step: lambda it: fault(bench.log, it)})
+        two = bench.instance('b')
+        told = [await bench.ask(one, 'k', first=True)]
+        for pause_ms in (300, 300, 60_000):
+            await bench.clock.sleep_ms(pause_ms)
+            told.append(await bench.ask(two, 'k'))
+        long_ms = 3 * HOUR_MS if fault is pause_long else 60_000
+        await bench.clock.sleep_ms(long_ms)
+        told.append(await bench.ask(two, 'k'))
+        letters = ''.join(LETTERS[item.outcome] for item in told)
+        runs = len(bench.target.runs['k'])
+        found = f'{runs} {letters} {in_log(bench.fold("k"))}'
+        self.assertEqual(expected, found)
+        self.assertEqual([], bench.ledger_faults())
+
+
+@ddt.ddt
+class OutageTest(base.TestCase):
+    @ddt.data(('down', NOTICED_MS), ('hang', FIRST_NOTICE_MS))
+    @ddt.unpack
+    async def test_refused_at_once_when_the_outage_is_known(
+        self, switch, first_notice_ms
+    ):
+        bench = claim_bench.Bench()
+        instance = bench.instance()
+        await bench.ask(instance, 'warm')
+        await bench.settle(instance)
+        setattr(bench.log, switch, True)
+        told = await bench.ask(instance, 'k0', deadline_ms=60_000)
+        self.assertLessEqual(told.ended_ms - told.began_ms, first_notice_ms)
+        for number in range(20):
+            await bench.clock.sleep_ms(237)
+            told = await bench.ask(instance, f'k{number}', number % 2 == 0)
+            self.assertLessEqual(told.ended_ms - told.began_ms, NOTICED_MS)
+            expected = 'not_run' if number % 2 == 0 else 'attempt_not_run'
+            self.assertEqual(expected, told.outcome)
+        again = await bench.ask(instance, 'warm')
+        self.assertEqual('completed', again.outcome)
+        setattr(bench.log, switch, False)
+        await bench.clock.sleep_ms(5_000)
+        told = await bench.ask(instance, 'k1')
+        self.assertEqual('completed', told.outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+    @ddt.data(('down', False), ('down', True), ('hang', False))
+    @ddt.unpack
+    async def test_stop_during_an_outage_is_bounded(self, switch, heals):
+        bench = claim_bench.Bench()
+        fault = {'before_outcome': lambda it: setattr(bench.log, switch, True)}
+        instance = bench.instance('a', fault)
+        await bench.ask(instance, 'k', first=True)
+        if heals:
+            later(2_000, setattr, bench.log, switch, False)
+        began_ms = bench.clock.monotonic_ms()
+        await instance.claims.stop(timeout_ms=5_000)
+        self.assertLessEqual(bench.clock.monotonic_ms() - began_ms, 6_000)
+        setattr(bench.log, switch, False)
+        await bench.clock.sleep_ms(60_000)
+        told = await bench.ask(bench.instance('b'), 'k')
+        self.assertEqual('completed' if heals else 'unknown', told.outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+    async def test_a_silent_read_is_renewed(self):
+        bench = claim_bench.Bench()
+        instance = bench.instance()
+        await bench.ask(instance, 'warm')
+        await bench.settle(instance)
+        await bench.clock.sleep_ms(6_000)
+        # The waiting read hangs; the append and any new read work.
+        bench.log.hang = True
+        await bench.clock.sleep_ms(5_001)
+        bench.log.hang = False
+        told = await bench.ask(instance, 'k')
+        self.assertEqual('completed', told.outcome)
+        self.assertLessEqual(told.ended_ms - told.began_ms, 1_000)
+
+
+@ddt.ddt
+class CallerGoneTest(base.TestCase):
+    @ddt.data(
+        (0, 0, 'free'),
+        (1, 0, 'free'),
+        (8, 1, 'unknown'),
+        (15, 1, 'unknown'),
+    )
+    @ddt.unpack
+    async def test_cancelled_after(self, wait_ms, runs, expected):
+        bench = claim_bench.Bench()
+        bench.log.delay_ms = 1
+        instance = bench.instance()
+        await bench.ask(instance, 'warm')
+        serving = asyncio.create_task(instance.serve('k'))
+        await bench.clock.sleep_ms(wait_ms)
+        serving.cancel()
+        await asyncio.wait({serving})
+        await bench.settle(instance)
+        self.assertEqual(runs, len(bench.target.runs['k']))
+        self.assertEqual(expected, in_log(bench.fold('k')))
