Count cut requests in drains, and idempotent work that a fault may not delay

Cause: a caller's retries hid a request cut by a planned stop. Change: the ledger counts tries that got no answer; drains must have none, and five faults must leave all idempotent work in its deadline.

--- a/demo/ledger.py
+++ b/demo/ledger.py
@@ -21,6 +21,7 @@
     deadline_ms: int
     key: str | None = None
     tries: int = 0
+    lost_tries: int = 0
     took_ms: float = 0.0
     answer: dict[str, Any] | None = None
     problem: dict[str, Any] | None = None
--- a/demo/load.py
+++ b/demo/load.py
@@ -141,6 +141,7 @@
                 row.problem = document
             case caller.CallLost(reason):
                 row.lost = reason
+                row.lost_tries += 1
         if not _again(row, result):
             return
         await asyncio.sleep(_pause_s(row))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -115,6 +115,15 @@
     kill_while_log_is_down,
 )
 
+# Faults that leave every request without an action possible.
+NOT_FELT_BY_IDEMPOTENT_WORK = (
+    drain_instances,
+    stop_log,
+    freeze_platform,
+    lose_log_answers,
+    silence_targets,
+)
+
 
 @ddt.ddt
 class WholePathTest(base.NetworkTestCase):
@@ -165,6 +174,12 @@
         self.assertEqual([], broken)
         complete = [row for row in rows if row.answer]
         self.assertGreater(len(complete), len(rows) / 2)
+        if disturb is drain_instances:
+            cut = [row for row in rows if row.lost_tries]
+            self.assertEqual([], cut)
+        if disturb in NOT_FELT_BY_IDEMPOTENT_WORK:
+            late = [row for row in rows if not (row.key or row.in_deadline)]
+            self.assertEqual([], late)
 
     async def check_service_goes_on(self):
         """After the fault, each pipeline is answered again."""
