Check files of replicas like other files

Cause: a file of replicas that is not what the stand-ins expect ended in a trace. Change: replica_file names every problem with its line; the stand-in commands and the tests of the samples use it.

--- a/sycamorebeam/cli/standin_commands.py
+++ b/sycamorebeam/cli/standin_commands.py
@@ -1,15 +1,15 @@
 """The commands that serve stand-ins of the platform and of targets."""
 
+from collections.abc import Mapping
 import pathlib
 from typing import Annotated
-from typing import Any
 
 import typer
 
 from sycamorebeam import catalogue
 from sycamorebeam import catalogue_file
 from sycamorebeam import errors
-from sycamorebeam import jsonc
+from sycamorebeam import replica_file
 from sycamorebeam.cli import output
 from sycamorebeam.standins import platform as platform_standin
 from sycamorebeam.standins import replica
@@ -41,14 +41,16 @@
     Example: sycamorebeam standin platform --listen 127.0.0.1:21000
     --replicas samples/kovacik/replicas.jsonc
     """
-    items = jsonc.load(replicas).value if replicas else []
+    items = replica_file.load_replicas(replicas) if replicas else []
     output.run(_serve_platform(listen, items))
 
 
-async def _serve_platform(listen: str, items: list[dict[str, Any]]) -> None:
+async def _serve_platform(
+    listen: str, items: list[replica_file.ListedReplica]
+) -> None:
     host, port = server.split_address(listen)
     running = await platform_standin.start_platform(host, port)
-    running.instances.put(items)
+    running.instances.put([item.to_plain() for item in items])
     await server.run_until_signal([running])
 
 
@@ -108,12 +110,11 @@
     --catalogue samples/kovacik/catalogue.jsonc
     """
     entries = catalogue_file.load_catalogue_file(catalogue_path)
-    items = jsonc.load(replicas).value
     specs = [
         _spec(item, entries)
-        for item in items
-        if item['group'] != 'entry'
-        and item['group'] in (group or [item['group']])
+        for item in replica_file.load_replicas(replicas)
+        if item.group != replica_file.ENTRY_GROUP
+        and (not group or item.group in group)
     ]
     if not specs:
         raise errors.SettingsError(
@@ -123,17 +124,18 @@
 
 
 def _spec(
-    item: dict[str, Any], entries: dict[str, catalogue.AnyEntry]
+    item: replica_file.ListedReplica,
+    entries: Mapping[str, catalogue.AnyEntry],
 ) -> target_standin.TargetSpec:
-    entry = entries.get(f'target/{item["group"]}')
+    entry = entries.get(f'target/{item.group}')
     if not isinstance(entry, catalogue.Target):
         raise errors.SettingsError(
-            f'group {item["group"]} is no target of the catalogue',
+            f'group {item.group} is no target of the catalogue',
             'add the target, or name other groups with --group',
         )
     return target_standin.TargetSpec(
-        listen=item['address'],
+        listen=item.address,
         kind=entry.kind,
-        group=item['group'],
+        group=item.group,
         options=replica.TargetOptions(checks_fencing=entry.checks_fencing),
     )
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -7,7 +7,7 @@
 import ddt
 
 from sycamorebeam import catalogue_file
-from sycamorebeam import jsonc
+from sycamorebeam import replica_file
 from sycamorebeam import settings
 from tests import base
 
@@ -27,6 +27,10 @@
     }
 
 
+def load_replicas(user):
+    return replica_file.load_replicas(SAMPLES / user / 'replicas.jsonc')
+
+
 @ddt.ddt
 class SamplesTest(base.TestCase):
     @ddt.data(*SERVICES)
@@ -51,20 +55,20 @@
 
     @ddt.data(*SERVICES)
     def test_the_replicas_have_the_sizes_of_today(self, user):
-        items = jsonc.load(SAMPLES / user / 'replicas.jsonc').value
-        groups = collections.Counter(item['group'] for item in items)
+        items = load_replicas(user)
+        groups = collections.Counter(item.group for item in items)
         expected = dict.fromkeys((*POOLS, *SERVICES[user]), 3)
         self.assertEqual(expected | {'engines': 6, 'entry': 6}, groups)
-        self.assertEqual(3, len({item['zone'] for item in items}))
-        self.assertEqual(2, len({item['region'] for item in items}))
+        self.assertEqual(3, len({item.zone for item in items}))
+        self.assertEqual(2, len({item.region for item in items}))
 
     @ddt.data(*SERVICES)
     def test_the_replicas_match_the_settings(self, user):
-        items = jsonc.load(SAMPLES / user / 'replicas.jsonc').value
+        items = load_replicas(user)
         listed = {
-            (item['id'], item['address'], item['peer_address'], item['zone'])
+            (item.id, item.address, item.peer_address, item.zone)
             for item in items
-            if item['group'] == 'entry'
+            if item.group == 'entry'
         }
         known = {
             (
@@ -85,9 +89,9 @@
             used[found.addresses.peers] += 1
             used[found.addresses.admin] += 1
         for user in SERVICES:
-            for item in jsonc.load(SAMPLES / user / 'replicas.jsonc').value:
-                if item['group'] != 'entry':
-                    used[item['address']] += 1
+            for item in load_replicas(user):
+                if item.group != 'entry':
+                    used[item.address] += 1
         self.assertEqual([], [key for key, count in used.items() if count > 1])
         self.assertEqual(12 * 3 + 2 * 27, len(used))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,7 @@
 from sycamorebeam import catalogue_file
 from sycamorebeam import errors
 from sycamorebeam import jsonc
+from sycamorebeam import replica_file
 from sycamorebeam import settings
 from tests import base
 
@@ -182,6 +183,32 @@
         self.assertEqual(b'0123456789abcdef', settings.read_secret(path))
 
 
+def listed(name, address):
+    placement = '"group": "g", "zone": "z", "region": "r"'
+    return f'{{"id": "{name}", "address": "{address}", {placement}}}'
+
+
+@ddt.ddt
+class ReplicaFileTest(FileTestCase):
+    @ddt.data(
+        ('{}', '1: (whole): found {}, allowed a list'),
+        ('[7]', '1: [0]: found 7, allowed an object'),
+        (f'[{listed("a", "host")}]', '1: [0].address: found "host"'),
+        (
+            f'[{listed("a", "10.0.0.1:1")},\n{listed("a", "10.0.0.1:2")}]',
+            '2: [1].id: found "a" again',
+        ),
+        (
+            f'[{listed("a", "10.0.0.1:1")},\n{listed("b", "10.0.0.1:1")}]',
+            '2: [1].address: found "10.0.0.1:1" again',
+        ),
+    )
+    @ddt.unpack
+    def test_names_what_is_wrong(self, text, message):
+        problems = self.problems(replica_file.load_replicas, self.write(text))
+        self.assertTrue(problems[0].startswith(message), problems)
+
+
 class CatalogueFileTest(FileTestCase):
     def test_names_every_problem_at_once(self):
         problems = self.problems(
