--- a/demo/site.py
+++ b/demo/site.py
@@ -19,6 +19,7 @@
 from sycamorebeam import catalogue
 from sycamorebeam import catalogue_file
 from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
 from sycamorebeam import clock as clocks
 from sycamorebeam import entries
 from sycamorebeam import jsonc
@@ -112,7 +113,7 @@
 
         Without ``revisions`` they are made from the current ones.
         """
-        client = log.new_log_client(f'http://{self.platform}', LOG_TIMEOUT_MS)
+        client = log.new_log_client(self.platform, LOG_TIMEOUT_MS)
         try:
             if revisions is None:
                 fold = await publishing.read(client)
@@ -235,7 +236,7 @@
 
 def _revision(fold: Any, key: str) -> int:
     found = fold.catalogue().entries.get(key)
-    return found.revision if found else catalogue_records.ABSENT
+    return found.revision if found else catalogue_store.ABSENT
 
 
 def _action_operations(
--- a/sycamorebeam/catalogue_plan.py
+++ b/sycamorebeam/catalogue_plan.py
@@ -6,13 +6,14 @@
 """
 
 from collections.abc import Mapping
+import itertools
 
 import attrs
 
 from sycamorebeam import catalogue
+from sycamorebeam import catalogue_edits
 from sycamorebeam import catalogue_fold
 from sycamorebeam import catalogue_records
-from sycamorebeam import entries
 
 
 @attrs.frozen
@@ -50,13 +51,8 @@
     """
     current = fold.catalogue().entries
     missing = sorted(current.keys() - wanted.keys())
-    edits = [
-        _edit(key, wanted[key], current)
-        for key in sorted(wanted)
-        if key not in current or current[key].entry != wanted[key]
-    ]
-    if remove_missing:
-        edits.extend(_removal(key, current) for key in missing)
+    changes = catalogue_edits.plan(fold, wanted, remove_missing)
+    edits = list(itertools.chain.from_iterable(changes))
     return Plan(
         offset=fold.offset,
         edits=tuple(edits),
@@ -65,22 +61,6 @@
     )
 
 
-def _edit(
-    key: str,
-    entry: catalogue.AnyEntry,
-    current: Mapping[str, catalogue.Versioned],
-) -> catalogue_records.Edit:
-    found = current.get(key)
-    revision = found.revision if found else catalogue_records.ABSENT
-    return catalogue_records.Edit(key, revision, entries.to_plain(entry))
-
-
-def _removal(
-    key: str, current: Mapping[str, catalogue.Versioned]
-) -> catalogue_records.Edit:
-    return catalogue_records.Edit(key, current[key].revision, None)
-
-
 def _conflicts(
     fold: catalogue_fold.Fold,
     edits: list[catalogue_records.Edit],
--- a/sycamorebeam/cli/log_access.py
+++ b/sycamorebeam/cli/log_access.py
@@ -28,7 +28,8 @@
             f'{checking.show(url)} is not the URL of a log',
             f'write {checking.describe_rule(checking.Url())}',
         )
-    client = log.new_log_client(url, LOG_TIMEOUT_MS)
+    address = url.removeprefix('http://')
+    client = log.new_log_client(address, LOG_TIMEOUT_MS)
     try:
         yield client
     finally:
