Make the verdict on a text the same for every version of Python

Cause: str.isprintable() follows the Unicode tables of the interpreter, so that instances of different versions could disagree on a change; a target named like the group of our own instances would mix both. Change: the refused controls are listed; target/entry is reserved.

--- a/sycamorebeam/catalogue_file.py
+++ b/sycamorebeam/catalogue_file.py
@@ -55,7 +55,7 @@
         for name, value in found.items():
             path = (section, name)
             entry, faults = entries.build(kind, value, path)
-            faults = [*entries.check_name(name, path), *faults]
+            faults = [*entries.check_name(kind, name, path), *faults]
             self.faults.extend(faults)
             if entry is None or faults:
                 self._faulty.add(f'{kind}/{name}')
--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -25,6 +25,11 @@
 MAX_SHOWN_CHARS = 60
 MAX_TEXT_CHARS = 1_000
 MAX_UNKNOWN_KEYS = 20
+# Listed one by one: what str.isprintable() allows differs between versions
+# of Python, and instances of different versions must agree on an entry.
+CONTROLS = re.compile(
+    '[\x00-\x1f\x7f-\x9f\u200e\u200f\u2028-\u202e\u2066-\u2069\ud800-\udfff]'
+)
 NEAR_RATIO = 0.7
 MAX_LISTED_NAMES = 12
 MAX_COMPARED_NAMES = 500
@@ -320,7 +325,7 @@
 
 
 def _is_text(text: str) -> bool:
-    return 0 < len(text) <= MAX_TEXT_CHARS and text.isprintable()
+    return 0 < len(text) <= MAX_TEXT_CHARS and not CONTROLS.search(text)
 
 
 def holds(rule: Rule, value: Any) -> bool:
@@ -399,7 +404,7 @@
     if issubclass(hint, enum.Enum):
         return _alternatives(member.value for member in hint)
     names = {
-        str: f'a printable text of 1 to {MAX_TEXT_CHARS} characters',
+        str: f'a text of 1 to {MAX_TEXT_CHARS} characters without controls',
         int: 'a whole number',
         float: 'a finite number',
         bool: 'true or false',
--- a/sycamorebeam/entries.py
+++ b/sycamorebeam/entries.py
@@ -25,6 +25,9 @@
 TOKEN_DIGEST = checking.Pattern(
     '[0-9a-f]{64}', 'a SHA-256 digest, 64 lower-case hex digits'
 )
+RESERVED_KIND = 'target'
+RESERVED_NAME = 'entry'
+"""The group of our own instances in the platform's list."""
 MAX_DEADLINE_MS = 600_000
 MAX_TOKENS = 1_000_000
 MAX_COST = 1e9
@@ -74,24 +77,28 @@
     Raises SettingsError when the key is not ``kind/name``.
     """
     kind, slash, name = key.partition('/')
-    faults = check_name(name, (name,)) if slash else []
+    faults = check_name(kind, name, (name,)) if slash else []
     if kind in catalogue.KINDS and slash and not faults:
         return kind, name
     raise errors.SettingsError(
         f'{checking.show(key)} is not the key of an entry',
         f'write kind/name; kinds are {", ".join(catalogue.KINDS)}, a name is '
-        f'{NAME.meaning}',
+        f'{NAME.meaning}; {RESERVED_KIND}/{RESERVED_NAME} is reserved',
     )
 
 
-def check_name(name: str, path: checking.Path) -> list[checking.Fault]:
+def check_name(
+    kind: str, name: str, path: checking.Path
+) -> list[checking.Fault]:
     """Return the fault of an entry's name, if it has one."""
-    if checking.holds(NAME, name):
+    allowed = NAME.meaning
+    if kind == RESERVED_KIND:
+        allowed = f'{allowed}, not "{RESERVED_NAME}"'
+    is_reserved = (kind, name) == (RESERVED_KIND, RESERVED_NAME)
+    if checking.holds(NAME, name) and not is_reserved:
         return []
-    fault = checking.Fault(
-        path, checking.show(name), NAME.meaning, 'choose another name'
-    )
-    return [fault]
+    found = checking.show(name)
+    return [checking.Fault(path, found, allowed, 'choose another name')]
 
 
 def to_plain(entry: catalogue.AnyEntry) -> dict[str, Any]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -38,7 +38,7 @@
             show_default(field),
             checking.describe_rule(rule)
             if rule
-            else 'a printable text of 1 to 1000 ',
+            else 'a text of 1 to 1000 characters',
         )
 
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -83,8 +83,9 @@
         ('pipeline', plain_pipeline(deadline_ms=True), 'a whole number'),
         ('pipeline', plain_pipeline() | {'stages': []}, 'list of 1 to 32'),
         ('pipeline', plain_pipeline(*[plain_stage()] * 33), 'found 33 items'),
-        ('pipeline', plain_pipeline(owner='a\nb'), 'a printable text'),
-        ('pipeline', plain_pipeline(owner='a' * 1001), 'a printable text'),
+        ('pipeline', plain_pipeline(owner='a\nb'), 'a text of 1 to 1000'),
+        ('pipeline', plain_pipeline(owner='a\u202eb'), 'without controls'),
+        ('pipeline', plain_pipeline(owner='a' * 1001), 'a text of 1 to 1000'),
         ('pipeline', plain_pipeline(limits={'tokens_per_s': 10**400}), 'fini'),
         ('pipeline', dict.fromkeys(map(str, range(999))), 'more unknown'),
         ('pipeline', plain_pipeline(deadlin_ms=1), 'write "deadline_ms"'),
@@ -128,7 +129,9 @@
         )
         self.assertEqual(3, len(error.problems), error.problems)
 
-    @ddt.data('team', 'team/', 'tean/ops', 'team/Ops', 'team/a/b')
+    @ddt.data(
+        'team', 'team/', 'tean/ops', 'team/Ops', 'team/a/b', 'target/entry'
+    )
     def test_a_key_is_kind_and_name(self, key):
         self.assertRaises(errors.SettingsError, entries.split_key, key)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -140,7 +140,7 @@
         ('127.0.0.1:7001', '0.0.0.0:1', '5: addresses.advertised_callers'),
         ('127.0.0.1:7001', '127.0.0.1:7002', '7: addresses.peers: found the'),
         ('"callers"', '"caller"', '6: addresses.caller: found an unknown'),
-        ('"z1"', '7', '4: placement.zone: found 7, allowed a print'),
+        ('"z1"', '7', '4: placement.zone: found 7, allowed a text'),
         ('http://127.0.0.1:7100', 'ftp://127.0.0.1:7100', '10: platform.log'),
         ('"instance_id": "i1",', '', '2: instance_id: found nothing'),
         ('"region": "r1"', '"zone": "z2"', '4: placement.zone: found the key'),
