Measure what an instance adds to a request

Cause: nothing told what a request costs at an instance. Change: 'make measure' starts stand-ins and one instance, sends the same calls directly and through the instance in turn, and writes the table into docs/MEASUREMENTS.md.

--- /dev/null
+++ b/tools/measure_load.py
@@ -0,0 +1,159 @@
+"""A closed-loop load: a fixed number of requests in flight, for a time."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import itertools
+import json
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+from hdrh import histogram
+import psutil
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+TOKEN_MARK = b'event: token\n'
+TIMEOUT_S = 30.0
+P50 = 50.0
+P99 = 99.0
+US_PER_MS = 1_000
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@attrs.define(kw_only=True)
+class Sample:
+    """What a load saw, and the CPU time of the watched process."""
+
+    whole_us: histogram.HdrHistogram = attrs.field(factory=_new_histogram)
+    first_us: histogram.HdrHistogram = attrs.field(factory=_new_histogram)
+    failures: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    tokens: int = 0
+    elapsed_s: float = 0.0
+    cpu_s: float = 0.0
+
+    @property
+    def answers(self) -> int:
+        """How many whole answers came."""
+        return int(self.whole_us.get_total_count())
+
+    def add(self, other: 'Sample') -> None:
+        """Take in what another load of the same kind saw."""
+        self.whole_us.add(other.whole_us)
+        self.first_us.add(other.first_us)
+        self.failures.update(other.failures)
+        self.tokens += other.tokens
+        self.elapsed_s += other.elapsed_s
+        self.cpu_s += other.cpu_s
+
+    def whole_ms(self, percentile: float) -> float:
+        """Return a percentile of the time to the whole answer."""
+        value = self.whole_us.get_value_at_percentile(percentile)
+        return float(value) / US_PER_MS
+
+    def first_ms(self, percentile: float) -> float:
+        """Return a percentile of the time to the first token."""
+        value = self.first_us.get_value_at_percentile(percentile)
+        return float(value) / US_PER_MS
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """Where a load goes: URLs taken in turn, headers, and a body.
+
+    The first requests start within ``spread_s``, so that calls of equal
+    length do not stay in step.
+    """
+
+    urls: tuple[str, ...]
+    headers: dict[str, str]
+    body: Callable[[int], dict[str, Any]]
+    end_mark: bytes
+    spread_s: float
+
+
+class Load:
+    """Keeps requests in flight over kept-alive connections."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._numbers = itertools.count()
+
+    async def run(
+        self, target: Target, in_flight: int, duration_s: float, pid: int
+    ) -> Sample:
+        """Return what a load saw; ``pid`` is the process to watch."""
+        sample = Sample()
+        cpu_before_s = cpu_s(pid)
+        started_s = time.perf_counter()
+        until_s = started_s + target.spread_s + duration_s
+        await asyncio.gather(
+            *(
+                self._keep_one(target, number / in_flight, until_s, sample)
+                for number in range(in_flight)
+            )
+        )
+        sample.elapsed_s = time.perf_counter() - started_s
+        sample.cpu_s = cpu_s(pid) - cpu_before_s
+        return sample
+
+    async def _keep_one(
+        self, target: Target, place: float, until_s: float, sample: Sample
+    ) -> None:
+        await asyncio.sleep(place * target.spread_s)
+        while time.perf_counter() < until_s:
+            try:
+                await self._ask(target, sample)
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                sample.failures[type(error).__name__] += 1
+
+    async def _ask(self, target: Target, sample: Sample) -> None:
+        number = next(self._numbers)
+        url = target.urls[number % len(target.urls)]
+        body = json.dumps(target.body(number)).encode()
+        started_s = time.perf_counter()
+        first_s = 0.0
+        chunks = []
+        async with self._session.post(
+            url, data=body, headers=target.headers
+        ) as response:
+            async for chunk in response.content.iter_any():
+                if not first_s and TOKEN_MARK in chunk:
+                    first_s = time.perf_counter()
+                chunks.append(chunk)
+        ended_s = time.perf_counter()
+        answer = b''.join(chunks)
+        if response.status != 200 or target.end_mark not in answer:
+            sample.failures[f'status {response.status}'] += 1
+            return
+        sample.whole_us.record_value(_us(ended_s - started_s))
+        if first_s:
+            sample.first_us.record_value(_us(first_s - started_s))
+        sample.tokens += answer.count(TOKEN_MARK)
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session without a bound on connections."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+    )
+
+
+def cpu_s(pid: int) -> float:
+    """Return the CPU time that a process has used."""
+    times = psutil.Process(pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def _us(seconds: float) -> int:
+    return max(LOWEST_US, int(seconds * 1_000_000))
--- /dev/null
+++ b/tools/measure_report.py
@@ -0,0 +1,163 @@
+"""Turns measurements into tables of the page and into JSON."""
+
+import pathlib
+from typing import Any
+
+from tools import measure_load
+from tools import measure_requests
+
+BEGIN = '<!-- begin {} -->'
+END = '<!-- end {} -->'
+REQUEST_HEADS = (
+    'stand-ins',
+    'in flight',
+    'direct p50 / p99 ms',
+    'instance p50 / p99 ms',
+    'added p50 / p99 ms',
+    'ratio p50 / p99',
+    'direct / instance req/s',
+    'instance CPU ms/req',
+)
+STREAM_HEADS = (
+    'stand-ins',
+    'in flight',
+    'first token direct p50 / p99 ms',
+    'first token instance p50 / p99 ms',
+    'whole direct p50 / p99 ms',
+    'whole instance p50 / p99 ms',
+    'ratio whole p50 / p99',
+    'direct / instance tokens/s',
+    'instance CPU us/token',
+)
+
+
+def table(heads: tuple[str, ...], rows: list[list[str]]) -> str:
+    """Return a table in Markdown."""
+    lines = [heads, tuple('---' for _ in heads), *rows]
+    return '\n'.join(f'| {" | ".join(line)} |' for line in lines)
+
+
+def write(page: pathlib.Path, sections: dict[str, str]) -> None:
+    """Put each section between its markers on the page."""
+    text = page.read_text()
+    for name, section in sections.items():
+        before, _, rest = text.partition(BEGIN.format(name))
+        _, found, after = rest.partition(END.format(name))
+        if not found:
+            raise ValueError(f'{page.name} has no markers of {name!r}')
+        begin, end = BEGIN.format(name), END.format(name)
+        text = f'{before}{begin}\n{section}\n{end}{after}'
+    page.write_text(text)
+
+
+def requests(costs: measure_requests.RequestCosts) -> str:
+    """Return the tables of what requests cost."""
+    plain = [_plain_row(cell) for cell in costs.cells if not _streams(cell)]
+    streams = [_stream_row(cell) for cell in costs.cells if _streams(cell)]
+    parts = [
+        *([table(REQUEST_HEADS, plain)] if plain else []),
+        *([table(STREAM_HEADS, streams)] if streams else []),
+        f'Without requests the instance used '
+        f'{costs.idle_share * 100:.1f}% of a core.',
+        f'Failures: {_failures(costs)}.',
+    ]
+    return '\n\n'.join(parts)
+
+
+def requests_document(costs: measure_requests.RequestCosts) -> dict[str, Any]:
+    """Return what requests cost, for programs to read."""
+    return {
+        'idle_share': costs.idle_share,
+        'cells': [
+            {
+                'group': cell.group,
+                'in_flight': cell.in_flight,
+                'direct': _sample(cell.direct),
+                'instance': _sample(cell.instance),
+            }
+            for cell in costs.cells
+        ],
+    }
+
+
+def _sample(sample: measure_load.Sample) -> dict[str, Any]:
+    found: dict[str, Any] = {
+        'answers': sample.answers,
+        'failures': dict(sample.failures),
+        'tokens': sample.tokens,
+        'elapsed_s': sample.elapsed_s,
+        'instance_cpu_s': sample.cpu_s,
+    }
+    for name, percentile in (('p50', 50.0), ('p99', 99.0)):
+        found[f'whole_{name}_ms'] = sample.whole_ms(percentile)
+        if sample.tokens:
+            found[f'first_{name}_ms'] = sample.first_ms(percentile)
+    return found
+
+
+def _streams(cell: measure_requests.Cell) -> bool:
+    return cell.direct.tokens > 0
+
+
+def _plain_row(cell: measure_requests.Cell) -> list[str]:
+    direct, instance = cell.direct, cell.instance
+    whole = _both(direct), _both(instance)
+    return [
+        cell.group,
+        str(cell.in_flight),
+        _pair(*whole[0]),
+        _pair(*whole[1]),
+        _pair(whole[1][0] - whole[0][0], whole[1][1] - whole[0][1]),
+        _ratios(*whole),
+        f'{_per_s(direct.answers, direct):.0f} / '
+        f'{_per_s(instance.answers, instance):.0f}',
+        f'{instance.cpu_s / max(1, instance.answers) * 1_000:.2f}',
+    ]
+
+
+def _stream_row(cell: measure_requests.Cell) -> list[str]:
+    direct, instance = cell.direct, cell.instance
+    whole = _both(direct), _both(instance)
+    return [
+        cell.group,
+        str(cell.in_flight),
+        _pair(direct.first_ms(50.0), direct.first_ms(99.0)),
+        _pair(instance.first_ms(50.0), instance.first_ms(99.0)),
+        _pair(*whole[0]),
+        _pair(*whole[1]),
+        _ratios(*whole),
+        f'{_per_s(direct.tokens, direct):.0f} / '
+        f'{_per_s(instance.tokens, instance):.0f}',
+        f'{instance.cpu_s / max(1, instance.tokens) * 1_000_000:.1f}',
+    ]
+
+
+def _both(sample: measure_load.Sample) -> tuple[float, float]:
+    return sample.whole_ms(50.0), sample.whole_ms(99.0)
+
+
+def _ratios(direct: tuple[float, float], instance: tuple[float, float]) -> str:
+    if not all(direct):
+        return '-'
+    return _pair(instance[0] / direct[0], instance[1] / direct[1])
+
+
+def _per_s(count: int, sample: measure_load.Sample) -> float:
+    return count / sample.elapsed_s
+
+
+def _pair(first: float, second: float) -> str:
+    return f'{first:.2f} / {second:.2f}'
+
+
+def _failures(costs: measure_requests.RequestCosts) -> str:
+    found = [
+        f'{cell.group} at {cell.in_flight} {name}: {dict(sample.failures)}'
+        for cell in costs.cells
+        for name, sample in (
+            ('direct', cell.direct),
+            ('through the instance', cell.instance),
+        )
+        if sample.failures
+    ]
+    return '; '.join(found) or 'none'
