Pace the questions for load; make whole-path faults meet actions in progress

Cause: each instance asked every replica of its subset every 2 s (27 replicas at the sample sites, about 13 questions a second, more with more groups); and a mutant without claims passed the whole-path scenarios, since no action was in progress when the faults came. Change: one question every 400 ms, only to replicas in use; actions take 300 ms and are twice as frequent in the scenarios; outages outlast every deadline; a leaving target's calls are counted.

--- a/demo/load.py
+++ b/demo/load.py
@@ -26,13 +26,13 @@
         ('shift-summary', 'day-dispatch', 3, 'What happened at Nitra-2?'),
         ('alarm-explanation', 'night-dispatch', 4, 'Why did P7 trip?'),
         ('maintenance-note', 'maintenance', 1, 'Seal of pump 4 at Martin'),
-        ('pump-restart', 'night-dispatch', 3, 'Restart pump 7 at Zilina'),
+        ('pump-restart', 'night-dispatch', 6, 'Restart pump 7 at Zilina'),
     ),
     'cedarline': (
         ('cash-flow-summary', 'analysts', 3, 'Bakery on Elm Street'),
         ('review-memo', 'analysts', 2, 'Overdraft review of a sawmill'),
         ('covenant-breach', 'analysts', 1, 'Why was the ratio breached?'),
-        ('limit-change', 'branch-managers', 3, 'Raise the limit to 20,000'),
+        ('limit-change', 'branch-managers', 5, 'Raise the limit to 20,000'),
     ),
 }
 
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -20,7 +20,9 @@
 from sycamorebeam.policy import subset
 
 ENTRY_GROUP = 'entry'
-LOAD_POLL_MS = 2_000
+# The pause between two questions for a load, whichever replica they go to.
+LOAD_POLL_MS = 400
+USED_WITHIN_MS = 10_000
 # An observed departure outlives the list's lag, then the list is believed.
 LEAVING_MARK_MS = 60_000
 
@@ -33,6 +35,8 @@
     in_flight: int = 0
     report: ports.LoadReport | None = None
     report_at_ms: int = 0
+    polled_at_ms: int = -1
+    used_at_ms: int = -USED_WITHIN_MS
     health: ejection.Health = attrs.field(factory=ejection.Health)
     durations: quantiles.RecentDurations = attrs.field(
         factory=quantiles.RecentDurations
@@ -145,33 +149,39 @@
             callback(replica_id)
 
     async def poll_loads(self, client: ports.TargetClient) -> None:
-        """Ask the replicas in use for their load, again and again."""
+        """Ask the replicas in use for their load, one at a time.
+
+        The pace does not grow with the number of replicas, which bounds
+        the traffic of control; a replica that gets no calls is not asked.
+        """
         while True:
-            states = self._all_states()
-            pause_ms = LOAD_POLL_MS / max(1, len(states))
-            for state in states:
+            await self._clock.sleep_ms(LOAD_POLL_MS)
+            state = self._next_to_poll()
+            if state is not None:
                 await self._poll_one(client, state)
-                await self._clock.sleep_ms(pause_ms)
-            if not states:
-                await self._clock.sleep_ms(pause_ms)
 
     async def _poll_one(
         self, client: ports.TargetClient, state: ReplicaState
     ) -> None:
         report = await client.load(state.replica)
+        state.polled_at_ms = self._clock.monotonic_ms()
         if report is None:
             return
         state.report = report
-        state.report_at_ms = self._clock.monotonic_ms()
+        state.report_at_ms = state.polled_at_ms
         if report.draining:
             self.mark_leaving(state.replica.id)
 
-    def _all_states(self) -> list[ReplicaState]:
-        return [
+    def _next_to_poll(self) -> ReplicaState | None:
+        """Return the replica in use that was asked longest ago."""
+        since_ms = self._clock.monotonic_ms() - USED_WITHIN_MS
+        in_use = [
             state
-            for group in self._groups.values()
-            for state in group.values()
+            for states in self._groups.values()
+            for state in states.values()
+            if state.in_flight or state.used_at_ms > since_ms
         ]
+        return min(in_use, key=lambda item: item.polled_at_ms, default=None)
 
     def _merge(
         self, group: str, replicas: list[results.Replica]
--- a/sycamorebeam/pipeline/attempt.py
+++ b/sycamorebeam/pipeline/attempt.py
@@ -30,6 +30,7 @@
         """Send one attempt to the replica and return its result."""
         started_ms = self._clock.monotonic_ms()
         state.in_flight += 1
+        state.used_at_ms = started_ms
         outcome = 'cancelled'
         try:
             result = await self._client.call(kind, state.replica, attempt)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -23,6 +23,9 @@
 RATE_PER_S = 20.0
 LOAD_S = 6.0
 LONGEST_MS = 5_000
+ACTION_MS = 300
+# Longer than every deadline.
+OUTAGE_S = 6.0
 SEED = 11
 
 
@@ -54,14 +57,14 @@
 async def stop_log(site):
     """The log is down for a while."""
     await site.post_platform('/standin/faults', {'down': True})
-    await asyncio.sleep(2.5)
+    await asyncio.sleep(OUTAGE_S)
     await site.post_platform('/standin/faults', {'down': False})
 
 
 async def freeze_platform(site):
     """The platform's connections go silent for a while."""
     site.standins['platform'].signal(signal.SIGSTOP)
-    await asyncio.sleep(2.5)
+    await asyncio.sleep(OUTAGE_S)
     site.standins['platform'].signal(signal.SIGCONT)
 
 
@@ -77,7 +80,7 @@
     """Open connections to some targets go silent, new ones work."""
     for group in ('encoders', 'engines', 'crew-dispatch'):
         address = site.addresses(group)[0]
-        await site.post(address, '/standin/faults', {'silent': 2})
+        await site.post(address, '/standin/faults', {'silent': 4})
 
 
 async def spoil_answers(site):
@@ -141,6 +144,12 @@
         callers = [self.site.callers(number) for number in INSTANCES]
         self.balancer = load.Balancer(callers)
         self.probes = asyncio.create_task(self.balancer.probe_forever())
+        # Slow actions are in progress whenever a fault comes.
+        for group in ('station-control', 'crew-dispatch'):
+            for address in self.site.addresses(group):
+                await self.site.post(
+                    address, '/standin/faults', {'delay_ms': ACTION_MS}
+                )
 
     async def send_load(self):
         rows = load.requests(
@@ -191,6 +200,23 @@
             await load.ask(self.balancer, row)
             self.assertEqual('complete', row.outcome, row)
 
+    async def test_a_leaving_target_gets_no_new_work_after_three_seconds(self):
+        try:
+            await self.start()
+            sending = asyncio.create_task(self.send_load())
+            leaving = self.site.addresses('encoders')[0]
+            await self.site.post(
+                leaving, '/standin/faults', {'draining': True}
+            )
+            await asyncio.sleep(3)
+            before = await self.site.get(leaving, '/standin/runs')
+            rows = await sending
+            after = await self.site.get(leaving, '/standin/runs')
+        finally:
+            await self.stop()
+        self.assertEqual(before['calls'], after['calls'])
+        self.assertEqual([], [row for row in rows if not row.answer])
+
     async def test_racing_operators_and_a_catalogue_in_force_everywhere(self):
         try:
             await self.start()
