Split overrides and publish reports; test a race through the command

Cause: settings.py and publish_command.py had two jobs each. Change: overrides.py and publish_report.py; a test of two racing changes.

--- a/sycamorebeam/cli/publish_command.py
+++ b/sycamorebeam/cli/publish_command.py
@@ -1,13 +1,14 @@
 """The commands ``catalogue publish`` and ``catalogue resolve``."""
 
+from collections.abc import Mapping
 import pathlib
 from typing import Annotated
-from typing import Any
 
 import aiohttp
 import attrs
 import typer
 
+from sycamorebeam import catalogue
 from sycamorebeam import catalogue_file
 from sycamorebeam import catalogue_plan
 from sycamorebeam import catalogue_records
@@ -16,6 +17,8 @@
 from sycamorebeam import publishing
 from sycamorebeam.cli import log_access
 from sycamorebeam.cli import output
+from sycamorebeam.cli import publish_report
+from sycamorebeam.clients import ports
 
 FileArgument = Annotated[
     pathlib.Path, typer.Argument(help='The catalogue, JSON with comments.')
@@ -33,38 +36,6 @@
 ]
 
 
-@attrs.frozen
-class Unchanged:
-    """The log has the catalogue of the file already."""
-
-    offset: int
-
-
-@attrs.frozen
-class Conflicting:
-    """Entries were changed after the file was made; nothing was sent."""
-
-    conflicts: tuple[catalogue_plan.Conflict, ...]
-
-
-@attrs.frozen
-class DryRun:
-    """Nothing was sent, as asked."""
-
-
-Result = publishing.PublishResult | Unchanged | Conflicting | DryRun
-
-
-@attrs.frozen
-class Report:
-    """What became of publishing, and where it is in force."""
-
-    result: Result
-    keys: tuple[str, ...] = ()
-    not_in_file: tuple[str, ...] = ()
-    in_force: publishing.InForce | None = None
-
-
 @attrs.frozen(kw_only=True)
 class Wishes:
     """What the operator asked for besides the file itself."""
@@ -129,8 +100,8 @@
         wait_ms=wait_ms,
     )
     report = output.run(_publish(wanted, wishes))
-    _print_report(report, form)
-    output.end(exit_code(report))
+    publish_report.show(report, form)
+    output.end(publish_report.exit_code(report))
 
 
 def resolve(
@@ -148,14 +119,13 @@
     report = output.run(
         _resolve(change_id, log, tuple(wait_for or ()), wait_ms)
     )
-    _print_report(report, form)
-    output.end(exit_code(report))
+    publish_report.show(report, form)
+    output.end(publish_report.exit_code(report))
 
 
 async def _publish(
-    wanted: dict[str, Any],
-    wishes: Wishes,
-) -> Report:
+    wanted: Mapping[str, catalogue.AnyEntry], wishes: Wishes
+) -> publish_report.Report:
     async with log_access.open_log(wishes.log) as client:
         fold = await log_access.read_fold(client)
         plan = catalogue_plan.make_plan(
@@ -164,19 +134,8 @@
             base=wishes.base,
             remove_missing=wishes.remove_missing,
         )
-        _check_size(plan)
-        result: Result
-        if plan.conflicts:
-            result = Conflicting(plan.conflicts)
-        elif wishes.dry_run:
-            result = DryRun()
-        elif not plan.edits:
-            result = Unchanged(plan.offset)
-        else:
-            result = await publishing.publish(
-                client, clock.Clock(), plan.edits, wishes.author
-            )
-    return Report(
+        result = await _carry_out(client, plan, wishes)
+    return publish_report.Report(
         result,
         tuple(edit.key for edit in plan.edits),
         plan.not_in_file,
@@ -184,6 +143,22 @@
     )
 
 
+async def _carry_out(
+    client: ports.Log, plan: catalogue_plan.Plan, wishes: Wishes
+) -> publish_report.Result:
+    """Publish what a plan changes, unless something speaks against it."""
+    _check_size(plan)
+    if plan.conflicts:
+        return publish_report.Conflicting(plan.conflicts)
+    if wishes.dry_run:
+        return publish_report.DryRun()
+    if not plan.edits:
+        return publish_report.Unchanged(plan.offset)
+    return await publishing.publish(
+        client, clock.Clock(), plan.edits, wishes.author
+    )
+
+
 def _check_size(plan: catalogue_plan.Plan) -> None:
     """Raise SettingsError when the log would take no such change."""
     if len(plan.edits) > catalogue_records.MAX_EDITS:
@@ -196,18 +171,23 @@
 
 async def _resolve(
     change_id: str, url: str, wait_for: tuple[str, ...], wait_ms: int
-) -> Report:
+) -> publish_report.Report:
     async with log_access.open_log(url) as client:
         result = await publishing.resolve(client, clock.Clock(), change_id)
-    return Report(result, in_force=await _in_force(result, wait_for, wait_ms))
+    return publish_report.Report(
+        result, in_force=await _in_force(result, wait_for, wait_ms)
+    )
 
 
 async def _in_force(
-    result: Result, wait_for: tuple[str, ...], wait_ms: int
+    result: publish_report.Result, wait_for: tuple[str, ...], wait_ms: int
 ) -> publishing.InForce | None:
     """Ask the instances, when there is an offset to ask for."""
     match result:
-        case publishing.Accepted(offset=offset) | Unchanged(offset=offset):
+        case (
+            publishing.Accepted(offset=offset)
+            | publish_report.Unchanged(offset=offset)
+        ):
             pass
         case _:
             return None
@@ -217,103 +197,3 @@
         return await publishing.in_force(
             session, clock.Clock(), wait_for, offset, wait_ms
         )
-
-
-def exit_code(report: Report) -> output.ExitCode:
-    """Return the code that tells a script what became of the change."""
-    match report.result:
-        case publishing.Rejected(sent=False):
-            return output.ExitCode.FAILED
-        case publishing.Rejected() | Conflicting():
-            return output.ExitCode.REJECTED
-        case publishing.Unresolved():
-            return output.ExitCode.UNKNOWN
-    if report.in_force is not None and not report.in_force.everywhere:
-        return output.ExitCode.UNKNOWN
-    return output.ExitCode.OK
-
-
-def _print_report(report: Report, form: output.Form) -> None:
-    match form:
-        case output.Form.JSON:
-            output.print_json(_as_json(report))
-        case output.Form.TEXT:
-            for line in _lines(report):
-                typer.echo(line)
-
-
-def _as_json(report: Report) -> dict[str, Any]:
-    found: dict[str, Any] = {
-        'result': _verdict(report.result),
-        **attrs.asdict(report.result),
-        'keys': list(report.keys),
-        'not_in_file': list(report.not_in_file),
-    }
-    if report.in_force is not None:
-        everywhere = report.in_force.everywhere
-        found['in_force'] = {
-            'everywhere': everywhere,
-            **attrs.asdict(report.in_force),
-        }
-    return found
-
-
-def _verdict(result: Result) -> str:
-    match result:
-        case publishing.Accepted():
-            return 'accepted'
-        case publishing.Rejected(sent=False):
-            return 'not_sent'
-        case publishing.Rejected():
-            return 'rejected'
-        case publishing.Unresolved():
-            return 'unresolved'
-        case Unchanged():
-            return 'unchanged'
-        case Conflicting():
-            return 'conflict'
-        case DryRun():
-            return 'dry_run'
-
-
-def _lines(report: Report) -> list[str]:
-    return [
-        *_result_lines(report),
-        *(f'only on the log, kept: {key}' for key in report.not_in_file),
-        *_in_force_lines(report.in_force),
-    ]
-
-
-def _result_lines(report: Report) -> list[str]:
-    match report.result:
-        case publishing.Accepted(offset, change_id):
-            changed = [f'changed: {key}' for key in report.keys]
-            return [*changed, f'accepted at offset {offset}: {change_id}']
-        case publishing.Rejected(reason=reason, change_id=change_id):
-            return [f'rejected: {reason}; change {change_id}']
-        case publishing.Unresolved(reason, change_id):
-            return [
-                f'unresolved: {reason}',
-                f'ask later with: sycamorebeam catalogue resolve {change_id}',
-            ]
-        case Unchanged(offset):
-            return [f'unchanged: the log has this catalogue at {offset}']
-        case Conflicting(conflicts):
-            return [
-                'not sent, repeat your edits on what show prints now:',
-                *(f'conflict: {item.key} {item.reason}' for item in conflicts),
-            ]
-        case DryRun():
-            return [f'would change: {key}' for key in report.keys]
-
-
-def _in_force_lines(found: publishing.InForce | None) -> list[str]:
-    if found is None:
-        return []
-    return [
-        *(f'in force: {item.address}' for item in found.reached),
-        *(
-            f'not in force: {item.address} at {item.offset} ({item.reason})'
-            for item in found.behind
-        ),
-    ]
--- /dev/null
+++ b/sycamorebeam/cli/publish_report.py
@@ -0,0 +1,143 @@
+"""What became of publishing a catalogue, for people and for scripts."""
+
+from typing import Any
+
+import attrs
+import typer
+
+from sycamorebeam import catalogue_plan
+from sycamorebeam import publishing
+from sycamorebeam.cli import output
+
+
+@attrs.frozen
+class Unchanged:
+    """The log has the catalogue of the file already."""
+
+    offset: int
+
+
+@attrs.frozen
+class Conflicting:
+    """Entries were changed after the file was made; nothing was sent."""
+
+    conflicts: tuple[catalogue_plan.Conflict, ...]
+
+
+@attrs.frozen
+class DryRun:
+    """Nothing was sent, as asked."""
+
+
+Result = publishing.PublishResult | Unchanged | Conflicting | DryRun
+
+
+@attrs.frozen
+class Report:
+    """What became of publishing, and where it is in force."""
+
+    result: Result
+    keys: tuple[str, ...] = ()
+    not_in_file: tuple[str, ...] = ()
+    in_force: publishing.InForce | None = None
+
+
+def exit_code(report: Report) -> output.ExitCode:
+    """Return the code that tells a script what became of the change."""
+    match report.result:
+        case publishing.Rejected(sent=False):
+            return output.ExitCode.FAILED
+        case publishing.Rejected() | Conflicting():
+            return output.ExitCode.REJECTED
+        case publishing.Unresolved():
+            return output.ExitCode.UNKNOWN
+    if report.in_force is not None and not report.in_force.everywhere:
+        return output.ExitCode.UNKNOWN
+    return output.ExitCode.OK
+
+
+def show(report: Report, form: output.Form) -> None:
+    """Print a report."""
+    match form:
+        case output.Form.JSON:
+            output.print_json(_as_json(report))
+        case output.Form.TEXT:
+            for line in _lines(report):
+                typer.echo(line)
+
+
+def _as_json(report: Report) -> dict[str, Any]:
+    found: dict[str, Any] = {
+        'result': _verdict(report.result),
+        **attrs.asdict(report.result),
+        'keys': list(report.keys),
+        'not_in_file': list(report.not_in_file),
+    }
+    if report.in_force is not None:
+        everywhere = report.in_force.everywhere
+        found['in_force'] = {
+            'everywhere': everywhere,
+            **attrs.asdict(report.in_force),
+        }
+    return found
+
+
+def _verdict(result: Result) -> str:
+    match result:
+        case publishing.Accepted():
+            return 'accepted'
+        case publishing.Rejected(sent=False):
+            return 'not_sent'
+        case publishing.Rejected():
+            return 'rejected'
+        case publishing.Unresolved():
+            return 'unresolved'
+        case Unchanged():
+            return 'unchanged'
+        case Conflicting():
+            return 'conflict'
+        case DryRun():
+            return 'dry_run'
+
+
+def _lines(report: Report) -> list[str]:
+    return [
+        *_result_lines(report),
+        *(f'only on the log, kept: {key}' for key in report.not_in_file),
+        *_in_force_lines(report.in_force),
+    ]
+
+
+def _result_lines(report: Report) -> list[str]:
+    match report.result:
+        case publishing.Accepted(offset, change_id):
+            changed = [f'changed: {key}' for key in report.keys]
+            return [*changed, f'accepted at offset {offset}: {change_id}']
+        case publishing.Rejected(reason=reason, change_id=change_id):
+            return [f'rejected: {reason}; change {change_id}']
+        case publishing.Unresolved(reason, change_id):
+            return [
+                f'unresolved: {reason}',
+                f'ask later with: sycamorebeam catalogue resolve {change_id}',
+            ]
+        case Unchanged(offset):
+            return [f'unchanged: the log has this catalogue at {offset}']
+        case Conflicting(conflicts):
+            return [
+                'not sent, repeat your edits on what show prints now:',
+                *(f'conflict: {item.key} {item.reason}' for item in conflicts),
+            ]
+        case DryRun():
+            return [f'would change: {key}' for key in report.keys]
+
+
+def _in_force_lines(found: publishing.InForce | None) -> list[str]:
+    if found is None:
+        return []
+    return [
+        *(f'in force: {item.address}' for item in found.reached),
+        *(
+            f'not in force: {item.address} at {item.offset} ({item.reason})'
+            for item in found.behind
+        ),
+    ]
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -4,14 +4,10 @@
 files of their own, never in the settings or the environment.
 """
 
-from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import functools
-import json
 import pathlib
-import types
-from typing import Any
 
 import attrs
 
@@ -19,8 +15,8 @@
 from sycamorebeam import entries
 from sycamorebeam import errors
 from sycamorebeam import jsonc
+from sycamorebeam import overrides
 
-ENVIRONMENT_PREFIX = 'SYCAMOREBEAM_'
 MIN_SECRET_BYTES = 16
 MAX_SECRET_BYTES = 4096
 ANY_ADDRESS = ('0.0.0.0:', '[::]:')
@@ -172,7 +168,9 @@
     settings file. Raises SettingsError, which lists every problem.
     """
     path = pathlib.Path(path)
-    document, override_faults = _override(jsonc.load(path), environ)
+    document, override_faults = overrides.apply(
+        jsonc.load(path), Settings, environ
+    )
     settings, faults = checking.build(Settings, document.value, SCHEMA)
     if settings is not None:
         faults = _cross_check(settings)
@@ -219,88 +217,19 @@
     Raises SettingsError like ``load_settings``.
     """
     found = load_settings(path, environ)
-    document, _ = _override(jsonc.load(pathlib.Path(path)), environ)
+    document, _ = overrides.apply(
+        jsonc.load(pathlib.Path(path)), Settings, environ
+    )
     return [
         Setting(
             checking.render_path(key),
             functools.reduce(getattr, key, found),  # type: ignore[arg-type]
             document.origin(key) if document.names(key) else 'default',
         )
-        for key in _paths(Settings, ())
+        for key in overrides.paths(Settings)
     ]
 
 
-def _override(
-    document: jsonc.Document, environ: Mapping[str, str]
-) -> tuple[jsonc.Document, list[checking.Fault]]:
-    """Return a document with the values that the environment names."""
-    faults = []
-    overrides: dict[checking.Path, str] = {}
-    known = _paths(Settings, ())
-    for variable in sorted(environ):
-        if not variable.startswith(ENVIRONMENT_PREFIX):
-            continue
-        path = _path_of(variable)
-        overrides[path] = f'environment {variable}'
-        if path in known:
-            value = _parse_override(known[path], environ[variable])
-            _put(document.value, path, value)
-        else:
-            faults.append(_unknown_variable(variable, path, known))
-    return attrs.evolve(document, overrides=overrides), faults
-
-
-def _paths(cls: type, path: checking.Path) -> dict[checking.Path, Any]:
-    """Return the path and type of every single setting."""
-    found: dict[checking.Path, Any] = {}
-    for name, hint in checking.type_hints(cls).items():
-        if attrs.has(hint):
-            found |= _paths(hint, (*path, name))
-        else:
-            found[(*path, name)] = hint
-    return found
-
-
-def _path_of(variable: str) -> checking.Path:
-    name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
-    return tuple(name.split('__'))
-
-
-def _unknown_variable(
-    variable: str, path: checking.Path, known: Iterable[checking.Path]
-) -> checking.Fault:
-    keys = ['__'.join(map(str, item)).upper() for item in known]
-    name = variable.removeprefix(ENVIRONMENT_PREFIX)
-    near = checking.nearest(name, keys)
-    write = f'write "{ENVIRONMENT_PREFIX}{near[0]}", or ' if near else ''
-    return checking.Fault(
-        path,
-        'a variable of no setting',
-        f'{ENVIRONMENT_PREFIX} and the key of a setting, with __ for a dot',
-        f'{write}unset it',
-    )
-
-
-def _parse_override(hint: Any, text: str) -> Any:
-    """Return the text for a text setting, else what it says as JSON."""
-    is_optional = isinstance(hint, types.UnionType)
-    if hint is str or (is_optional and text != 'null'):
-        return text
-    try:
-        return json.loads(text)
-    except ValueError:
-        return text
-
-
-def _put(value: Any, path: checking.Path, leaf: Any) -> None:
-    for name in path[:-1]:
-        if not isinstance(value, dict):
-            return
-        value = value.setdefault(name, {})
-    if isinstance(value, dict):
-        value[path[-1]] = leaf
-
-
 def _cross_check(settings: Settings) -> list[checking.Fault]:
     addresses = settings.addresses
     return [*_same_address(addresses), *_not_reachable(addresses)]
--- a/tests/test_catalogue_commands.py
+++ b/tests/test_catalogue_commands.py
@@ -8,6 +8,7 @@
 from typer import testing
 
 from sycamorebeam import catalogue_records
+from sycamorebeam import publishing
 from sycamorebeam.cli import main
 from tests import base
 from tests import platform_thread
@@ -82,6 +83,25 @@
         alarm = shown['entries']['pipeline/alarm-explanation']
         self.assertEqual(9000, alarm['value']['deadline_ms'])
 
+    def test_of_two_racing_changes_one_is_rejected(self):
+        self.publish(KOVACIK)
+        publish = publishing.publish
+
+        async def lose_the_race(log, clock, edits, author):
+            winner = await publish(log, clock, edits, author)
+            self.assertIsInstance(winner, publishing.Accepted)
+            return await publish(log, clock, edits, author)
+
+        self.patch(publishing, 'publish', lose_the_race)
+        code, report = self.publish(self.edited(9000))
+        self.assertEqual((3, 'rejected'), (code, report['result']))
+        self.assertEqual(1, report['winner'])
+        _, rows = self.invoke('audit')
+        self.assertEqual(
+            [True, True, False], [row['accepted'] for row in rows]
+        )
+        self.assertIn('revision 1', rows[-1]['rejection'])
+
     def test_a_removal_since_is_a_conflict(self):
         self.publish(KOVACIK)
         text = KOVACIK.read_text()
