--- a/sycamorebeam/catalogue_plan.py
+++ b/sycamorebeam/catalogue_plan.py
@@ -1,64 +1,90 @@
-"""The edits that turn the accepted catalogue into a wanted one."""
+"""Compares a catalogue file with the catalogue on the log.
+
+The difference becomes the edits of one change, each made from the revision
+that the log has now. With the offset that the file was made from, entries
+that somebody changed since are conflicts in place of silent overwrites.
+"""
 
-from collections.abc import Iterator
 from collections.abc import Mapping
-from collections.abc import Sequence
-from typing import Any
+import itertools
+
+import attrs
 
 from sycamorebeam import catalogue
+from sycamorebeam import catalogue_edits
 from sycamorebeam import catalogue_fold
 from sycamorebeam import catalogue_records
-from sycamorebeam import catalogue_store
-from sycamorebeam import entries
 
-Edits = Sequence[catalogue_records.Edit]
 
-# Entries come before those that name them.
-_ORDER = ('team', 'limit', 'target', 'model', 'pipeline')
+@attrs.frozen
+class Conflict:
+    """An entry that was changed after the file was made."""
 
+    key: str
+    reason: str
 
-def plan(
-    fold: catalogue_fold.Fold,
-    wanted: Mapping[str, catalogue.AnyEntry],
-    remove_others: bool = False,
-) -> list[Edits]:
-    """Return the edits, divided into changes that the log takes.
 
-    A plan that fits into one change is accepted or rejected whole. Larger
-    ones are divided so that each change is valid after the ones before it.
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What publishing a file would do.
+
+    ``not_in_file`` are the entries that only the log has and that stay.
     """
-    edits = [
-        *_puts(fold.store, wanted),
-        *(_removals(fold.store, wanted) if remove_others else ()),
-    ]
-    size = catalogue_records.MAX_EDITS
-    return [edits[at : at + size] for at in range(0, len(edits), size)]
 
+    offset: int
+    edits: tuple[catalogue_records.Edit, ...]
+    not_in_file: tuple[str, ...]
+    conflicts: tuple[Conflict, ...]
 
-def _puts(
-    store: catalogue_store.Store, wanted: Mapping[str, catalogue.AnyEntry]
-) -> Iterator[catalogue_records.Edit]:
-    for key in sorted(wanted, key=_rank):
-        value = entries.to_plain(wanted[key])
-        found = store.stored.get(key)
-        if found is not None and _is_same(found, value):
-            continue
-        yield catalogue_records.Edit(key, store.revision(key), value)
 
+def make_plan(
+    fold: catalogue_fold.Fold,
+    wanted: Mapping[str, catalogue.AnyEntry],
+    *,
+    base: int | None = None,
+    remove_missing: bool = False,
+) -> Plan:
+    """Return the edits that turn the log's catalogue into ``wanted``.
 
-def _removals(
-    store: catalogue_store.Store, wanted: Mapping[str, catalogue.AnyEntry]
-) -> Iterator[catalogue_records.Edit]:
-    gone = store.stored.keys() - wanted.keys()
-    for key in sorted(gone, key=_rank, reverse=True):
-        yield catalogue_records.Edit(key, store.revision(key), None)
+    ``base`` is the offset that ``wanted`` was made from, None when that is
+    not known. Entries that are not wanted stay unless ``remove_missing``.
+    """
+    current = fold.catalogue().entries
+    missing = sorted(current.keys() - wanted.keys())
+    changes = catalogue_edits.plan(fold, wanted, remove_missing)
+    edits = list(itertools.chain.from_iterable(changes))
+    return Plan(
+        offset=fold.offset,
+        edits=tuple(edits),
+        not_in_file=() if remove_missing else tuple(missing),
+        conflicts=() if base is None else _conflicts(fold, edits, base),
+    )
 
 
-def _rank(key: str) -> tuple[int, str]:
-    kind, _ = entries.split_key(key)
-    return _ORDER.index(kind), key
+def _conflicts(
+    fold: catalogue_fold.Fold,
+    edits: list[catalogue_records.Edit],
+    base: int,
+) -> tuple[Conflict, ...]:
+    changed = _changed_since(fold, base)
+    found = []
+    for edit in edits:
+        offset = max(edit.base_revision, changed.get(edit.key, -1))
+        if offset > base:
+            reason = f'changed at offset {offset}, the file is from {base}'
+            found.append(Conflict(edit.key, reason))
+    return tuple(found)
 
 
-def _is_same(stored: bytes, value: dict[str, Any]) -> bool:
-    packed = catalogue_store.pack_value(value)
-    return stored[catalogue_store.REVISION_BYTES :] == packed
+def _changed_since(fold: catalogue_fold.Fold, base: int) -> dict[str, int]:
+    """Return the keys that the audit trail names in later decisions.
+
+    A removal leaves no revision, so that only the audit trail tells of it;
+    it names at most ``MAX_AUDIT_KEYS`` entries of a change.
+    """
+    return {
+        key: decision.offset
+        for decision in fold.audit
+        if decision.accepted and decision.offset > base
+        for key in decision.keys
+    }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,7 @@
 from typer import testing
 
 from sycamorebeam.cli import main
+from sycamorebeam.cli import output
 from sycamorebeam.clients import caller
 from sycamorebeam.standins import target
 from tests import base
@@ -69,6 +70,9 @@
     def send(self, result, *args):
         async def answer(call, on_token):
             self.call = call
+            if on_token is not None:
+                on_token('some ')
+                on_token('text')
             return result
 
         self.patch(caller, 'send', answer)
@@ -102,6 +106,13 @@
         document = json.loads(found.stdout)
         self.assertEqual(outcome, document['outcome'])
 
+    @ddt.data(('--stream', 1), ('--no-stream', 1))
+    @ddt.unpack
+    def test_prints_the_text_once(self, option, count):
+        answer = caller.CallAnswered({'output': {'text': 'some text'}})
+        found = self.send(answer, '--text', 'x', option)
+        self.assertEqual(count, found.stdout.count('some text'), found.stdout)
+
     def test_a_new_key_is_a_first_attempt(self):
         found = self.send(
             caller.CallAnswered({}), '--input', '{"a": 1}', '--new-key'
@@ -123,6 +134,12 @@
         self.assertEqual(2, found.exit_code, found.output)
 
 
+class TableTest(base.TestCase):
+    def test_a_cell_cannot_move_the_cursor(self):
+        shown = output.printable('a\n\x1b[2Jé')
+        self.assertEqual('a\ufffd\ufffd[2Jé', shown)
+
+
 class StandinTest(base.TestCase):
     def test_serves_the_targets_of_a_list(self):
         served = []
