--- a/model/claims.pml
+++ b/model/claims.pml
@@ -5,71 +5,67 @@
  * handled by another instance. It may stop waiting for an attempt at any
  * moment and start the next one, so several attempts are handled at once.
  * Every attempt is a process: a pause of an instance is the scheduler not
- * running it, a crash ends it at any step (at most CRASHES of them).
+ * running it, a crash ends it before any step (at most CRASHES of them).
  *
  * The log is one stream. An append is refused, lands and is answered, lands
  * with its answer lost, or is kept back: it lands at any later time or never.
- * Answers are lost at most LOSSES times. The log goes down and comes back.
+ * At most FAULTS appends are hit. An outage is a span in which appends are
+ * refused and reads wait; once the faults are spent the log is back.
  *
- * Every key carries the time of its issue. `aged` becomes true when the
- * window of the key has passed. Only then may retention cut records of the
- * key. A reader that starts after the cut sees the rest of the stream only.
+ * With AGEING the key's window may pass. The fold then forgets what came
+ * before, and retention may cut records. The key carries its time of birth,
+ * so a reader knows when it has lost records that the key may have had.
  *
- * The fold decides, see `fold_record`. What it must guarantee:
+ * Safety, as assertions:
  *  - at most one dispatch for the key;
- *  - "not run" is never said of a key that was or will be dispatched by an
- *    attempt that exists when it is said;
+ *  - "not run" is never told to a caller who waits for it, of a key that was
+ *    dispatched, and never followed by a dispatch of an attempt that exists;
  *  - a replayed answer is the outcome of the one dispatch;
- *  - when all attempts that did not crash have ended, no claim of theirs
- *    holds the key without an outcome;
- *  - every attempt that does not crash ends once the log is back.
+ *  - once all has ended, only a crashed or a dispatching attempt holds the
+ *    key.
+ * Liveness, as a formula: every attempt that does not crash ends.
  */
 
 #ifndef ATTEMPTS
 #define ATTEMPTS 2
 #endif
-#ifndef LOSSES
-#define LOSSES 2
+#ifndef FAULTS
+#define FAULTS 2
 #endif
 #ifndef CRASHES
 #define CRASHES 1
 #endif
-#ifndef OUTAGES
-#define OUTAGES 1
-#endif
-#ifndef MAX_RECORDS
-#define MAX_RECORDS 12
-#endif
+#define MAX_RECORDS (4 * ATTEMPTS + FAULTS)
+#ifdef MUTANT_RESEND_CLAIM
 #define CLAIM_IDS (2 * ATTEMPTS)
+#else
+#define CLAIM_IDS ATTEMPTS
+#endif
 #define NONE 15
 
 #define CLAIM 0
 #define ABANDON 1
 #define RELEASE 2
-#define CLOSE 3
-#define OUTCOME 4
+#define OUTCOME 3
 
 mtype:append_answer = { LANDED, REFUSED, UNKNOWN };
-mtype:told_kind = { NOTHING, ANSWERED, IN_PROGRESS, OUTCOME_UNKNOWN,
-                    ATTEMPT_NOT_RUN, NOT_RUN, TOO_OLD };
 
 /* The stream: what each record is, and the claim that it speaks of. */
 byte kinds[MAX_RECORDS];
 byte claim_of[MAX_RECORDS];
-bool landed_aged[MAX_RECORDS];
 byte next_offset = 0;
-byte oldest_offset = 0;
-bool up = true;
-bool aged = false;
-byte losses = 0;
+byte faults = 0;
 byte crashes = 0;
 
+/* The offset from which on records are beyond the window; the oldest kept. */
+byte aged_offset = NONE;
+byte oldest_offset = 0;
+
 /* Appends that are kept back: for each claim a set of record kinds. */
 byte late[CLAIM_IDS];
 #define is_late(kind, id) ((late[id] >> (kind)) & 1)
 
 /* What the target and the caller saw. */
-byte dispatches = 0;
 byte first_dispatch = NONE;
 byte current = NONE;
 bool started[ATTEMPTS];
@@ -81,187 +77,185 @@
     assert(next_offset < MAX_RECORDS);
     kinds[next_offset] = a_kind;
     claim_of[next_offset] = a_claim;
-    landed_aged[next_offset] = aged;
     next_offset++
 }
 
 /* One call to the log; `answer` gets what the instance learns of it. */
 inline append(a_kind, a_claim) {
-    atomic {
-        if
-        :: up -> land(a_kind, a_claim); answer = LANDED
-        :: up && losses < LOSSES ->
-            losses++;
-            land(a_kind, a_claim);
-            answer = UNKNOWN
-        :: losses < LOSSES && !is_late(a_kind, a_claim) ->
-            losses++;
-            late[a_claim] = late[a_claim] | (1 << a_kind);
-            answer = UNKNOWN
-        :: !up -> answer = REFUSED
-        fi
-    }
+    if
+    :: d_step { true -> land(a_kind, a_claim); answer = LANDED }
+    :: d_step { faults < FAULTS -> faults++; answer = REFUSED }
+    :: d_step {
+           faults < FAULTS ->
+           faults++;
+           land(a_kind, a_claim);
+           answer = UNKNOWN
+       }
+    :: d_step {
+           faults < FAULTS && !is_late(a_kind, a_claim) ->
+           faults++;
+           late[a_claim] = late[a_claim] | (1 << a_kind);
+           answer = UNKNOWN
+       }
+    fi
 }
 
-#define is_dead(id) ((dead >> (id)) & 1)
+/* Records that may be repeated are sent until the log has answered. */
+inline append_until_landed(a_kind, a_claim) {
+    do
+    :: answer != LANDED -> append(a_kind, a_claim)
+    :: answer == LANDED -> break
+    od
+}
 
 /*
- * The fold. `owner` is the claim that holds the key, `dead` the claims that
- * never will, `closed` says that no claim ever will, `done` is the claim
- * whose outcome is stored.
+ * The fold. `owner` is the claim that holds the key, `dead` the set of
+ * claims that never will, `stored` the claim whose outcome the log holds.
  */
-inline fold_record() {
+#define is_dead(id) ((dead >> (id)) & 1)
+#define kill(id) dead = dead | (1 << (id))
+
+inline fold_claim(id) {
     if
-    :: kinds[pos] == CLAIM ->
-        if
-#ifndef MUTANT_NO_KEY_AGE
-        :: landed_aged[pos] ->
-            dead = dead | (1 << claim_of[pos])
-        :: !landed_aged[pos] &&
+    :: owner == NONE && !is_dead(id) -> owner = id
+    :: owner != NONE && owner != id ->
+#ifdef MUTANT_PROMOTE_LOSER
+        waiting = id
 #else
-        ::
+        kill(id)
 #endif
-           (closed || is_dead(claim_of[pos]) ||
-            (owner != NONE && owner != claim_of[pos])) ->
-#ifndef MUTANT_PROMOTE
-            dead = dead | (1 << claim_of[pos])
-#else
-            waiting = claim_of[pos]
-#endif
-        :: else -> owner = claim_of[pos]
-        fi
-    :: kinds[pos] == ABANDON ->
-        if
-        :: owner != claim_of[pos] -> dead = dead | (1 << claim_of[pos])
-        :: else
-        fi
-    :: kinds[pos] == RELEASE ->
-        if
-        :: owner == claim_of[pos] && done == NONE ->
-            dead = dead | (1 << claim_of[pos]);
-            owner = NONE;
-#ifdef MUTANT_PROMOTE
-            owner = waiting;
-            waiting = NONE
+    :: else
+    fi
+}
+
+inline fold_release(id) {
+    if
+    :: owner == id && stored == NONE ->
+        kill(id);
+        owner = NONE;
+#ifdef MUTANT_PROMOTE_LOSER
+        owner = waiting;
+        waiting = NONE
 #endif
-        :: else
-        fi
-    :: kinds[pos] == CLOSE ->
-        if
-        :: done == NONE && (owner == NONE || owner == claim_of[pos]) ->
-            dead = dead | (1 << claim_of[pos]);
-            owner = NONE;
-            closed = true
-        :: owner != NONE && owner != claim_of[pos] ->
-            dead = dead | (1 << claim_of[pos])
-        fi
-    :: kinds[pos] == OUTCOME ->
-        if
-        :: owner == claim_of[pos] && done == NONE -> done = claim_of[pos]
-        :: else
-        fi
-    fi;
-    pos++
+    :: else
+    fi
 }
 
-inline fold_all() {
-    do
-    :: pos < next_offset -> fold_record()
-    :: else -> break
-    od;
+inline fold_record(id) {
+    if
+    :: kinds[pos] == CLAIM -> fold_claim(id)
+    :: kinds[pos] == ABANDON && owner != id -> kill(id)
+    :: kinds[pos] == RELEASE -> fold_release(id)
+    :: kinds[pos] == OUTCOME && owner == id && stored == NONE -> stored = id
+    :: else
+    fi
+}
+
+/* What the window no longer holds is forgotten, and known to be lost. */
+inline expire() {
+    if
+    :: pos == aged_offset && pos > 0 ->
+        owner = NONE;
+        dead = 0;
+        stored = NONE;
+        lose_coverage()
+    :: else
+    fi
+}
+
+inline lose_coverage() {
+#ifndef MUTANT_NO_COVERAGE
+    covered = false
+#else
     skip
+#endif
 }
 
-/* Reads to the end; a reader behind the cut loses its proof of coverage. */
+/* Reads to the end; a reader behind the cut starts again after it. */
 inline read_log() {
     d_step {
         if
-        :: pos < oldest_offset -> covered = false; pos = oldest_offset
+        :: pos < oldest_offset ->
+            pos = oldest_offset;
+            owner = NONE;
+            dead = 0;
+            stored = NONE;
+            lose_coverage()
         :: else
         fi;
-        fold_all()
-    }
-}
-
-inline tell(what) {
-    d_step {
-        told = what;
-        if
-        :: what == NOT_RUN && current == me ->
-            believes_not_run = true;
-            assert(dispatches == 0)
-        :: else
-        fi
+        do
+        :: pos < next_offset ->
+            expire();
+            fold_record(claim_of[pos]);
+            pos++
+        :: else -> break
+        od;
+        skip
     }
 }
 
-inline dispatch() {
+/* "Not run" reaches the caller only while it waits for this attempt. */
+inline tell_not_run() {
     d_step {
-        dispatches++;
         if
-        :: first_dispatch == NONE -> first_dispatch = me
+        :: current == me ->
+            assert(first_dispatch == NONE);
+            believes_not_run = true
         :: else
         fi;
-        assert(dispatches == 1);
-        assert(!believes_not_run)
+        told = true
     }
 }
 
-/* What a refused attempt may say: of the key only with a proof. */
+/* A refusal: of the key only for the caller's first attempt. */
 inline refuse() {
     if
-    :: covered && closed -> tell(NOT_RUN)
-    :: !(covered && closed) && me == 0 -> tell(NOT_RUN)
-#ifdef MUTANT_ATTEMPT_AS_KEY
-    :: !(covered && closed) && me != 0 && is_dead(my_claim) && owner == NONE
-       && done == NONE && covered -> tell(NOT_RUN)
-#endif
-#ifdef MUTANT_FREE_MEANS_NOT_RUN
-    :: !(covered && closed) && me != 0 && covered && owner == NONE
-       && done == NONE -> tell(NOT_RUN)
-#endif
-    :: !(covered && closed) && me != 0 -> tell(ATTEMPT_NOT_RUN)
+    :: me == 0 -> tell_not_run()
+    :: me != 0 -> told = true
     fi
 }
 
-#ifndef MUTANT_RELEASE_BY_TIME
-#define held_by_other (owner != NONE && owner != my_claim)
-#else
-#define held_by_other false
-#endif
+inline dispatch() {
+    d_step {
+        assert(first_dispatch == NONE);
+        assert(!believes_not_run);
+        first_dispatch = me
+    }
+}
+
+#define knows_owner (owner != NONE && owner != my_claim)
 
 proctype Attempt(byte me) {
     mtype:append_answer answer = REFUSED;
-    mtype:told_kind told = NOTHING;
+    bool told = false;
     byte my_claim = me;
     byte pos = 0;
     byte owner = NONE;
     byte dead = 0;
-    bool closed = false;
-    byte done = NONE;
+    byte stored = NONE;
     bool covered = true;
-    bool closing = false;
-#ifdef MUTANT_PROMOTE
+#ifdef MUTANT_PROMOTE_LOSER
     byte waiting = NONE;
 #endif
+#ifdef MUTANT_RELEASE_BY_TIME
+    byte before = NONE;
+#endif
 
     {
-        /* Arrival: a follower that kept up, or a reader that starts now. */
+        /* Arrival: a reader that kept up, one that starts, or no log. */
         if
-        :: !up -> refuse(); goto finished
-        :: up -> d_step { fold_all() }
-        :: up && oldest_offset > 0 ->
-            d_step {
-                pos = oldest_offset;
-#ifndef MUTANT_NO_COVERAGE
-                covered = false;
-#endif
-                fold_all()
-            }
+        :: read_log()
+        :: refuse(); goto finished
         fi;
+#ifdef MUTANT_FIRST_IS_NEW
+        if
+        :: me == 0 && owner == NONE -> covered = true
+        :: else
+        fi;
+#endif
 #ifdef MUTANT_DISPATCH_AFTER_CRASH
         if
-        :: owner != NONE && done == NONE && crashed[owner % ATTEMPTS] ->
+        :: owner != NONE && stored == NONE && crashed[owner] ->
             my_claim = owner;
             goto permitted
         :: else
@@ -269,19 +263,17 @@
 #endif
 #ifdef MUTANT_RELEASE_BY_TIME
         if
-        :: owner != NONE && done == NONE ->
-            append(RELEASE, owner);
+        :: owner != NONE && stored == NONE ->
+            before = owner;
+            append(RELEASE, before);
             read_log()
         :: else
         fi;
 #endif
         if
-        :: !covered -> tell(TOO_OLD); goto finished
-        :: covered && closed -> refuse(); goto finished
-        :: covered && done != NONE -> goto replay
-        :: covered && !closed && done == NONE && held_by_other ->
-            tell(IN_PROGRESS); goto finished
-        :: else
+        :: stored != NONE -> goto replay
+        :: stored == NONE && (!covered || owner != NONE) -> goto finished
+        :: stored == NONE && covered && owner == NONE
         fi;
 
         append(CLAIM, my_claim);
@@ -291,39 +283,44 @@
         :: answer == LANDED -> goto permitted
 #endif
 #ifdef MUTANT_RESEND_CLAIM
-        :: answer == UNKNOWN && my_claim == me ->
+        :: answer == UNKNOWN ->
             my_claim = me + ATTEMPTS;
             append(CLAIM, my_claim)
 #endif
         :: else
         fi;
 
+        /* Within the deadline the log may decide; it may pass at any time. */
 decide:
         if
-        :: up && pos < next_offset ->
+        :: pos < next_offset ->
             read_log();
             if
-            :: !covered -> goto give_up
-            :: covered && owner == my_claim -> goto permitted
-            :: covered && owner != my_claim && !is_dead(my_claim) ->
-                goto decide
-            :: else -> goto lost
+            :: owner == my_claim && covered -> goto permitted
+            :: owner == my_claim && !covered -> goto give_up
+            :: stored != NONE -> goto replay
+            :: stored == NONE && is_dead(my_claim) -> goto lost
+            :: else -> goto decide
             fi
-        :: true -> goto give_up
+        :: goto give_up
+        :: answer == UNKNOWN ->
+            append(ABANDON, my_claim);
+            answer = LANDED;
+            goto decide
         fi;
 
 lost:
         if
-        :: done != NONE -> goto replay
-        :: done == NONE && closed -> refuse()
-        :: done == NONE && !closed && owner != NONE -> tell(IN_PROGRESS)
-        :: done == NONE && !closed && owner == NONE -> refuse()
+        :: owner != NONE -> goto finished
+#ifdef MUTANT_ATTEMPT_AS_KEY
+        :: owner == NONE && covered -> tell_not_run()
+#endif
+        :: owner == NONE -> refuse()
         fi;
         goto finished;
 
 replay:
-        assert(first_dispatch == done % ATTEMPTS);
-        tell(ANSWERED);
+        assert(first_dispatch == stored);
         goto finished;
 
 permitted:
@@ -331,89 +328,62 @@
         :: dispatch()
         :: goto give_up
         fi;
-        /* The target's answer comes, or is lost and the outcome unknown. */
-        if
-        :: tell(ANSWERED)
-        :: tell(OUTCOME_UNKNOWN)
 #ifdef MUTANT_RESEND_DISPATCH
+        /* The target's answer is lost. */
+        if
         :: dispatch()
-#endif
+        :: true
         fi;
-store:
-        /* Sent again until read back: idempotent by its claim id. */
-        append(OUTCOME, my_claim);
-        do
-        :: up && pos < next_offset ->
-            read_log();
-            if
-            :: done != NONE || !covered -> goto finished
-            :: else
-            fi
-        :: up && pos == next_offset && !is_late(OUTCOME, my_claim) ->
-            goto store
-        od;
+#endif
+        answer = REFUSED;
+        append_until_landed(OUTCOME, my_claim);
+        goto finished;
 
         /*
-         * No permit exists from here on. The caller is told at once, or
-         * after the key is closed. Abandon, release and close only take
-         * rights away, so they are sent again until one is read back.
+         * From here on this process has no permit. The caller is told at
+         * once; abandon and release follow until the log has them.
          */
 give_up:
-#ifdef MUTANT_NO_ABANDON
+#ifdef MUTANT_RELEASE_AS_KEY
         if
-        :: !(covered && owner == my_claim) -> refuse(); goto finished
-        :: else
+        :: owner == my_claim && covered -> tell_not_run()
+        :: else -> refuse()
         fi;
+#else
+        refuse();
 #endif
-#ifdef MUTANT_FORGET_RELEASE
-        if
-        :: covered && owner == my_claim -> refuse(); goto finished
-        :: else
-        fi;
+#ifndef MUTANT_NO_ABANDON
+        answer = REFUSED;
+        append_until_landed(ABANDON, my_claim);
 #endif
+#ifdef MUTANT_RELEASE_KEEPS_PERMIT
         if
-        :: refuse()
-        :: closing = true
-        fi;
-        if
-        :: !covered -> goto withdrawn
+        :: owner == my_claim -> dispatch()
         :: else
         fi;
-withdraw:
-        if
-        :: closing -> append(CLOSE, my_claim)
-        :: !closing && owner == my_claim ->
-            append(RELEASE, my_claim);
-#ifdef MUTANT_RELEASE_KEEPS_PERMIT
-            if
-            :: answer != LANDED -> dispatch()
-            :: answer == LANDED
-            fi
 #endif
-        :: !closing && owner != my_claim ->
-            append(ABANDON, my_claim)
-        fi;
-        do
-        :: up && pos < next_offset ->
-            read_log();
-            if
-            :: !covered || is_dead(my_claim) -> break
-            :: else
-            fi
-        :: up && pos == next_offset && late[my_claim] <= 1 ->
-            goto withdraw
-        od;
-withdrawn:
-        if
-        :: told == NOTHING && done != NONE -> goto replay
-        :: told == NOTHING && done == NONE -> refuse()
-        :: told != NOTHING
-        fi;
+#ifndef MUTANT_LOST_RELEASE
+        answer = REFUSED;
+        append_until_landed(RELEASE, my_claim);
+#else
+        append(RELEASE, my_claim);
+#endif
 
 finished:
         ended[me] = true
     } unless {
         crashed[me] && !ended[me]
+    };
+    /* The memory of the attempt is gone; equal states are merged. */
+    d_step {
+        answer = REFUSED;
+        told = false;
+        my_claim = me;
+        pos = 0;
+        owner = NONE;
+        dead = 0;
+        stored = NONE;
+        covered = true
     }
 }
 
@@ -434,40 +404,29 @@
     od
 }
 
-/* Outages, late appends, the window's end and retention. */
-#define LAND_LATE(kind, id) \
-    :: up && is_late(kind, id) -> \
+/* Late appends, the window's end and retention. */
+#define LAND(kind, id) \
+    :: is_late(kind, id) -> \
         d_step { late[id] = late[id] & ~(1 << kind); land(kind, id) } \
     :: is_late(kind, id) -> late[id] = late[id] & ~(1 << kind)
 
 #define LAND_ALL(id) \
-    LAND_LATE(CLAIM, id) \
-    LAND_LATE(ABANDON, id) \
-    LAND_LATE(RELEASE, id) \
-    LAND_LATE(CLOSE, id) \
-    LAND_LATE(OUTCOME, id)
+    LAND(CLAIM, id) LAND(ABANDON, id) LAND(RELEASE, id) LAND(OUTCOME, id)
 
 active proctype Log() {
-    byte outages = 0;
 end:
     do
-    :: up && outages < OUTAGES -> outages++; up = false
-    :: !up -> up = true
     LAND_ALL(0)
     LAND_ALL(1)
-#if ATTEMPTS > 2
+#if CLAIM_IDS > 2
     LAND_ALL(2)
 #endif
-#ifdef MUTANT_RESEND_CLAIM
-    LAND_ALL(ATTEMPTS)
-    LAND_ALL(ATTEMPTS + 1)
+#if CLAIM_IDS > 3
+    LAND_ALL(3)
 #endif
 #ifdef AGEING
-    :: !aged -> aged = true
-    :: aged && oldest_offset < next_offset ->
-        d_step {
-            oldest_offset++;
-        }
+    :: aged_offset == NONE && next_offset > 0 -> aged_offset = next_offset
+    :: aged_offset != NONE && oldest_offset < aged_offset -> oldest_offset++
 #endif
     od
 }
@@ -487,43 +446,58 @@
     od
 }
 
-/* When all has ended and nothing is on its way, the key is not held. */
+/* Once all has ended and nothing is on its way, the key is not held. */
 #define settled(id) (!started[id] || ended[id] || crashed[id])
-#define nothing_late(id) (late[id] == 0)
+
+hidden byte pos;
+hidden byte owner;
+hidden byte dead;
+hidden byte stored;
+hidden byte waiting;
 
 active proctype Orphans() {
-    byte pos = 0;
-    byte owner = NONE;
-    byte dead = 0;
-    bool closed = false;
-    byte done = NONE;
-#ifdef MUTANT_PROMOTE
-    byte waiting = NONE;
-#endif
 end:
-    d_step {
-        up && started[0] && settled(0) && settled(1) && nothing_late(0) &&
-        nothing_late(1) && nothing_late(ATTEMPTS) &&
-        nothing_late(ATTEMPTS + 1)
+    do
+    :: d_step {
+           started[0] && settled(0) && settled(1) && late[0] == 0 &&
+           late[1] == 0 &&
 #if ATTEMPTS > 2
-        && settled(2) && nothing_late(2)
+           settled(2) &&
 #endif
-        ->
-        if
-        :: oldest_offset == 0 ->
-            fold_all();
-            assert(owner == NONE || done != NONE ||
-                   crashed[owner % ATTEMPTS])
-        :: else
-        fi;
-        pos = 0;
-        dead = 0;
-        owner = NONE;
-        closed = false;
-        done = NONE
-    }
+#if CLAIM_IDS > 2
+           late[2] == 0 &&
+#endif
+#if CLAIM_IDS > 3
+           late[3] == 0 &&
+#endif
+           oldest_offset == 0 ->
+           pos = 0;
+           owner = NONE;
+           dead = 0;
+           stored = NONE;
+           waiting = NONE;
+           do
+           :: pos < next_offset -> fold_record(claim_of[pos]); pos++
+           :: else -> break
+           od;
+           assert(owner == NONE || stored != NONE || aged_offset != NONE ||
+                  crashed[owner % ATTEMPTS])
+       }
+    od
 }
 
+#ifdef LIVENESS
+/* Something always moves, so that every run is infinite. */
+active proctype Time() {
+    bool tick;
+    do
+    :: tick = !tick
+    od
+}
+#endif
+
 #define ended_0 (ended[0] || crashed[0])
 #define ended_1 (ended[1] || crashed[1])
-ltl attempts_end { [](started[0] -> <>ended_0) && [](started[1] -> <>ended_1) }
+ltl attempts_end {
+    [](started[0] -> <>ended_0) && [](started[1] -> <>ended_1)
+}
--- a/tools/model.py
+++ b/tools/model.py
@@ -1,3 +1,254 @@
-"""Runs the model checker over the specifications in ``model/``."""
+"""Runs the model checker over the specifications in ``model/``.
 
-print('no specification yet')
+Each run generates a verifier with ``spin``, compiles it and searches all
+states. A run of a specification must find nothing; a run of a mutant, the
+specification with one mechanism taken out, must find the violation that is
+expected of it. A search that did not end within its bounds is a failure.
+"""
+
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+
+MODEL_DIR = pathlib.Path(__file__).resolve().parent.parent / 'model'
+WORKERS = 2
+MAX_MEMORY_MB = 1_800
+MAX_DEPTH_STEPS = 100_000
+MAX_RUN_S = 150
+# The verifier keeps one fairness counter for every ten processes or so.
+FAIRNESS_WORDS = 5
+
+HOLDS = 'holds'
+INCOMPLETE = 'incomplete'
+BROKEN = 'broken'
+
+_STORED = re.compile(r'(\d[\d.e+]*) states, stored')
+_DEPTH = re.compile(r'depth reached (\d+)')
+_ERRORS = re.compile(r'errors: (\d+)')
+_VIOLATION = re.compile(r'^pan:\d+: (.+?) \(at depth', re.MULTILINE)
+_TRUNCATED = (
+    'max search depth too small',
+    'reached -DMEMLIM bound',
+    'out of memory',
+    'Search not completed',
+    'too many processes',
+)
+
+
+@attrs.frozen
+class Run:
+    """One search: a specification, its defines and the expected verdict.
+
+    ``finds`` is a part of the violation that a mutant must show, None for
+    the specification itself. ``liveness`` searches for a cycle that breaks
+    the formula of the specification, under weak fairness; otherwise the
+    assertions and the absence of deadlocks are checked.
+    """
+
+    spec: str
+    title: str
+    defines: tuple[str, ...] = ()
+    finds: str | None = None
+    liveness: bool = False
+
+    @property
+    def expected(self) -> str:
+        """The verdict that the run must have."""
+        return self.finds or HOLDS
+
+
+@attrs.frozen
+class Report:
+    """What a search found."""
+
+    run: Run
+    verdict: str
+    states: str
+    depth: str
+    elapsed_ms: int
+
+    @property
+    def is_expected(self) -> bool:
+        """Whether the verdict is the expected one."""
+        if self.run.finds is None:
+            return self.verdict == HOLDS
+        return self.run.finds in self.verdict
+
+
+ONE_DISPATCH = 'first_dispatch==15'
+FALSE_NOT_RUN = 'believes_not_run'
+ORPHAN = 'owner==15'
+CYCLE = 'acceptance cycle'
+
+
+def _claims(title: str, *defines: str) -> Run:
+    return Run('claims', title, defines)
+
+
+def _claims_mutant(name: str, finds: str, *defines: str) -> Run:
+    defines = defines or ('FAULTS=1',)
+    return Run('claims', name, (f'MUTANT_{name}', *defines), finds)
+
+
+def _mutant(spec: str, name: str, finds: str) -> Run:
+    return Run(spec, name, (f'MUTANT_{name}',), finds)
+
+
+def _liveness(
+    spec: str, title: str, *defines: str, finds: str | None = None
+) -> Run:
+    return Run(spec, title, ('LIVENESS', *defines), finds, liveness=True)
+
+
+AGEING = ('FAULTS=1', 'CRASHES=0', 'AGEING')
+FEW_READERS = ('OPERATORS=2', 'READERS=2')
+
+RUNS = (
+    _claims('safety: fault, crash', 'FAULTS=1'),
+    _claims('safety: two faults', 'FAULTS=2', 'CRASHES=0'),
+    _claims('safety: window, truncation', *AGEING),
+    _liveness('claims', 'attempts end', 'FAULTS=1', 'CRASHES=0'),
+    _claims_mutant('DISPATCH_ON_ANSWER', ONE_DISPATCH),
+    _claims_mutant('NO_ABANDON', ORPHAN),
+    _claims_mutant('LOST_RELEASE', ORPHAN),
+    _claims_mutant('RESEND_CLAIM', ORPHAN),
+    _claims_mutant('RESEND_DISPATCH', ONE_DISPATCH),
+    _claims_mutant('RELEASE_BY_TIME', ONE_DISPATCH),
+    _claims_mutant('RELEASE_KEEPS_PERMIT', FALSE_NOT_RUN),
+    _claims_mutant('ATTEMPT_AS_KEY', FALSE_NOT_RUN),
+    _claims_mutant('RELEASE_AS_KEY', FALSE_NOT_RUN),
+    _claims_mutant('PROMOTE_LOSER', ORPHAN),
+    _claims_mutant('DISPATCH_AFTER_CRASH', ONE_DISPATCH),
+    _claims_mutant('NO_COVERAGE', ONE_DISPATCH, *AGEING),
+    _claims_mutant('FIRST_IS_NEW', ONE_DISPATCH, *AGEING),
+    Run('catalogue', 'safety'),
+    _liveness(
+        'catalogue', 'followers catch up', 'RETENTION_WAITS', *FEW_READERS
+    ),
+    _mutant('catalogue', 'NO_BASE_REVISION', 'accepted'),
+    _mutant('catalogue', 'TORN_SNAPSHOT', 'seen_1'),
+    _mutant('catalogue', 'SNAPSHOT_MOVES', 'seen_1'),
+    _mutant('catalogue', 'WRONG_PREFIX', 'seen_0'),
+    _mutant('catalogue', 'LOWER_OFFSET', 'fell'),
+    _mutant('catalogue', 'SKIP_GAP', 'seen_'),
+    _mutant('catalogue', 'RESEND_CHANGE', 'rejected'),
+    _liveness(
+        'catalogue', 'retention does not wait', *FEW_READERS, finds=CYCLE
+    ),
+    Run('leases', 'safety'),
+    _liveness('leases', 'engines converge', 'LEASES=2'),
+    _mutant('leases', 'WALL_CLOCK', 'highest_fence'),
+    _mutant('leases', 'ENGINE_TRUSTS', 'highest_fence'),
+    _mutant('leases', 'LOCAL_FENCE', 'fence_holder'),
+    _mutant('leases', 'RELATIVE_ORDER', 'loaded'),
+    _liveness(
+        'leases', 'NO_READ_BACK', 'LEASES=2', 'MUTANT_NO_READ_BACK',
+        finds=CYCLE,
+    ),
+    _liveness(
+        'leases', 'STALE_SENDER', 'LEASES=2', 'MUTANT_STALE_SENDER',
+        finds=CYCLE,
+    ),
+)  # fmt: skip
+
+
+def check(run: Run) -> Report:
+    """Generate, compile and run the verifier of one search."""
+    started_s = time.monotonic()
+    try:
+        with tempfile.TemporaryDirectory(prefix='model-') as name:
+            output = _search(run, pathlib.Path(name))
+    except subprocess.SubprocessError as error:
+        output = f'{BROKEN}: {error}'
+    elapsed_ms = int((time.monotonic() - started_s) * 1000)
+    return Report(
+        run,
+        verdict_of(output),
+        _first(_STORED, output),
+        _first(_DEPTH, output),
+        elapsed_ms,
+    )
+
+
+def _search(run: Run, directory: pathlib.Path) -> str:
+    defines = [f'-D{name}' for name in run.defines]
+    spec = str(MODEL_DIR / f'{run.spec}.pml')
+    _call(['spin', *defines, '-a', spec], directory)
+    mode = [f'-DNFAIR={FAIRNESS_WORDS}']
+    options = ['-a', '-f']
+    if not run.liveness:
+        mode = ['-DSAFETY', '-DNOCLAIM']
+        options = []
+    memory = f'-DMEMLIM={MAX_MEMORY_MB}'
+    compiler = ['gcc', '-O2', '-w', '-DCOLLAPSE', memory, *mode]
+    _call([*compiler, '-o', 'pan', 'pan.c'], directory)
+    return _call(['./pan', f'-m{MAX_DEPTH_STEPS}', *options], directory)
+
+
+def _call(command: list[str], directory: pathlib.Path) -> str:
+    done = subprocess.run(
+        command,
+        cwd=directory,
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=MAX_RUN_S,
+    )
+    return done.stdout + done.stderr
+
+
+def verdict_of(output: str) -> str:
+    """Return the violation found, or whether the search was complete."""
+    violation = _VIOLATION.search(output)
+    if violation is not None:
+        return violation.group(1)
+    if any(sign in output for sign in _TRUNCATED):
+        return INCOMPLETE
+    if _first(_ERRORS, output) != '0':
+        return BROKEN
+    return HOLDS
+
+
+def _first(pattern: re.Pattern[str], text: str) -> str:
+    found = pattern.search(text)
+    return found.group(1) if found else '-'
+
+
+def _line(report: Report) -> str:
+    run = report.run
+    mark = 'ok' if report.is_expected else 'SURPRISE'
+    states = f'{float(report.states):,.0f}' if report.states != '-' else '-'
+    kind = 'liveness' if run.liveness else 'safety'
+    return (
+        f'{run.spec:<10} {run.title:<28} {kind:<8} {states:>12} '
+        f'{report.depth:>6} {report.elapsed_ms / 1000:>7.1f} s  '
+        f'{mark:<8} expected: {run.expected}; found: {report.verdict[:60]}'
+    )
+
+
+def main() -> int:
+    """Search all runs; return the number of surprises."""
+    started_s = time.monotonic()
+    print(
+        f'{"spec":<10} {"property or mutant":<28} {"kind":<8} '
+        f'{"states":>12} {"depth":>6} {"time":>9}  verdict'
+    )
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        reports = []
+        for report in pool.map(check, RUNS):
+            print(_line(report), flush=True)
+            reports.append(report)
+    surprises = sum(not report.is_expected for report in reports)
+    elapsed_s = time.monotonic() - started_s
+    print(f'{len(reports)} runs, {surprises} surprises, {elapsed_s:.0f} s')
+    return surprises
+
+
+if __name__ == '__main__':
+    sys.exit(min(main(), 1))
