--- /dev/null
+++ b/sycamorebeam/pipeline/inputs.py
@@ -0,0 +1,54 @@
+"""Builds the input of a stage from the request and earlier results."""
+
+import json
+from typing import Any
+
+from sycamorebeam import catalogue
+
+MAX_CONTEXT_CHARS = 8_000
+
+
+def needed_stages(pipeline: catalogue.Pipeline, index: int) -> tuple[str, ...]:
+    """Return the names of the stages that stage ``index`` waits for."""
+    stage = pipeline.stages[index]
+    if stage.after is not None:
+        return stage.after
+    if index == 0:
+        return ()
+    return (pipeline.stages[index - 1].name,)
+
+
+def stage_input(
+    kind: catalogue.TargetKind,
+    request_input: dict[str, Any],
+    needed: dict[str, dict[str, Any]],
+) -> dict[str, Any]:
+    """Return the input of a stage.
+
+    A pool gets the request's input with the outputs of the stages it
+    needs laid over it, an engine a prompt made of both, a service the
+    request's input alone.
+    """
+    match kind:
+        case catalogue.TargetKind.ENGINE:
+            return {'prompt': _prompt(request_input, needed)}
+        case catalogue.TargetKind.POOL:
+            joined = dict(request_input)
+            for output in needed.values():
+                joined.update(output)
+            return joined
+        case catalogue.TargetKind.SERVICE:
+            return request_input
+
+
+def _prompt(
+    request_input: dict[str, Any], needed: dict[str, dict[str, Any]]
+) -> str:
+    """Return the prompt: what the stages found, then the request's text."""
+    found = [
+        json.dumps(needed[name], sort_keys=True, ensure_ascii=False)
+        for name in sorted(needed)
+    ]
+    context = '\n'.join(found)[:MAX_CONTEXT_CHARS]
+    question = str(request_input.get('text', ''))
+    return f'{context}\n\n{question}' if context else question
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -1,7 +1,30 @@
-"""The settings of one instance."""
+"""The settings of one instance: a file, overridden by the environment.
+
+``SYCAMOREBEAM_PLATFORM__LOG`` overrides ``platform.log``. Secrets stand in
+files of their own, never in the settings or the environment.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import functools
+import json
+import pathlib
+import types
+from typing import Any
 
 import attrs
 
+from sycamorebeam import checking
+from sycamorebeam import entries
+from sycamorebeam import errors
+from sycamorebeam import jsonc
+
+ENVIRONMENT_PREFIX = 'SYCAMOREBEAM_'
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 4096
+ANY_ADDRESS = ('0.0.0.0:', '[::]:')
+
 
 @attrs.frozen(kw_only=True)
 class Placement:
@@ -13,10 +36,15 @@
 
 @attrs.frozen(kw_only=True)
 class Addresses:
-    """Where this instance listens: IP numbers with ports."""
+    """Where this instance listens: IP numbers with ports.
+
+    ``admin`` serves the operators' pages; None serves them with the
+    callers' interface.
+    """
 
     callers: str
     peers: str
+    admin: str | None = None
     advertised_callers: str | None = None
     advertised_peers: str | None = None
 
@@ -41,6 +69,7 @@
     body_timeout_ms: int = 5_000
     idle_timeout_ms: int = 30_000
     max_deadline_ms: int = 600_000
+    max_in_flight: int = 512
 
 
 @attrs.frozen(kw_only=True)
@@ -80,3 +109,229 @@
     catalogue_stale_after_ms: int = 30_000
     claim_partitions: int = 16
     claim_window_ms: int = 3_600_000
+
+
+SECOND_MS = 1_000
+MINUTE_MS = 60 * SECOND_MS
+DAY_MS = 24 * 60 * MINUTE_MS
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+MAX_PARTITIONS = 1024
+MAX_APPENDS_PER_S = 1000
+MAX_IN_FLIGHT = 65_536
+
+SCHEMA = checking.Schema(
+    rules={
+        Placement: {'zone': entries.NAME, 'region': entries.NAME},
+        Addresses: {
+            'callers': checking.Address(),
+            'peers': checking.Address(),
+            'admin': checking.Address(),
+            'advertised_callers': checking.Address(),
+            'advertised_peers': checking.Address(),
+        },
+        Platform: {
+            'log': checking.Url(),
+            'instances': checking.Url(),
+            'log_timeout_ms': checking.Range(10, MINUTE_MS),
+            'log_appends_per_s': checking.Range(0.1, MAX_APPENDS_PER_S),
+            'batch_linger_ms': checking.Range(0, SECOND_MS),
+        },
+        Bounds: {
+            'body_bytes': checking.Range(1024, MAX_BODY_BYTES),
+            'header_bytes': checking.Range(1024, MAX_HEADER_BYTES),
+            'body_timeout_ms': checking.Range(100, 10 * MINUTE_MS),
+            'idle_timeout_ms': checking.Range(100, 60 * MINUTE_MS),
+            'max_in_flight': checking.Range(1, MAX_IN_FLIGHT),
+            'max_deadline_ms': checking.Range(1, entries.MAX_DEADLINE_MS),
+        },
+        Shutdown: {
+            'balancer_lag_ms': checking.Range(0, 5 * MINUTE_MS),
+            'drain_timeout_ms': checking.Range(0, 60 * MINUTE_MS),
+        },
+        Statsd: {'address': checking.Address(), 'prefix': entries.NAME},
+        Settings: {
+            'instance_id': entries.NAME,
+            'region_link_share': checking.Range(0, 1),
+            'catalogue_stale_after_ms': checking.Range(
+                SECOND_MS, 60 * MINUTE_MS
+            ),
+            'claim_partitions': checking.Range(1, MAX_PARTITIONS),
+            'claim_window_ms': checking.Range(MINUTE_MS, 7 * DAY_MS),
+        },
+    }
+)
+
+
+def load_settings(
+    path: pathlib.Path | str, environ: Mapping[str, str]
+) -> Settings:
+    """Return the settings of a file under the overrides of ``environ``.
+
+    A relative ``peer_secret_file`` is taken from the directory of the
+    settings file. Raises SettingsError, which lists every problem.
+    """
+    path = pathlib.Path(path)
+    document, override_faults = _override(jsonc.load(path), environ)
+    settings, faults = checking.build(Settings, document.value, SCHEMA)
+    if settings is not None:
+        faults = _cross_check(settings)
+    jsonc.raise_faults(document, [*override_faults, *faults], 'settings')
+    secret_file = path.parent.absolute() / settings.peer_secret_file
+    return attrs.evolve(settings, peer_secret_file=str(secret_file))
+
+
+def read_secret(path: pathlib.Path | str) -> bytes:
+    """Return the secret in a file, without white space around it.
+
+    Raises SettingsError when it cannot be read, or is too short to be
+    a secret.
+    """
+    try:
+        secret = pathlib.Path(path).read_bytes().strip()
+    except OSError as error:
+        raise errors.SettingsError(
+            f'the secret file {path} cannot be read ({error.strerror})',
+            'name in peer_secret_file a file that this user may read',
+        ) from error
+    if MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
+        return secret
+    raise errors.SettingsError(
+        f'the secret in {path} has {len(secret)} bytes',
+        f'write {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} random bytes to it',
+    )
+
+
+@attrs.frozen
+class Setting:
+    """One setting in effect; ``origin`` says where its value comes from."""
+
+    key: str
+    value: str | float | None
+    origin: str
+
+
+def explain(
+    path: pathlib.Path | str, environ: Mapping[str, str]
+) -> list[Setting]:
+    """Return every setting in effect, defaults included.
+
+    Raises SettingsError like ``load_settings``.
+    """
+    found = load_settings(path, environ)
+    document, _ = _override(jsonc.load(pathlib.Path(path)), environ)
+    return [
+        Setting(
+            checking.render_path(key),
+            functools.reduce(getattr, key, found),  # type: ignore[arg-type]
+            document.origin(key) if document.names(key) else 'default',
+        )
+        for key in _paths(Settings, ())
+    ]
+
+
+def _override(
+    document: jsonc.Document, environ: Mapping[str, str]
+) -> tuple[jsonc.Document, list[checking.Fault]]:
+    """Return a document with the values that the environment names."""
+    faults = []
+    overrides: dict[checking.Path, str] = {}
+    known = _paths(Settings, ())
+    for variable in sorted(environ):
+        if not variable.startswith(ENVIRONMENT_PREFIX):
+            continue
+        path = _path_of(variable)
+        overrides[path] = f'environment {variable}'
+        if path in known:
+            value = _parse_override(known[path], environ[variable])
+            _put(document.value, path, value)
+        else:
+            faults.append(_unknown_variable(variable, path, known))
+    return attrs.evolve(document, overrides=overrides), faults
+
+
+def _paths(cls: type, path: checking.Path) -> dict[checking.Path, Any]:
+    """Return the path and type of every single setting."""
+    found: dict[checking.Path, Any] = {}
+    for name, hint in checking.type_hints(cls).items():
+        if attrs.has(hint):
+            found |= _paths(hint, (*path, name))
+        else:
+            found[(*path, name)] = hint
+    return found
+
+
+def _path_of(variable: str) -> checking.Path:
+    name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+    return tuple(name.split('__'))
+
+
+def _unknown_variable(
+    variable: str, path: checking.Path, known: Iterable[checking.Path]
+) -> checking.Fault:
+    keys = ['__'.join(map(str, item)).upper() for item in known]
+    name = variable.removeprefix(ENVIRONMENT_PREFIX)
+    near = checking.nearest(name, keys)
+    write = f'write "{ENVIRONMENT_PREFIX}{near[0]}", or ' if near else ''
+    return checking.Fault(
+        path,
+        'a variable of no setting',
+        f'{ENVIRONMENT_PREFIX} and the key of a setting, with __ for a dot',
+        f'{write}unset it',
+    )
+
+
+def _parse_override(hint: Any, text: str) -> Any:
+    """Return the text for a text setting, else what it says as JSON."""
+    is_optional = isinstance(hint, types.UnionType)
+    if hint is str or (is_optional and text != 'null'):
+        return text
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _put(value: Any, path: checking.Path, leaf: Any) -> None:
+    for name in path[:-1]:
+        if not isinstance(value, dict):
+            return
+        value = value.setdefault(name, {})
+    if isinstance(value, dict):
+        value[path[-1]] = leaf
+
+
+def _cross_check(settings: Settings) -> list[checking.Fault]:
+    addresses = settings.addresses
+    return [*_same_address(addresses), *_not_reachable(addresses)]
+
+
+def _same_address(addresses: Addresses) -> Iterator[checking.Fault]:
+    """Yield a fault for each listener at the address of an earlier one."""
+    seen: dict[str, str] = {}
+    for name in ('callers', 'peers', 'admin'):
+        address = getattr(addresses, name)
+        if address is None:
+            continue
+        if address in seen:
+            yield checking.Fault(
+                ('addresses', name),
+                f'the address of {seen[address]} again',
+                'an address of its own',
+                'choose another port',
+            )
+        seen.setdefault(address, name)
+
+
+def _not_reachable(addresses: Addresses) -> Iterator[checking.Fault]:
+    """Yield a fault for each listener that no other process could name."""
+    for name in ('callers', 'peers'):
+        listens = getattr(addresses, name)
+        advertised = getattr(addresses, f'advertised_{name}')
+        if advertised is None and listens.startswith(ANY_ADDRESS):
+            yield checking.Fault(
+                ('addresses', f'advertised_{name}'),
+                'nothing',
+                f'an IP number with a port, as {name} is {listens}',
+                'add the address at which others reach this instance',
+            )
--- /dev/null
+++ b/sycamorebeam/snapshot_writer.py
@@ -0,0 +1,73 @@
+"""Appends a snapshot to the log, chunk by chunk.
+
+Each snapshot has an id of its own, so that two writers at once do no harm.
+"""
+
+import uuid
+
+import attrs
+
+from sycamorebeam import batching
+from sycamorebeam import clock as clocks
+from sycamorebeam import snapshots
+from sycamorebeam.clients import results
+
+CHUNK_PAUSE_MS = 50
+
+
+@attrs.frozen
+class Written:
+    """The log holds the whole snapshot, up to its manifest's offset."""
+
+    offset: int
+
+
+@attrs.frozen
+class NotWritten:
+    """The snapshot is not whole, and never will be."""
+
+    reason: str
+
+
+WriteResult = Written | NotWritten
+
+
+async def write(
+    appender: batching.Appender,
+    clock: clocks.Clock,
+    frozen: snapshots.Frozen,
+) -> WriteResult:
+    """Append a snapshot; the first append that fails ends it."""
+    snapshot_id = uuid.uuid4().hex
+    first = None
+    count = 0
+    for data in snapshots.pack_chunks(frozen):
+        chunk = snapshots.Chunk(
+            snapshot_id=snapshot_id, index=count, data=data
+        )
+        offset = await _append(appender, chunk)
+        if isinstance(offset, NotWritten):
+            return offset
+        first = offset if first is None else first
+        count += 1
+        await clock.sleep_ms(CHUNK_PAUSE_MS)
+    manifest = snapshots.manifest_of(
+        frozen, snapshot_id, count, first or 0, clock.wall_ms()
+    )
+    offset = await _append(appender, manifest)
+    return offset if isinstance(offset, NotWritten) else Written(offset)
+
+
+async def _append(
+    appender: batching.Appender, item: snapshots.Chunk | snapshots.Manifest
+) -> int | NotWritten:
+    found = await appender.submit(
+        snapshots.STREAM,
+        snapshots.to_record(item),
+        batching.Priority.HOUSEKEEPING,
+    )
+    match found.result:
+        case results.Appended(offset=offset):
+            return offset
+        case refused:
+            return NotWritten(refused.reason)
