Read the routing's weighting once for each catalogue

Change: the weighting is read once for each catalogue in force, and of_kind sorts only the keys of its kind. Conclusion: the cost no longer depends on the catalogue's size.

--- a/sycamorebeam/catalogue.py
+++ b/sycamorebeam/catalogue.py
@@ -168,8 +168,8 @@
     def of_kind(self, kind: str) -> dict[str, AnyEntry]:
         """Return the entries of one kind by name, in name order."""
         prefix = f'{kind}/'
+        keys = [key for key in self.entries if key.startswith(prefix)]
         return {
             key.removeprefix(prefix): self.entries[key].entry
-            for key in sorted(self.entries)
-            if key.startswith(prefix)
+            for key in sorted(keys)
         }
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -20,6 +20,7 @@
 from sycamorebeam.pipeline import problems
 from sycamorebeam.pipeline import progress
 from sycamorebeam.pipeline import route
+from sycamorebeam.pipeline import weighting
 from sycamorebeam.policy import bucket
 from sycamorebeam.policy import quantiles
 
@@ -62,13 +63,14 @@
         self._metrics = metrics
         self._durations: dict[tuple[str, str], quantiles.RecentDurations] = {}
         self._numbers = itertools.count(1)
+        self._weighting = weighting.CurrentWeighting(catalogue_view)
 
     async def run(self, request: chain.Request) -> answers.Answer:
         """Return the whole answer to ``request``, or why there is none."""
         assert request.pipeline is not None
         assert request.deadline is not None
         run = progress.Run(
-            request, request.pipeline, request.deadline, self._weighting()
+            request, request.pipeline, request.deadline, self._weighting.get()
         )
         self._budget.earn()
         try:
@@ -252,13 +254,6 @@
             run.region_bytes += moved
             self._metrics.count('region.bytes', moved)
 
-    def _weighting(self) -> catalogue.Weighting:
-        limits = self._view.catalogue.of_kind('limit').values()
-        for limit in limits:
-            if isinstance(limit, catalogue.SharedLimit):
-                return limit.weighting
-        return catalogue.Weighting.ATTAINMENT
-
 
 def _dispatcher(run: progress.Run) -> ports.BeforeSend:
     """Return the step that spends the permit before the first byte."""
--- /dev/null
+++ b/tools/measure_policy.py
@@ -0,0 +1,168 @@
+"""What single decisions on the request path cost, in one process."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_store
+from sycamorebeam import clock as clocks
+from sycamorebeam import settings
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import targets
+from sycamorebeam.pipeline import route
+from sycamorebeam.pipeline import weighting
+from sycamorebeam.policy import quantiles
+from sycamorebeam.policy import subset
+
+ENTRIES = (10, 1_000, 27_000)
+REPLICAS = (12, 120, 1_200, 12_000)
+DURATIONS = 400
+ATTEMPT_MS = 12
+MIN_S = 0.15
+SEED = 1
+HERE = settings.Placement(zone='zone-1', region='region-1')
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """The mean time of one decision at one size."""
+
+    decision: str
+    size: str
+    us: float
+
+
+@attrs.frozen
+class FixedView:
+    """A catalogue that does not change."""
+
+    catalogue: catalogue.Catalogue
+
+    def team_by_digest(self, token_sha256: str) -> str | None:
+        """Return no team: nobody asks for one here."""
+        return None
+
+
+def measure() -> list[Cost]:
+    """Return the costs of all decisions."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> list[Cost]:
+    return [
+        *[_weighting_of_request(count) for count in ENTRIES],
+        _quantile(),
+        *[_choice(count) for count in REPLICAS],
+        *[_subset(count) for count in REPLICAS],
+    ]
+
+
+def _weighting_of_request(count: int) -> Cost:
+    store = catalogue_store.Store()
+    common = {'owner': 'measure', 'class': 'normal', 'limits': {}}
+    limit = {
+        **common,
+        'limits': {'bytes_per_s': 1_000_000},
+        'resource': 'region_link',
+        'weighting': 'cost',
+    }
+    store.put('limit/region-link', catalogue_store.pack(0, limit))
+    for number in range(count - 1):
+        team = {**common, 'token_sha256': [f'{number:064x}']}
+        store.put(f'team/team-{number}', catalogue_store.pack(0, team))
+    view = FixedView(catalogue.Catalogue(0, store.view()))
+    subject = weighting.CurrentWeighting(view).get
+    return Cost(
+        decision='weighting of a request',
+        size=f'{count:,} entries',
+        us=_mean_us(subject),
+    )
+
+
+def _quantile() -> Cost:
+    durations = _durations()
+
+    def decide() -> None:
+        durations.add(ATTEMPT_MS)
+        durations.quantile_ms(0.5)
+
+    return Cost(
+        decision='add a duration and read the median',
+        size=f'{DURATIONS} durations',
+        us=_mean_us(decide),
+    )
+
+
+def _durations() -> quantiles.RecentDurations:
+    generator = random.Random(SEED)
+    durations = quantiles.RecentDurations()
+    for _ in range(DURATIONS):
+        durations.add(generator.expovariate(1 / 20))
+    return durations
+
+
+def _choice(count: int) -> Cost:
+    known = targets.Targets(
+        'instance-1', HERE, clocks.Clock(), subset.SubsetSizes()
+    )
+    known.replace(_replicas(count))
+    for state in known.groups['group'].values():
+        state.durations = _durations()
+    router = route.Router(known, clocks.Clock(), random.Random(SEED))
+    weighed = catalogue.Weighting.ATTAINMENT
+    return Cost(
+        decision='choose a replica',
+        size=f'{count:,} replicas',
+        us=_mean_us(lambda: router.choose('group', weighed)),
+    )
+
+
+def _subset(count: int) -> Cost:
+    known = targets.Targets(
+        'instance-1', HERE, clocks.Clock(), subset.SubsetSizes()
+    )
+    replicas = _replicas(count)
+    return Cost(
+        decision='take in a new instance list',
+        size=f'{count:,} replicas',
+        us=_mean_us(lambda: known.replace(replicas)),
+    )
+
+
+def _replicas(count: int) -> list[results.Replica]:
+    places = (
+        ('zone-1', 'region-1'),
+        ('zone-2', 'region-1'),
+        ('zone-3', 'region-2'),
+    )
+    return [
+        results.Replica(
+            f'replica-{number}', 'group', f'10.0.0.1:{number}', *places[place]
+        )
+        for number in range(count)
+        for place in [number % len(places)]
+    ]
+
+
+def _mean_us(decide: Callable[[], object]) -> float:
+    decide()
+    runs = 0
+    started_s = time.process_time()
+    while time.process_time() - started_s < MIN_S:
+        decide()
+        runs += 1
+    return (time.process_time() - started_s) / runs * 1_000_000
+
+
+def main() -> None:
+    """Print the costs."""
+    for cost in measure():
+        print(f'{cost.decision:<40}{cost.size:>18}{cost.us:>12.1f} us')
+
+
+if __name__ == '__main__':
+    main()
