--- a/sycamorebeam/checking.py
+++ b/sycamorebeam/checking.py
@@ -9,10 +9,11 @@
 from collections.abc import Mapping
 import difflib
 import enum
+import functools
 import ipaddress
 import json
-import math
 import re
+import sys
 import types
 import typing
 from typing import Any
@@ -22,7 +23,16 @@
 Path = tuple[str | int, ...]
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 60
+MAX_TEXT_CHARS = 1_000
+MAX_UNKNOWN_KEYS = 20
+# Listed one by one: what str.isprintable() allows differs between versions
+# of Python, and instances of different versions must agree on an entry.
+CONTROLS = re.compile(
+    '[\x00-\x1f\x7f-\x9f\u200e\u200f\u2028-\u202e\u2066-\u2069\ud800-\udfff]'
+)
 NEAR_RATIO = 0.7
+MAX_LISTED_NAMES = 12
+MAX_COMPARED_NAMES = 500
 
 
 @attrs.frozen
@@ -85,13 +95,15 @@
 
 
 @attrs.frozen
-class NotEmpty:
-    """A list with at least one item; ``item`` is the rule of each."""
+class Items:
+    """A list of ``low`` to ``high`` items; ``item`` is the rule of each."""
 
+    low: int
+    high: int
     item: 'Rule | None' = None
 
 
-Rule = Range | Positive | Pattern | OneOf | Address | Url | NotEmpty
+Rule = Range | Positive | Pattern | OneOf | Address | Url | Items
 Rules = Mapping[type, Mapping[str, Rule]]
 
 
@@ -128,13 +140,22 @@
 
 
 def nearest(name: str, known: Iterable[str]) -> list[str]:
-    """Return the known name that is most like ``name``, if one is near."""
-    return difflib.get_close_matches(name, list(known), 1, NEAR_RATIO)
+    """Return the known name that is most like ``name``, if one is near.
+
+    Comparing is slow, so that none is proposed among very many names or
+    for a very long one.
+    """
+    names = list(known)
+    if len(names) > MAX_COMPARED_NAMES or len(name) > MAX_SHOWN_CHARS:
+        return []
+    return difflib.get_close_matches(name, names, 1, NEAR_RATIO)
 
 
 def unknown_key(path: Path, known: list[str]) -> Fault:
     """Return the fault of an unknown key, with the nearest known one."""
-    near = nearest(str(path[-1]), known)
+    key = str(path[-1])
+    near = nearest(key, known)
+    path = (*path[:-1], key[:MAX_SHOWN_CHARS])
     remedy = f'write "{near[0]}"' if near else 'remove the key'
     allowed = ', '.join(known) or 'no key'
     return Fault(path, 'an unknown key', allowed, remedy)
@@ -145,8 +166,14 @@
     near = nearest(name, known)
     if near:
         remedy = f'write "{near[0]}", or {remedy}'
-    allowed = ', '.join(known) or 'none is known'
-    return Fault(path, show(name), allowed, remedy)
+    return Fault(path, show(name), _listed(known), remedy)
+
+
+def _listed(known: list[str]) -> str:
+    """Return the known names, or how many there are when there are many."""
+    if len(known) > MAX_LISTED_NAMES:
+        return f'one of {len(known)} known names'
+    return ', '.join(known) or 'a name that exists'
 
 
 def build(
@@ -158,6 +185,12 @@
     return (None if walker.faults else built), walker.faults
 
 
+@functools.cache
+def type_hints(cls: type) -> dict[str, Any]:
+    """Return the types of the fields of an attrs class."""
+    return typing.get_type_hints(cls)
+
+
 class _Walker:
     """Walks classes and plain values side by side and collects faults."""
 
@@ -170,14 +203,12 @@
         if not isinstance(value, dict):
             return self._wrong(path, value, 'an object')
         before = len(self.faults)
-        hints = typing.get_type_hints(cls)
+        hints = type_hints(cls)
         fields = {
             self._schema.key_of(field.name): field
             for field in attrs.fields(cls)
         }
-        for key in value:
-            if key not in fields:
-                self.faults.append(unknown_key((*path, key), list(fields)))
+        self._unknown_keys(value, list(fields), path)
         built = {}
         for key, field in fields.items():
             if key in value:
@@ -192,12 +223,28 @@
                 self._missing((*path, key), hints[field.name])
         return None if len(self.faults) > before else cls(**built)
 
+    def _unknown_keys(
+        self, value: dict[Any, Any], known: list[str], path: Path
+    ) -> None:
+        unknown = [key for key in value if key not in known]
+        for key in unknown[:MAX_UNKNOWN_KEYS]:
+            self.faults.append(unknown_key((*path, key), known))
+        if len(unknown) > MAX_UNKNOWN_KEYS:
+            count = len(unknown) - MAX_UNKNOWN_KEYS
+            found = f'{count} more unknown keys'
+            allowed = ', '.join(known)
+            self.faults.append(Fault(path, found, allowed, 'remove the keys'))
+
     def _field(
         self, cls: type, name: str, hint: Any, value: object, path: Path
     ) -> Any:
+        rule = self._schema.rules.get(cls, {}).get(name)
+        match rule, value:
+            case Items(), list() | tuple() if not holds(rule, value):
+                found = f'{len(value)} items'
+                return self._fault(path, found, describe_rule(rule))
         before = len(self.faults)
         built = self._typed(hint, value, path)
-        rule = self._schema.rules.get(cls, {}).get(name)
         if rule and built is not None and len(self.faults) == before:
             self._apply(rule, built, path)
         return built
@@ -242,17 +289,18 @@
                 pass
             case int() if hint is int:
                 return value
-            case int() | float() if hint is float and math.isfinite(value):
+            case int() | float() if hint is float and _is_finite(value):
                 return float(value)
-            case str() if hint is str and value:
+            case str() if hint is str and _is_text(value):
                 return value
         return self._wrong(path, value, _describe_type(hint))
 
     def _apply(self, rule: Rule, value: Any, path: Path) -> None:
         match rule:
-            case NotEmpty(item=item) if value and item is not None:
+            case Items(item=item):
                 for index, each in enumerate(value):
-                    self._apply(item, each, (*path, index))
+                    if item is not None:
+                        self._apply(item, each, (*path, index))
             case _ if not holds(rule, value):
                 self._wrong(path, value, describe_rule(rule))
 
@@ -262,9 +310,22 @@
 
     def _wrong(
         self, path: Path, value: object, allowed: str, remedy: str = ''
+    ) -> Any:
+        self._fault(path, show(value), allowed, remedy)
+
+    def _fault(
+        self, path: Path, found: str, allowed: str, remedy: str = ''
     ) -> Any:
         remedy = remedy or 'change the value'
-        self.faults.append(Fault(path, show(value), allowed, remedy))
+        self.faults.append(Fault(path, found, allowed, remedy))
+
+
+def _is_finite(number: float) -> bool:
+    return abs(number) <= sys.float_info.max
+
+
+def _is_text(text: str) -> bool:
+    return 0 < len(text) <= MAX_TEXT_CHARS and not CONTROLS.search(text)
 
 
 def holds(rule: Rule, value: Any) -> bool:
@@ -282,17 +343,25 @@
             return _is_address(value)
         case Url():
             return value.startswith('http://') and _is_address(value[7:])
-        case NotEmpty():
-            return bool(value)
+        case Items(low=low, high=high):
+            return low <= len(value) <= high
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a valid address."""
+    host, _, port = address.rpartition(':')
+    return host.removeprefix('[').removesuffix(']'), int(port)
 
 
 def _is_address(text: str) -> bool:
     host, colon, port = text.rpartition(':')
     if not colon or re.fullmatch('[0-9]{1,5}', port) is None:
         return False
+    if not 0 < int(port) <= MAX_PORT:
+        return False
     if host.startswith('[') and host.endswith(']'):
-        return _is_ip(host[1:-1], 6) and 0 < int(port) <= MAX_PORT
-    return _is_ip(host, 4) and 0 < int(port) <= MAX_PORT
+        return _is_ip(host[1:-1], 6)
+    return _is_ip(host, 4)
 
 
 def _is_ip(text: str, version: int) -> bool:
@@ -317,10 +386,8 @@
             return 'an IP number with a port, 10.0.0.1:8080'
         case Url():
             return 'http:// with an IP number and a port'
-        case NotEmpty(item=item) if item is not None:
-            return f'at least one of: {describe_rule(item)}'
-        case NotEmpty():
-            return 'at least one item'
+        case Items(low=low, high=high):
+            return f'a list of {low} to {high} items'
 
 
 def _alternatives(values: typing.Iterable[str]) -> str:
@@ -337,7 +404,7 @@
     if issubclass(hint, enum.Enum):
         return _alternatives(member.value for member in hint)
     names = {
-        str: 'a text that is not empty',
+        str: f'a text of 1 to {MAX_TEXT_CHARS} characters without controls',
         int: 'a whole number',
         float: 'a finite number',
         bool: 'true or false',
--- a/sycamorebeam/clients/engine.py
+++ b/sycamorebeam/clients/engine.py
@@ -9,6 +9,7 @@
 
 from sycamorebeam import errors
 from sycamorebeam.clients import cancels
+from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
 from sycamorebeam.clients import plain
 from sycamorebeam.clients import ports
@@ -20,10 +21,15 @@
 
 @attrs.frozen(kw_only=True)
 class StreamSettings:
-    """When a stream counts as silent, and how often it is resumed."""
+    """When a stream counts as silent, and how often it is resumed.
+
+    ``resumes`` bounds those in a row that bring no token and
+    ``resumes_in_all`` those of one attempt.
+    """
 
     silence_ms: int = 3_000
     resumes: int = 4
+    resumes_in_all: int = 32
     resume_pause_ms: int = 50
 
 
@@ -71,11 +77,11 @@
 
     def __init__(
         self,
-        exchanges: http.Http,
+        client: http.Http,
         canceller: cancels.Canceller,
         settings: StreamSettings,
     ) -> None:
-        self._http = exchanges
+        self._http = client
         self._canceller = canceller
         self._settings = settings
         self._resumes = 0
@@ -109,7 +115,9 @@
     ) -> results.TargetResult:
         exchange = self._first(generation, prompt)
         reason = reasons.Reason.ENDED_EARLY
-        for _ in range(self._settings.resumes + 1):
+        idle = 0
+        for _ in range(self._settings.resumes_in_all + 1):
+            came = generation.table.next
             ending = await self._stream(generation, exchange)
             match ending:
                 case Whole():
@@ -119,13 +127,18 @@
                 case Broken(reason):
                     if not generation.sent:
                         return results.TargetNotRun(reason)
+            idle = 0 if generation.table.next > came else idle + 1
             if reason is reasons.Reason.DEADLINE:
                 break
+            if idle > self._settings.resumes:
+                break
             await self._http.clock.sleep_ms(self._settings.resume_pause_ms)
             exchange = self._resume(generation)
         return results.TargetMaybeRun(_incomplete(generation, reason))
 
-    def _first(self, generation: Generation, prompt: str) -> http.Exchange:
+    def _first(
+        self, generation: Generation, prompt: str
+    ) -> exchanges.Exchange:
         attempt = generation.attempt
         body = {
             'id': attempt.id,
@@ -137,21 +150,21 @@
         lane = plain.lane_of(attempt)
         return self._exchange(generation, '/v1/generate', body, lane)
 
-    def _resume(self, generation: Generation) -> http.Exchange:
+    def _resume(self, generation: Generation) -> exchanges.Exchange:
         self._resumes += 1
         attempt_id = generation.attempt.id
         body = {'id': attempt_id, 'from': generation.table.next}
         path = f'/v1/generate/{attempt_id}/resume'
-        return self._exchange(generation, path, body, http.Lane.FRESH)
+        return self._exchange(generation, path, body, exchanges.Lane.FRESH)
 
     def _exchange(
         self,
         generation: Generation,
         path: str,
         body: dict[str, Any],
-        lane: http.Lane,
-    ) -> http.Exchange:
-        return http.Exchange(
+        lane: exchanges.Lane,
+    ) -> exchanges.Exchange:
+        return exchanges.Exchange(
             method='POST',
             address=generation.replica.address,
             path=path,
@@ -162,7 +175,7 @@
         )
 
     async def _stream(
-        self, generation: Generation, exchange: http.Exchange
+        self, generation: Generation, exchange: exchanges.Exchange
     ) -> Ending:
         remaining_ms = exchange.deadline.remaining_ms(self._http.clock)
         if not remaining_ms:
@@ -170,7 +183,7 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 return await self._receive(generation, exchange)
-        except http.FAILURES as error:
+        except exchanges.FAILURES as error:
             return Broken(self._http.failure(exchange, error).reason)
         except errors.PlatformError:
             return Broken(reasons.Reason.MALFORMED)
@@ -178,16 +191,20 @@
             generation.sent |= exchange.connected
             generation.sent_bytes += exchange.sent_bytes
             generation.received_bytes += exchange.received_bytes
+            self._http.account(exchange)
 
     async def _receive(
-        self, generation: Generation, exchange: http.Exchange
+        self, generation: Generation, exchange: exchanges.Exchange
     ) -> Ending:
         response = await self._http.send(exchange)
         try:
-            generation.draining |= http.is_draining(response)
+            generation.draining |= exchanges.is_draining(response)
             if response.status != 200:
                 return await _refusal(generation, response)
-            return await _read_events(generation, exchange, response)
+            limit_bytes = self._http.limits.answer_bytes
+            return await _read_events(
+                generation, exchange, response, limit_bytes
+            )
         finally:
             response.close()
 
@@ -200,7 +217,7 @@
     generation: Generation, response: aiohttp.ClientResponse
 ) -> Ending:
     body = await response.content.read(http.READ_BYTES)
-    same_id = plain.parse(body).get('id') == generation.attempt.id
+    same_id = exchanges.parse(body).get('id') == generation.attempt.id
     not_run = response.headers.get('Not-Run') == '1'
     first = not generation.sent
     match response.status:
@@ -220,12 +237,15 @@
 
 async def _read_events(
     generation: Generation,
-    exchange: http.Exchange,
+    exchange: exchanges.Exchange,
     response: aiohttp.ClientResponse,
+    limit_bytes: int,
 ) -> Ending:
     parser = sse.EventParser()
     async for chunk in response.content.iter_any():
         exchange.received_bytes += len(chunk)
+        if exchange.received_bytes > limit_bytes:
+            return Final(_maybe_run(generation, reasons.Reason.TOO_LARGE))
         for event in parser.feed(chunk):
             ending = await _take(generation, event)
             if ending is not None:
@@ -234,7 +254,7 @@
 
 
 async def _take(generation: Generation, event: sse.Event) -> Ending | None:
-    data = plain.parse(event.data)
+    data = exchanges.parse(event.data)
     if data.get('id') != generation.attempt.id:
         return Broken(reasons.Reason.WRONG_ID)
     match event.name:
@@ -252,8 +272,10 @@
     generation: Generation, data: dict[str, Any]
 ) -> Ending | None:
     index, text = data.get('i'), data.get('text')
-    if not isinstance(index, int) or not isinstance(text, str) or index < 0:
+    if not isinstance(index, int) or not isinstance(text, str):
         return Broken(reasons.Reason.MALFORMED)
+    if not 0 <= index < generation.attempt.max_tokens:
+        return Final(_maybe_run(generation, reasons.Reason.MALFORMED))
     due = generation.table.add(index, text)
     if due is None:
         return Broken(reasons.Reason.MALFORMED)
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -105,7 +105,9 @@
 
     def _build_clients(self) -> None:
         platform = self._settings.platform
-        self._log = log.new_log_client(platform.log, platform.log_timeout_ms)
+        self._log = log.new_log_client(
+            platform.log.removeprefix(URL_PREFIX), platform.log_timeout_ms
+        )
         self._list_client = instances.new_instance_list(
             platform.instances.removeprefix(URL_PREFIX), self._clock
         )
--- a/tests/test_catalogue_follower.py
+++ b/tests/test_catalogue_follower.py
@@ -7,6 +7,7 @@
 from sycamorebeam import batching
 from sycamorebeam import catalogue_fold
 from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
 from sycamorebeam import errors
 from sycamorebeam import hashing
 from sycamorebeam import snapshot_reader
@@ -15,6 +16,7 @@
 from sycamorebeam.clients import results
 from sycamorebeam.controllers import catalogue as catalogue_controller
 from sycamorebeam.controllers import readiness
+from sycamorebeam.controllers import snapshots as snapshot_duty
 from tests import base
 from tests import catalogue_bench
 from tests import fake_log
@@ -318,6 +320,7 @@
         damaged = bytearray(chunk.data)
         damaged[-1] ^= 0xFF
         rows[2] = results.LogRecord(2, chunk.time_ms, bytes(damaged))
+        self.log.truncate(STREAM, 3)
         follower = await self.follow()
         self.assertEqual((5, READY), (follower.offset, follower.readiness))
         self.assertEqual(
@@ -334,7 +337,9 @@
         for row in differs.streams[STREAM]:
             fold.apply(row.offset, row.data)
         frozen = snapshots.freeze(fold)
-        frozen.stored['team/t7'] += b'\x00'
+        frozen.stored['team/t7'] = catalogue_store.pack(
+            2, catalogue_bench.team('t7', owner='x')
+        )
         await snapshot_writer.write(new_appender(self.log), CLOCK, frozen)
         follower = await self.follow()
         self.assertIsNotNone(follower.catalogue.team('t2'))
@@ -343,6 +348,18 @@
             catalogue_bench.alarm_kinds(self.bench),
         )
 
+    async def test_snapshot_without_its_chunk_is_not_used(self):
+        await self.prepare()
+        await write_snapshot(self.log, 2)
+        rows = self.log.streams[snapshots.STREAM]
+        rows[0] = results.LogRecord(0, 0, b'')
+        follower = await self.follow()
+        self.assertIsNotNone(follower.catalogue.team('t2'))
+        self.assertEqual(
+            catalogue_bench.DIGEST_ALARM,
+            catalogue_bench.alarm_kinds(self.bench),
+        )
+
     async def test_two_writers_at_once_do_no_harm(self):
         await self.prepare()
         rows = self.log.streams
@@ -360,15 +377,13 @@
 class SnapshotDutyTest(FollowerCase):
     async def new_duty(self, instance_id='a', members=('a', 'b')):
         await self.follow()
-        return snapshot_writer.SnapshotDuty(
+        return snapshot_duty.new_snapshot_duty(
             instance_id,
             self.log,
             new_appender(self.log),
             CLOCK,
-            lambda: self.follower.fold,
-            self.follower.fold.digest_at,
+            self.follower,
             lambda: members,
-            self.follower.raise_alarm,
             random.Random(1),
         )
 
@@ -383,10 +398,10 @@
 
     async def test_others_take_over_after_a_time(self):
         await self.prepare()
-        picked = hashing.pick(snapshot_writer.DUTY, 'ab')
+        picked = hashing.pick(snapshot_duty.DUTY, 'ab')
         duty = await self.new_duty('b' if picked == 'a' else 'a')
         self.assertIsNone(await duty.check())
-        await CLOCK.sleep_ms(snapshot_writer.TAKE_OVER_MS)
+        await CLOCK.sleep_ms(snapshot_duty.TAKE_OVER_MS)
         self.assertEqual(snapshot_writer.Written(1), await duty.check())
 
     @ddt.unpack
@@ -395,7 +410,7 @@
         await self.prepare(changes=1)
         duty = await self.new_duty(members=('a',))
         await duty.check()
-        for _ in range(snapshot_writer.MAX_RECORDS_BEHIND + extra):
+        for _ in range(snapshot_duty.MAX_RECORDS_BEHIND + extra):
             self.log.put(STREAM, b'')
         await CLOCK.sleep_ms(SETTLE_MS)
         self.assertEqual(snapshots_, 1 if await duty.check() else 0)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -4,6 +4,7 @@
 import ddt
 
 from sycamorebeam import catalogue
+from sycamorebeam import checking
 from sycamorebeam import entries
 from sycamorebeam import errors
 from tests import base
@@ -39,6 +40,34 @@
     }
 
 
+@ddt.ddt
+class AddressTest(base.TestCase):
+    @ddt.data(
+        ('10.0.0.1:80', ('10.0.0.1', 80)),
+        ('[::1]:8080', ('::1', 8080)),
+    )
+    @ddt.unpack
+    def test_is_an_ip_number_with_a_port(self, text, parts):
+        self.assertTrue(checking.holds(checking.Address(), text))
+        self.assertTrue(checking.holds(checking.Url(), f'http://{text}'))
+        self.assertEqual(parts, checking.split_address(text))
+
+    @ddt.data(
+        '10.0.0.1',
+        'host:80',
+        '::1:80',
+        '10.0.0.1:65536',
+        '10.0.0.1:0',
+        '10.0.0.1:+1',
+        '10.0.0.1:',
+        '[10.0.0.1]:80',
+        '10.0.0.1:٣',
+    )
+    def test_is_nothing_else(self, text):
+        self.assertFalse(checking.holds(checking.Address(), text))
+        self.assertFalse(checking.holds(checking.Url(), f'http://{text}/x'))
+
+
 @ddt.ddt
 class PlainTest(base.TestCase):
     @ddt.data(*new_state())
@@ -52,7 +81,13 @@
     @ddt.data(
         ('pipeline', plain_pipeline(deadline_ms=0), 'deadline_ms: found 0'),
         ('pipeline', plain_pipeline(deadline_ms=True), 'a whole number'),
-        ('pipeline', plain_pipeline() | {'stages': []}, 'at least one item'),
+        ('pipeline', plain_pipeline() | {'stages': []}, 'list of 1 to 32'),
+        ('pipeline', plain_pipeline(*[plain_stage()] * 33), 'found 33 items'),
+        ('pipeline', plain_pipeline(owner='a\nb'), 'a text of 1 to 1000'),
+        ('pipeline', plain_pipeline(owner='a\u202eb'), 'without controls'),
+        ('pipeline', plain_pipeline(owner='a' * 1001), 'a text of 1 to 1000'),
+        ('pipeline', plain_pipeline(limits={'tokens_per_s': 10**400}), 'fini'),
+        ('pipeline', dict.fromkeys(map(str, range(999))), 'more unknown'),
         ('pipeline', plain_pipeline(deadlin_ms=1), 'write "deadline_ms"'),
         ('pipeline', plain_pipeline(plain_stage(), plain_stage()), 'twice'),
         (
@@ -94,7 +129,9 @@
         )
         self.assertEqual(3, len(error.problems), error.problems)
 
-    @ddt.data('team', 'team/', 'tean/ops', 'team/Ops', 'team/a/b')
+    @ddt.data(
+        'team', 'team/', 'tean/ops', 'team/Ops', 'team/a/b', 'target/entry'
+    )
     def test_a_key_is_kind_and_name(self, key):
         self.assertRaises(errors.SettingsError, entries.split_key, key)
 
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -20,6 +20,16 @@
 FAULTS = [
     ('none', {}, (case.ENGINE, *PLAIN), ANSWER, None, 1),
     ('refuse', {}, (case.ENGINE, *PLAIN), NOT_RUN, Reason.REFUSED, 0),
+    ('refuse', {'wrong_id': 1}, PLAIN, MAYBE_RUN, Reason.WRONG_ID, 0),
+    (
+        'refuse',
+        {'wrong_id': 1},
+        (case.ENGINE,),
+        MAYBE_RUN,
+        Reason.NOT_FOUND,
+        0,
+    ),
+    ('gap', {}, (case.ENGINE,), ANSWER, None, 1),
     ('errors', {}, (case.ENGINE, *PLAIN), MAYBE_RUN, Reason.FAILED, 1),
     ('wrong_digest', {}, PLAIN, MAYBE_RUN, Reason.WRONG_DIGEST, 1),
     ('wrong_digest', {}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_DIGEST, 1),
@@ -28,7 +38,9 @@
     ('wrong_id', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.WRONG_ID, 1),
     ('early_end', {}, PLAIN, MAYBE_RUN, Reason.ENDED_EARLY, 1),
     ('early_end', {}, (case.ENGINE,), ANSWER, None, 1),
-    ('early_end', {'n': 9}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('early_end', {'n': 99}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
+    ('early_end', {'n': 3}, (case.ENGINE,), ANSWER, None, 1),
+    ('babble', {}, (case.ENGINE,), MAYBE_RUN, Reason.MALFORMED, 1),
     ('hang', {}, PLAIN, MAYBE_RUN, Reason.DEADLINE, 1),
     ('hang', {}, (case.ENGINE,), ANSWER, None, 1),
     ('late', {'late_by_ms': 100}, PLAIN, ANSWER, None, 1),
@@ -44,8 +56,8 @@
     ('drop', {}, (case.ENGINE,), MAYBE_RUN, Reason.NOT_FOUND, 0),
 ]
 ROWS = [
-    [f'{fault}_{number}_{kind.value}', fault, switches, kind, *rest]
-    for number, (fault, switches, kinds, *rest) in enumerate(FAULTS)
+    [f'{fault}_{kind.value}', fault, switches, kind, *rest]
+    for fault, switches, kinds, *rest in FAULTS
     for kind in kinds
 ]
 
@@ -85,9 +97,10 @@
     @ddt.data(case.ENGINE, *PLAIN)
     async def test_deadline_before_send(self, kind):
         async with case.stand(kind) as stand:
+            await stand.call('warm')
             found = await stand.call(deadline_ms=0)
             self.assertEqual(NOT_RUN(Reason.DEADLINE), found)
-            self.assertEqual(0, stand.runs.calls)
+            self.assertEqual(1, stand.runs.calls)
 
     @ddt.data(case.ENGINE, *PLAIN)
     async def test_cancel_reaches_target(self, kind):
@@ -116,6 +129,9 @@
     async def test_counts_bytes(self, kind):
         async with case.stand(kind) as stand:
             found = await stand.call()
+            self.assertEqual(
+                [(found.sent_bytes, found.received_bytes)], stand.bytes
+            )
             self.assertGreater(found.sent_bytes, len('prompt of a1'))
             self.assertGreater(found.received_bytes, len(str(found.output)))
 
@@ -148,23 +164,60 @@
             await case.until(lambda: stand.runs.cancels == 1)
             self.assertEqual(0, stand.client.resumes)
 
-    async def test_silence_ends_reuse(self):
-        # The second call must not wait on an idle silent connection.
-        async with case.stand(case.SERVICE) as stand:
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_counts_bytes_of_failure(self, kind):
+        async with case.stand(kind) as stand:
+            stand.faults.errors = 1
+            await stand.call()
+            sent_bytes, received_bytes = stand.bytes[0]
+            self.assertGreater(sent_bytes, len('prompt of a1'))
+            self.assertGreater(received_bytes, len('HTTP/1.1 500'))
+
+    async def test_deadline_ends_stream(self):
+        async with case.stand(case.ENGINE, token_ms=50) as stand:
+            started_ms = case.CLOCK.monotonic_ms()
+            found = await stand.call(deadline_ms=200)
+            took_ms = case.CLOCK.monotonic_ms() - started_ms
+            self.assertThat(found.reason, matchers.StartsWith(Reason.DEADLINE))
+            self.assertTrue(190 <= took_ms < 1_000, took_ms)
+            await case.until(lambda: stand.runs.cancels == 1)
+            await case.until(
+                lambda: stand.runs.of_id('a1')[0].state.value == 'cancelled'
+            )
+
+    @ddt.data(case.ENGINE, *PLAIN)
+    async def test_silence_ends_reuse(self, kind):
+        # Two idle connections go silent; only one call may wait on them.
+        async with case.stand(kind) as stand:
             both = [stand.call('warm1'), stand.call('warm2')]
             await asyncio.gather(*both)
-            stand.faults.silent = 1
+            stand.faults.silent_all = 1
             found = await stand.call('a1')
-            self.assertEqual(Reason.SILENT, found.reason)
+            self.assertIsInstance(found, MAYBE_RUN)
             self.assertEqual(1, stand.client.silent_connections)
-            started_ms = case.CLOCK.monotonic_ms()
             self.assertIsInstance(await stand.call('a2'), ANSWER)
-            self.assertLess(case.CLOCK.monotonic_ms() - started_ms, 50)
 
     async def test_slow_target_is_not_silent(self):
         async with case.stand(case.POOL, work_ms=500) as stand:
             self.assertIsInstance(await stand.call(), ANSWER)
 
+    @ddt.data('new connections work', 'no new connection')
+    async def test_all_that_waits_on_silence_ends(self, reach):
+        async with case.stand(case.SERVICE) as stand:
+            stand.faults.silent = 40
+            calls = [
+                asyncio.create_task(stand.call(f'a{number}'))
+                for number in range(40)
+            ]
+            await case.until(lambda: stand.runs.calls == 40)
+            if reach == 'no new connection':
+                await stand.server.stop_listening()
+            started_ms = case.CLOCK.monotonic_ms()
+            for found in await asyncio.gather(*calls):
+                self.assertEqual(MAYBE_RUN(Reason.SILENT), found)
+            took_ms = case.CLOCK.monotonic_ms() - started_ms
+            self.assertLess(took_ms, 1_500)
+
     async def test_request_id_of_unknown_outcome(self):
         async with case.stand(case.SERVICE) as stand:
             stand.faults.stall = 1
