--- a/demo/load.py
+++ b/demo/load.py
@@ -109,6 +109,7 @@
     rate_per_s: float,
     duration_s: float,
     generator: random.Random,
+    try_timeout_s: float = TRY_TIMEOUT_S,
 ) -> list[ledger.Row]:
     """Send requests at random times, whether or not answers come."""
     sent: list[ledger.Row] = []
@@ -117,20 +118,25 @@
     while time.monotonic() < until:
         row = next(rows)
         sent.append(row)
-        tasks.append(asyncio.create_task(ask(balancer, row)))
+        tasks.append(asyncio.create_task(ask(balancer, row, try_timeout_s)))
         await asyncio.sleep(generator.expovariate(rate_per_s))
     await asyncio.gather(*tasks)
     return sent
 
 
-async def ask(balancer: Balancer, row: ledger.Row) -> None:
+async def ask(
+    balancer: Balancer,
+    row: ledger.Row,
+    try_timeout_s: float = TRY_TIMEOUT_S,
+) -> None:
     """Send one request, and again as its problem allows, until it ends."""
     started = time.monotonic()
     address = None
     while row.tries < MAX_TRIES:
         address = balancer.pick(address)
         row.tries += 1
-        result = await _send(_call(row, address, started))
+        call = _call(row, address, started)
+        result = await _send(call, try_timeout_s)
         row.took_ms = (time.monotonic() - started) * 1000
         row.lost = row.problem = None
         match result:
@@ -147,10 +153,10 @@
         await asyncio.sleep(_pause_s(row))
 
 
-async def _send(call: caller.Call) -> caller.CallResult:
+async def _send(call: caller.Call, try_timeout_s: float) -> caller.CallResult:
     """Send once; an instance that says nothing for long is given up."""
     try:
-        async with asyncio.timeout(TRY_TIMEOUT_S):
+        async with asyncio.timeout(try_timeout_s):
             return await caller.send(call)
     except TimeoutError:
         return caller.CallLost('no answer in time', sent=True)
