Load the parts of an instance only for the command run

Cause: every command, completion included, imported all of an instance. Change: run imports it when it is called.

--- a/sycamorebeam/cli/run_command.py
+++ b/sycamorebeam/cli/run_command.py
@@ -6,7 +6,6 @@
 
 import typer
 
-from sycamorebeam import instance
 from sycamorebeam import settings as settings_module
 
 
@@ -22,5 +21,8 @@
 
     Example: sycamorebeam run --settings samples/kovacik/settings-1.jsonc
     """
+    # The other commands start faster without the parts of an instance.
+    from sycamorebeam import instance
+
     loaded = settings_module.load_settings(settings, os.environ)
     raise typer.Exit(instance.run(loaded))
