--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,7 @@
 from sycamorebeam import catalogue_file
 from sycamorebeam import errors
 from sycamorebeam import jsonc
+from sycamorebeam import replica_file
 from sycamorebeam import settings
 from tests import base
 
@@ -139,7 +140,7 @@
         ('127.0.0.1:7001', '0.0.0.0:1', '5: addresses.advertised_callers'),
         ('127.0.0.1:7001', '127.0.0.1:7002', '7: addresses.peers: found the'),
         ('"callers"', '"caller"', '6: addresses.caller: found an unknown'),
-        ('"z1"', '7', '4: placement.zone: found 7, allowed a print'),
+        ('"z1"', '7', '4: placement.zone: found 7, allowed a text'),
         ('http://127.0.0.1:7100', 'ftp://127.0.0.1:7100', '10: platform.log'),
         ('"instance_id": "i1",', '', '2: instance_id: found nothing'),
         ('"region": "r1"', '"zone": "z2"', '4: placement.zone: found the key'),
@@ -182,6 +183,32 @@
         self.assertEqual(b'0123456789abcdef', settings.read_secret(path))
 
 
+def listed(name, address):
+    placement = '"group": "g", "zone": "z", "region": "r"'
+    return f'{{"id": "{name}", "address": "{address}", {placement}}}'
+
+
+@ddt.ddt
+class ReplicaFileTest(FileTestCase):
+    @ddt.data(
+        ('{}', '1: (whole): found {}, allowed a list'),
+        ('[7]', '1: [0]: found 7, allowed an object'),
+        (f'[{listed("a", "host")}]', '1: [0].address: found "host"'),
+        (
+            f'[{listed("a", "10.0.0.1:1")},\n{listed("a", "10.0.0.1:2")}]',
+            '2: [1].id: found "a" again',
+        ),
+        (
+            f'[{listed("a", "10.0.0.1:1")},\n{listed("b", "10.0.0.1:1")}]',
+            '2: [1].address: found "10.0.0.1:1" again',
+        ),
+    )
+    @ddt.unpack
+    def test_names_what_is_wrong(self, text, message):
+        problems = self.problems(replica_file.load_replicas, self.write(text))
+        self.assertTrue(problems[0].startswith(message), problems)
+
+
 class CatalogueFileTest(FileTestCase):
     def test_names_every_problem_at_once(self):
         problems = self.problems(
