Bound cancels and all connections by test; tell silence of the list

Cause: the bounds on all connections and on open cancels were untested; an engine's stand-in could cancel a millisecond before its caller's own deadline, so that a test of the deadline could see either. Change: tests of both bounds; the stand-in cancels 50 ms after the deadline; a silent connection to the instance list counts as such.

--- a/sycamorebeam/clients/instances.py
+++ b/sycamorebeam/clients/instances.py
@@ -11,6 +11,7 @@
 from sycamorebeam.clients import results
 
 ANSWER_TIMEOUT_MS = 2_000
+SILENCE_MS = 1_000
 
 
 @attrs.frozen
@@ -50,6 +51,7 @@
             address=self._address,
             path=f'/v1/instances?{query}',
             deadline=clock_module.deadline_in(self._clock, limit_ms),
+            silence_ms=wait_ms + SILENCE_MS,
         )
         reply = await self._http.fetch(exchange)
         if isinstance(reply, exchanges.HttpFailure):
--- a/sycamorebeam/standins/engine.py
+++ b/sycamorebeam/standins/engine.py
@@ -18,6 +18,8 @@
 BEAT_MS = 500
 BEAT = b': alive\n\n'
 MAX_TOKENS = 100_000
+# The caller notices its own deadline before the engine cancels.
+DEADLINE_GRACE_MS = 50
 
 
 @attrs.define
@@ -91,9 +93,9 @@
         if self._batch.waiting >= self.options.queue:
             return self.not_run(generation.id)
         self._batch.submit(generation)
-        lifetime_s = replica.deadline_ms(request) / 1000
+        lifetime_ms = replica.deadline_ms(request) + DEADLINE_GRACE_MS
         loop = asyncio.get_running_loop()
-        loop.call_later(lifetime_s, self._batch.cancel, generation.id)
+        loop.call_later(lifetime_ms / 1000, self._batch.cancel, generation.id)
         await self.delay()
         if self.faults.take('errors'):
             return web.json_response({'id': generation.id}, status=500)
--- /dev/null
+++ b/tests/test_cancels.py
@@ -0,0 +1,47 @@
+"""Cancels in the background stay bounded."""
+
+import asyncio
+
+from sycamorebeam import clock
+from sycamorebeam.clients import cancels
+from sycamorebeam.clients import results
+from tests import base
+
+REPLICA = results.Replica('r1', 'group', '127.0.0.1:1', 'zone', 'region')
+
+
+class SlowHttp:
+    """Takes a second for each exchange and counts those that are open."""
+
+    clock = clock.Clock()
+
+    def __init__(self):
+        self.open = 0
+        self.most = 0
+        self.paths = []
+
+    async def fetch(self, exchange):
+        self.paths.append((exchange.method, exchange.path))
+        self.open += 1
+        self.most = max(self.most, self.open)
+        await asyncio.sleep(1)
+        self.open -= 1
+
+
+class CancellerTest(base.TestCase):
+    """Counts the cancels that are open at once."""
+
+    async def test_bounds_open_cancels(self):
+        http = SlowHttp()
+        canceller = cancels.Canceller(http)
+        for number in range(cancels.CANCELS_AT_ONCE + 10):
+            canceller.cancel(REPLICA, f'/v1/calls/a{number}')
+        await asyncio.sleep(0.5)
+        self.assertEqual(cancels.CANCELS_AT_ONCE, http.most)
+        self.assertEqual(10, canceller.dropped)
+        self.assertEqual(('DELETE', '/v1/calls/a0'), http.paths[0])
+        await canceller.close()
+        self.assertEqual(0, http.open)
+        canceller.cancel(REPLICA, '/v1/calls/last')
+        await canceller.close()
+        self.assertEqual(('DELETE', '/v1/calls/last'), http.paths[-1])
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -140,6 +140,25 @@
             self.assertEqual(3, found.count(refused))
             self.assertEqual((2, 2), (served.most, len(served.requests)))
 
+    async def test_bounds_connections_to_all_targets(self):
+        async with (
+            wire(delay_ms=250) as (first, client),
+            wire(delay_ms=250) as (second, _),
+            wire(delay_ms=250) as (third, _),
+        ):
+            calls = [
+                client.fetch(exchange(served))
+                for served in (first, second, third) * 2
+            ]
+            found = await asyncio.gather(*calls)
+            refused = exchanges.HttpFailure(
+                reasons.Reason.NO_CONNECTION_IN_TIME, sent=False
+            )
+            self.assertEqual(2, found.count(refused))
+            self.assertEqual(
+                4, sum(one.opened for one in (first, second, third))
+            )
+
     async def test_drops_old_idle_connections(self):
         async with wire() as (served, client):
             await client.fetch(exchange(served))
