Send fewer header bytes; resume after a reset

Cause: the link between regions is billed by volume, and two headers of the library say nothing to a target. A reset in the middle of a stream had no switch and no test. Change: no Accept and User-Agent; the stand-in's switch cut.

--- a/sycamorebeam/clients/http.py
+++ b/sycamorebeam/clients/http.py
@@ -18,6 +18,8 @@
 
 READ_BYTES = 65_536
 SUSPECTS_KEPT = 4_096
+# They say nothing to a target, and a link may be billed by volume.
+UNNEEDED_HEADERS = ('Accept', 'User-Agent')
 NO_CEILING_S = float('inf')
 
 
@@ -198,6 +200,7 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 headers={'Accept-Encoding': 'identity'},
+                skip_auto_headers=UNNEEDED_HEADERS,
             )
         return self._sessions[lane]
 
--- a/sycamorebeam/standins/engine.py
+++ b/sycamorebeam/standins/engine.py
@@ -125,9 +125,11 @@
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         early = self.faults.take('early_end')
+        cut = self.faults.take('cut')
         stall = self.faults.take('stall')
         half = (start + generation.max_tokens) // 2
-        stop = half if early or stall else generation.max_tokens + 1
+        whole = not (early or cut or stall)
+        stop = generation.max_tokens + 1 if whole else half
         try:
             async for event in self._events(generation, start, stop):
                 await response.write(event)
@@ -135,7 +137,9 @@
             return response
         if stall:
             await self.go_silent(request)
-        elif not early:
+        if cut:
+            faults.drop(request)
+        if whole:
             await response.write(self._end(generation))
         return response
 
--- a/sycamorebeam/standins/faults.py
+++ b/sycamorebeam/standins/faults.py
@@ -22,6 +22,7 @@
     errors: int = 0
     hang: int = 0
     early_end: int = 0
+    cut: int = 0
     wrong_id: int = 0
     wrong_digest: int = 0
     late: int = 0
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -41,6 +41,8 @@
     ('early_end', {'n': 99}, (case.ENGINE,), MAYBE_RUN, Reason.ENDED_EARLY, 1),
     ('early_end', {'n': 3}, (case.ENGINE,), ANSWER, None, 1),
     ('babble', {}, (case.ENGINE,), MAYBE_RUN, Reason.MALFORMED, 1),
+    ('cut', {}, (case.ENGINE,), ANSWER, None, 1),
+    ('cut', {'n': 99}, (case.ENGINE,), MAYBE_RUN, None, 1),
     ('hang', {}, PLAIN, MAYBE_RUN, Reason.DEADLINE, 1),
     ('hang', {}, (case.ENGINE,), ANSWER, None, 1),
     ('late', {'late_by_ms': 100}, PLAIN, ANSWER, None, 1),
--- a/tests/test_target_ledger.py
+++ b/tests/test_target_ledger.py
@@ -18,6 +18,7 @@
     'errors',
     'hang',
     'early_end',
+    'cut',
     'wrong_id',
     'wrong_digest',
     'late',
