--- a/sycamorebeam/standins/engine.py
+++ b/sycamorebeam/standins/engine.py
@@ -18,6 +18,8 @@
 BEAT_MS = 500
 BEAT = b': alive\n\n'
 MAX_TOKENS = 100_000
+# The caller notices its own deadline before the engine cancels.
+DEADLINE_GRACE_MS = 50
 
 
 @attrs.define
@@ -91,9 +93,9 @@
         if self._batch.waiting >= self.options.queue:
             return self.not_run(generation.id)
         self._batch.submit(generation)
-        lifetime_s = replica.deadline_ms(request) / 1000
+        lifetime_ms = replica.deadline_ms(request) + DEADLINE_GRACE_MS
         loop = asyncio.get_running_loop()
-        loop.call_later(lifetime_s, self._batch.cancel, generation.id)
+        loop.call_later(lifetime_ms / 1000, self._batch.cancel, generation.id)
         await self.delay()
         if self.faults.take('errors'):
             return web.json_response({'id': generation.id}, status=500)
@@ -123,9 +125,11 @@
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         early = self.faults.take('early_end')
+        cut = self.faults.take('cut')
         stall = self.faults.take('stall')
         half = (start + generation.max_tokens) // 2
-        stop = half if early or stall else generation.max_tokens + 1
+        whole = not (early or cut or stall)
+        stop = generation.max_tokens + 1 if whole else half
         try:
             async for event in self._events(generation, start, stop):
                 await response.write(event)
@@ -133,7 +137,9 @@
             return response
         if stall:
             await self.go_silent(request)
-        elif not early:
+        if cut:
+            faults.drop(request)
+        if whole:
             await response.write(self._end(generation))
         return response
 
