--- a/sycamorebeam/catalogue_reader.py
+++ b/sycamorebeam/catalogue_reader.py
@@ -48,6 +48,8 @@
             return Stopped(_gap(start, oldest))
         case results.LogPage(next=next_) if next_ < start:
             return Stopped(_went_back(start, next_))
+    if not page.records and page.next > start:
+        return results.LogUnavailable('the log gave none of its records')
     taken: list[results.LogRecord] = []
     for record in page.records:
         try:
--- a/sycamorebeam/controllers/catalogue.py
+++ b/sycamorebeam/controllers/catalogue.py
@@ -205,6 +205,17 @@
         self._task = None
 
     async def _follow(self) -> None:
+        try:
+            await self._follow_log()
+        except Exception as error:
+            telemetry.log_event('catalogue_failed', 'ERROR', error=repr(error))
+            self._obstacle_since_ms = self._clock.monotonic_ms()
+            self._obstacle = errors.SycamoreError(
+                f'following the catalogue failed ({error!r})',
+                'restart the instance and report this',
+            )
+
+    async def _follow_log(self) -> None:
         while not isinstance(self._obstacle, errors.VersionError):
             if not self._snapshot_read:
                 await self._read_snapshot()
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -26,6 +26,7 @@
 from sycamorebeam.controllers import peers as peers_controller
 from sycamorebeam.controllers import readiness
 from sycamorebeam.controllers import shutdown
+from sycamorebeam.controllers import snapshots
 from sycamorebeam.controllers import targets
 from sycamorebeam.filters import admission
 from sycamorebeam.filters import chain
@@ -143,8 +144,18 @@
             self._clock,
             self._peers,
             settings.catalogue_stale_after_ms,
+            on_alarm=lambda _: self._metrics.count('catalogue.alarm'),
         )
         self._peers.serve(self._catalogue)
+        self._catalogue.subscribe(lambda _: self._peers.announce())
+        self._snapshots = snapshots.new_snapshot_duty(
+            settings.instance_id,
+            self._log,
+            self._appender,
+            self._clock,
+            self._catalogue,
+            lambda: self._targets.instances,
+        )
         self._peers.follow(lambda: self._targets.instances)
         self._targets.on_leaving(self._peers.tell_leaving)
         self._claims = claims_controller.new_claims(
@@ -196,6 +207,7 @@
         self._catalogue.start()
         for work in (
             self._claims.start(),
+            self._snapshots.run(),
             self._list.follow(),
             self._targets.poll_loads(self._target_client),
             self._peers.dial_forever(),
--- a/sycamorebeam/snapshot_reader.py
+++ b/sycamorebeam/snapshot_reader.py
@@ -93,6 +93,8 @@
                 return page
             case results.LogGap():
                 return None
+        if not page.records:
+            return results.LogUnavailable('the log gave none of its records')
         item = snapshots.parse(page.records[0].data)
         if isinstance(item, snapshots.Manifest):
             cut = item.chunks > 0 and item.first < bounds.oldest
@@ -114,6 +116,8 @@
                     return page
                 case results.LogGap():
                     break
+            if not page.records:
+                break
             for record in page.records:
                 item = snapshots.parse(record.data)
                 if isinstance(item, snapshots.Chunk):
--- a/tests/test_catalogue_follower.py
+++ b/tests/test_catalogue_follower.py
@@ -231,6 +231,40 @@
         self.assert_not_ready('the log ends at offset 1')
 
 
+class FaultyLog(fake_log.FakeLog):
+    """Answers reads of the catalogue as no log should."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self.answer = answer
+
+    async def read(self, stream, start, limit=100, wait_ms=0):
+        await CLOCK.sleep_ms(1)
+        if stream == STREAM and start > 0:
+            return self.answer()
+        return await super().read(stream, start, limit, wait_ms)
+
+
+@ddt.ddt
+class FaultyLogTest(FollowerCase):
+    @ddt.unpack
+    @ddt.data(
+        (lambda: results.LogPage(0, 9, ()), 'the log gave none'),
+        (lambda: 1 / 0, 'division by zero'),
+        (
+            lambda: results.LogPage(0, 9, (results.LogRecord(7, 0, b''),)),
+            'the next record is at 7',
+        ),
+    )
+    async def test_turns_not_ready_and_says_why(self, answer, words):
+        log = FaultyLog(answer)
+        put(log, 0)
+        await self.follow(log)
+        await CLOCK.sleep_ms(2 * catalogue_bench.STALE_MS)
+        self.assert_not_ready(words)
+        self.assertEqual(0, self.follower.offset)
+
+
 class SilentLog:
     """A way to the log whose connections go silent at a given time.
 
