--- a/tests/model_rules.py
+++ b/tests/model_rules.py
@@ -27,6 +27,15 @@
     instance: str = ''
 
 
+@attrs.frozen
+class Decided:
+    """What the code's fold says of a key after the last record."""
+
+    key: str
+    owner: str | None
+    settled: bool
+
+
 @attrs.frozen
 class Permitted:
     """An instance got the permit of a claim."""
@@ -173,6 +182,11 @@
                 self._begun.append(event)
             case Landed():
                 self._land(event)
+            case Decided():
+                owner = self._keys.owner.get(event.key)
+                settled = owner in self._keys.settled
+                same = (event.owner, event.settled) == (owner, settled)
+                self._require('same_decision', same)
             case Permitted(claim_id=claim_id):
                 self._require('permit_to_owner', claim_id in self._keys.owned)
                 self._require('one_permit', claim_id not in self._permits)
--- a/tests/test_model_trace.py
+++ b/tests/test_model_trace.py
@@ -11,6 +11,7 @@
 
 from sycamorebeam import answers
 from sycamorebeam import catalogue_records
+from sycamorebeam import claim_fold
 from sycamorebeam import claim_records
 from sycamorebeam import claims
 from sycamorebeam import publishing
@@ -24,6 +25,15 @@
 
 CLAIM_SEEDS = range(1, 301)
 CATALOGUE_SEEDS = range(1, 101)
+FOLD_SEEDS = range(1, 2_001)
+FOLD_RECORDS = 10
+CLAIM_IDS = 'abcd'
+END_KINDS = (
+    claim_records.Abandon,
+    claim_records.Release,
+    claim_records.Outcome,
+)
+NO_WINDOW_MS = 10**12
 SETTLE_MS = 120_000
 FAULT_SHARE = 0.1
 ATTEMPT = contextvars.ContextVar('ATTEMPT')
@@ -113,6 +123,8 @@
         'answer_of_dispatch',
     ],
     ['answer_without_run', RUN[:3] + RUN[6:], 'answer_of_dispatch'],
+    ['other_owner', (RUN[1], rules.Decided('k', 'b', False)), 'same_decision'],
+    ['early_end', (RUN[1], rules.Decided('k', 'a', True)), 'same_decision'],
     ['orphan', ORPHAN, 'no_orphan'],
     ['orphan_of_another', (rules.Died('j'), *ORPHAN), 'no_orphan'],
     ['lower_offset', (*RACE, rules.InForce('r', 0, b'0')), 'never_lower'],
@@ -163,6 +175,50 @@
         self.assertIn(rule, rules.broken_rules(trace))
 
 
+class FoldTap:
+    """Folds records of one key by the code and notes its decisions."""
+
+    def __init__(self, trace, key):
+        self._trace = trace
+        self._key = key
+        self._state = None
+        self._position = claim_fold.Position(0, 0, 0)
+
+    def land(self, item):
+        kind = claim_records.to_record(item).type
+        instance = getattr(item, 'owner', '')
+        self._trace.append(
+            rules.Landed(kind, self._key, item.claim_id, instance)
+        )
+        self._state = claim_fold.apply(
+            self._state, item, self._position, NO_WINDOW_MS
+        )
+        owner = None if self._state is None else self._state.claim_id
+        settled = owner is not None and self._state.outcome is not None
+        self._trace.append(rules.Decided(self._key, owner, settled))
+
+
+def any_records(random_):
+    """Return records of four claims of one key, each claimed once."""
+    found = [
+        claim_records.Claim(
+            key_digest=b'',
+            claim_id=claim_id,
+            request_digest=b'',
+            deadline_ms=1,
+            owner='i',
+        )
+        for claim_id in CLAIM_IDS
+    ]
+    for _ in range(FOLD_RECORDS):
+        claim_id = random_.choice(CLAIM_IDS)
+        kind = random_.choice(END_KINDS)
+        extra = {'known': True} if kind is claim_records.Outcome else {}
+        found.append(kind(key_digest=b'', claim_id=claim_id, **extra))
+    random_.shuffle(found)
+    return found
+
+
 class PermitTap:
     """Claims that note which permits they issue."""
 
@@ -255,15 +311,11 @@
 
     def _tap_log(self):
         put = self.bench.log.put
+        tap = FoldTap(self.trace, self.key)
 
         def tapped(stream, data):
             for record in records.unpack_envelope(data):
-                item = claim_records.from_record(record)
-                instance = getattr(item, 'owner', '')
-                event = rules.Landed(
-                    record.type, self.key, item.claim_id, instance
-                )
-                self.trace.append(event)
+                tap.land(claim_records.from_record(record))
             return put(stream, data)
 
         self.bench.log.put = tapped
@@ -383,6 +435,18 @@
         self.assertEqual(set(), kinds - seen)
 
 
+class FoldTest(testtools.TestCase):
+    def test_decides_any_records_as_the_rules_do(self):
+        for seed in FOLD_SEEDS:
+            random_ = random.Random(seed)
+            trace = []
+            tap = FoldTap(trace, 'k')
+            for item in any_records(random_):
+                tap.land(item)
+            found = rules.broken_rules(trace)
+            self.assertNotIn('same_decision', found, f'seed {seed}')
+
+
 def kind_of(event):
     match event:
         case rules.Landed(kind=kind):
