--- a/tests/claim_bench.py
+++ b/tests/claim_bench.py
@@ -92,6 +92,7 @@
         self.passed = collections.Counter()
         self._running = asyncio.Event()
         self._running.set()
+        self._never = asyncio.Event()
 
     async def step(self, name):
         self.passed[name] += 1
@@ -99,7 +100,7 @@
         if fault is not None:
             fault(self)
         if self.dead:
-            await asyncio.Future()
+            await self._never.wait()
         await self._running.wait()
 
     def pause(self, duration_ms):
--- a/tests/test_claim_faults.py
+++ b/tests/test_claim_faults.py
@@ -216,6 +216,62 @@
         self.assertLessEqual(told.ended_ms - told.began_ms, 1_000)
 
 
+@ddt.ddt
+class LateClaimTest(base.TestCase):
+    @ddt.data((300, True, 'not_run'), (300, False, 'attempt_not_run'))
+    @ddt.unpack
+    async def test_given_up_at_the_deadline(self, deadline_ms, first, told):
+        bench = claim_bench.Bench()
+        one, two = bench.instance('a'), bench.instance('b')
+        await bench.ask(one, 'warm')
+        await bench.settle(one)
+        append_late(bench.log, one.process)
+        found = await bench.ask(one, 'k', first, deadline_ms)
+        self.assertEqual(told, found.outcome)
+        self.assertLessEqual(found.ended_ms - found.began_ms, deadline_ms + 5)
+        # The claim lands after the attempt has ended; the key stays free.
+        await bench.clock.sleep_ms(10_000)
+        again = await bench.ask(two, 'k')
+        self.assertEqual('completed', again.outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+    async def test_a_free_key_does_not_prove_that_nothing_runs(self):
+        bench = claim_bench.Bench()
+        one = bench.instance('a', {'before_claim': lambda it: it.pause(3_000)})
+        two = bench.instance('b')
+        await bench.ask(two, 'warm')
+        await bench.settle(two)
+        first = asyncio.create_task(bench.ask(one, 'k', first=True))
+        await bench.clock.sleep_ms(20)
+        append_late(bench.log, two.process)
+        second = await bench.ask(two, 'k')
+        self.assertEqual('attempt_not_run', second.outcome)
+        self.assertEqual('completed', (await first).outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+
+@ddt.ddt
+class LaggingReaderTest(base.TestCase):
+    @ddt.data('plain', 'uuid7')
+    async def test_a_key_lost_in_a_gap_never_runs_again(self, form):
+        bench = claim_bench.Bench()
+        one, two = bench.instance('a'), bench.instance('b')
+        await bench.ask(two, 'warm')
+        await bench.settle(two)
+        await bench.clock.sleep_ms(1_000)
+        key = claim_bench.uuid7(1_000) if form == 'uuid7' else 'k'
+        two.process.pause(60_000)
+        await bench.ask(one, key, first=True)
+        await bench.settle(one)
+        await bench.clock.sleep_ms(30_000)
+        bench.log.truncate('claims.0', len(bench.log.streams['claims.0']))
+        await bench.ask(one, 'later')
+        await bench.clock.sleep_ms(40_000)
+        told = await bench.ask(two, key)
+        self.assertEqual('too_old', told.outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+
 @ddt.ddt
 class CallerGoneTest(base.TestCase):
     @ddt.data(
--- a/tests/test_claims_controller.py
+++ b/tests/test_claims_controller.py
@@ -4,11 +4,16 @@
 
 import ddt
 
+from sycamorebeam import answers
 from sycamorebeam import claims
 from sycamorebeam import errors
+from sycamorebeam import records
+from sycamorebeam.controllers import claims as controller
 from tests import base
 from tests import claim_bench
 
+KEY = claims.ClaimKey('team', 'pump', 'k')
+
 
 @ddt.ddt
 class ClaimTest(base.TestCase):
@@ -50,10 +55,143 @@
     async def test_release_frees_only_what_did_not_run(self):
         bench = claim_bench.Bench()
         instance = bench.instance()
-        key = claims.ClaimKey('team', 'pump', 'k')
-        owned = await instance.claims.claim(key, b'd', 1_000, True)
+        owned = await self.own(instance)
         self.assertTrue(await instance.claims.release(owned.permit))
         await bench.settle(instance)
-        again = await instance.claims.claim(key, b'd', 1_000, False)
+        again = await instance.claims.claim(KEY, b'd', 1_000, False)
         again.permit.use()
         self.assertFalse(await instance.claims.release(again.permit))
+
+    async def test_a_large_output_is_not_kept_but_never_runs_again(self):
+        bench = claim_bench.Bench()
+        instance = bench.instance()
+        owned = await self.own(instance)
+        output = {'pad': 'x' * controller.MAX_STORED_OUTPUT_BYTES}
+        owned.permit.use()
+        await instance.claims.record(
+            owned.permit, claims.RunOutcome(True, output, 'target-7')
+        )
+        await bench.settle(instance)
+        again = await instance.claims.claim(KEY, b'd', 1_000, False)
+        self.assertEqual(answers.Outcome.PARTIAL, again.answer.outcome)
+        self.assertEqual('target-7', again.answer.target_request_id)
+
+    @ddt.data(True, False)
+    async def test_an_output_out_of_memory_is_read_from_the_log(self, there):
+        bench = claim_bench.Bench()
+        one, two = bench.instance('a'), bench.instance('b')
+        await bench.ask(one, 'k', first=True)
+        await bench.settle(one)
+        await bench.ask(two, 'warm')
+        view = two.claims._views[0]
+        view.state.outputs.max_bytes = 0
+        await bench.ask(one, 'other')
+        await bench.settle(one)
+        if not there:
+            bench.log.truncate('claims.0', len(bench.log.streams['claims.0']))
+        told = await bench.ask(two, 'k')
+        expected = 'completed' if there else 'attempt_not_run'
+        self.assertEqual(expected, told.outcome)
+        self.assertEqual(1, len(bench.target.runs['k']))
+
+    async def test_an_outcome_is_known_here_before_the_log_has_it(self):
+        bench = claim_bench.Bench()
+        fault = {'before_outcome': lambda it: setattr(bench.log, 'down', True)}
+        instance = bench.instance('a', fault)
+        first = await bench.ask(instance, 'k')
+        await bench.clock.sleep_ms(100)
+        again = await bench.ask(instance, 'k')
+        self.assertEqual(first.answer.output, again.answer.output)
+
+    async def test_an_unknown_record_blocks_its_partition(self):
+        bench = claim_bench.Bench()
+        instance = bench.instance()
+        await bench.ask(instance, 'k')
+        newer = records.pack_envelope([records.Record('claim', 9, {})])
+        bench.log.put('claims.0', newer)
+        told = await bench.ask(instance, 'other', first=True)
+        self.assertEqual('not_run', told.outcome)
+        self.assertIn('run a newer version', told.answer.detail)
+        replayed = await bench.ask(instance, 'k')
+        self.assertEqual('completed', replayed.outcome)
+
+    async def own(self, instance):
+        return await instance.claims.claim(KEY, b'd', 1_000, True)
+
+
+@ddt.ddt
+class AgeTest(base.TestCase):
+    @ddt.data(
+        # records kept, the key's age, first attempt, what is told
+        (True, None, False, 'completed'),
+        (False, None, False, 'too_old'),
+        (False, None, True, 'completed'),
+        (False, 0, False, 'completed'),
+        (False, 0, True, 'completed'),
+        (False, 8_000, False, 'too_old'),
+        (False, 8_000, True, 'too_old'),
+        (True, -60_000, True, 'too_old'),
+    )
+    @ddt.unpack
+    async def test_new_keys_at_a_reader_that(
+        self, keeps, age_ms, first, expected
+    ):
+        bench = claim_bench.Bench()
+        one = bench.instance('a')
+        await bench.ask(one, 'old-1')
+        await bench.clock.sleep_ms(100_000)
+        await bench.ask(one, 'old-2')
+        await bench.settle(one)
+        if not keeps:
+            bench.log.truncate('claims.0', 2)
+        await bench.clock.sleep_ms(7_000)
+        key = 'k'
+        if age_ms is not None:
+            now_ms = bench.clock.monotonic_ms()
+            key = claim_bench.uuid7(now_ms - age_ms)
+        told = await bench.ask(bench.instance('b'), key, first)
+        self.assertEqual(expected, told.outcome)
+        self.assertEqual(
+            expected == 'completed', len(bench.target.runs[key]) == 1
+        )
+
+    @ddt.data('plain', 'uuid7')
+    async def test_an_evicted_key_never_runs_again(self, form):
+        bench = claim_bench.Bench(max_keys=1)
+        one = bench.instance()
+        await bench.clock.sleep_ms(1_000)
+        key = claim_bench.uuid7(1_000) if form == 'uuid7' else 'k'
+        await bench.ask(one, key, first=True)
+        for number in range(3):
+            await bench.clock.sleep_ms(10_000)
+            await bench.ask(one, f'other-{number}', first=True)
+        told = await bench.ask(one, key)
+        self.assertEqual('too_old', told.outcome)
+        self.assertEqual([], bench.ledger_faults())
+
+    async def test_an_empty_stream_is_usable_again(self):
+        bench = claim_bench.Bench()
+        one = bench.instance('a')
+        await bench.ask(one, 'k')
+        await bench.settle(one)
+        bench.log.truncate('claims.0', len(bench.log.streams['claims.0']))
+        two = bench.instance('b')
+        told = []
+        for _ in range(2):
+            await bench.clock.sleep_ms(6_000)
+            key = claim_bench.uuid7(bench.clock.monotonic_ms())
+            told.append((await bench.ask(two, key)).outcome)
+        self.assertEqual(['too_old', 'completed'], told)
+
+    async def test_ticks_and_reaping_while_idle(self):
+        bench = claim_bench.Bench()
+        instance = bench.instance(claim_partitions=4)
+        await instance.claims.start()
+        await bench.ask(instance, 'k')
+        await bench.clock.sleep_ms(2 * controller.IDLE_VIEW_MS)
+        self.assertEqual({}, instance.claims._views)
+        await bench.clock.sleep_ms(3_600_000)
+        self.assertEqual(4, len(bench.log.streams))
+        # About four ticks a partition in each window.
+        self.assertIn(bench.log.append_calls, range(16, 40))
+        await instance.claims.stop()
