--- /dev/null
+++ b/sycamorebeam/clients/http.py
@@ -0,0 +1,240 @@
+"""HTTP exchanges with targets: one request on one connection, no retries.
+
+Every exchange ends as a reply or as a failure that says whether the target
+may have received anything. A connection that is not read to the end of its
+answer is closed, never used again.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+
+from sycamorebeam import clock as clock_module
+from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import oneshot
+from sycamorebeam.clients import reasons
+
+READ_BYTES = 65_536
+SUSPECTS_KEPT = 4_096
+NO_CEILING_S = float('inf')
+
+
+@attrs.frozen(kw_only=True)
+class HttpLimits:
+    """Bounds on connections and answers.
+
+    ``connections`` bounds all kept-alive connections and
+    ``connections_per_target`` those to one address; ``fresh_connections``
+    bounds the connections that serve one exchange each. A connection that
+    was idle for ``idle_age_ms`` is not used again.
+    """
+
+    connections: int = 2_048
+    connections_per_target: int = 512
+    fresh_connections: int = 512
+    idle_age_ms: int = 4_000
+    connect_timeout_ms: int = 1_000
+    queue_timeout_ms: int = 2_000
+    answer_bytes: int = 8_388_608
+
+
+OnBytes = Callable[[str, int, int], None]
+
+
+class Http:
+    """Sends exchanges over bounded sets of connections.
+
+    ``on_bytes`` is told the address, sent and received bytes of each
+    exchange that had a connection, whatever came of it.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        limits: HttpLimits,
+        on_bytes: OnBytes | None = None,
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._on_bytes = on_bytes
+        self._sessions: dict[exchanges.Lane, aiohttp.ClientSession] = {}
+        self._suspects: dict[str, int] = {}
+        self._silent_connections = 0
+        self._closed = False
+
+    @property
+    def clock(self) -> clock_module.Clock:
+        """The clock of its deadlines."""
+        return self._clock
+
+    @property
+    def limits(self) -> HttpLimits:
+        """The bounds on connections and answers."""
+        return self._limits
+
+    @property
+    def silent_connections(self) -> int:
+        """How many connections went silent and were abandoned."""
+        return self._silent_connections
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._closed = True
+        for session in self._sessions.values():
+            await session.close()
+
+    async def fetch(
+        self,
+        exchange: exchanges.Exchange,
+        scope: asyncio.Timeout | None = None,
+    ) -> exchanges.HttpReply | exchanges.HttpFailure:
+        """Return the whole answer to ``exchange``, or how it failed.
+
+        ``scope`` is a timeout, not yet entered, by which a watch can end
+        the exchange before its deadline.
+        """
+        request_id = None
+        try:
+            async with scope or asyncio.timeout(None) as active:
+                active.reschedule(self._deadline_s(exchange))
+                response = await self.send(exchange)
+                request_id = response.headers.get('Request-Id')
+                try:
+                    body = await self._read(exchange, response)
+                finally:
+                    response.close()
+        except exchanges.FAILURES as error:
+            return self.failure(exchange, error, request_id)
+        finally:
+            self.account(exchange)
+        return exchanges.reply_of(response, body)
+
+    def account(self, exchange: exchanges.Exchange) -> None:
+        """Report the bytes of an exchange that has ended."""
+        if self._on_bytes is None or not exchange.connected:
+            return
+        self._on_bytes(
+            exchange.address, exchange.sent_bytes, exchange.received_bytes
+        )
+
+    async def send(
+        self, exchange: exchanges.Exchange
+    ) -> aiohttp.ClientResponse:
+        """Send ``exchange`` and return the answer's head.
+
+        The deadline, closing the response and ``account`` are left to the
+        caller.
+        Raises one of exchanges.FAILURES, which ``failure`` turns into a value.
+        """
+        session = self._session(self._lane(exchange))
+        token = oneshot.current.set(exchange)
+        try:
+            response = await session.request(
+                exchange.method,
+                f'http://{exchange.address}{exchange.path}',
+                data=exchange.body,
+                headers=self._headers(exchange),
+                timeout=self._timeout(exchange),
+                allow_redirects=False,
+            )
+        finally:
+            oneshot.current.reset(token)
+        exchange.received_bytes += sum(
+            len(name) + len(value) + 4 for name, value in response.raw_headers
+        )
+        return response
+
+    def failure(
+        self,
+        exchange: exchanges.Exchange,
+        error: BaseException,
+        request_id: str | None = None,
+    ) -> exchanges.HttpFailure:
+        """Return what ``error`` says about ``exchange``."""
+        reason = exchanges.reason_of(exchange, error)
+        if reason is reasons.Reason.SILENT:
+            self._note_silent(exchange.address)
+        return exchanges.HttpFailure(reason, exchange.connected, request_id)
+
+    async def _read(
+        self, exchange: exchanges.Exchange, response: aiohttp.ClientResponse
+    ) -> bytes:
+        chunks = []
+        size_bytes = 0
+        async for chunk in response.content.iter_chunked(READ_BYTES):
+            size_bytes += len(chunk)
+            exchange.received_bytes += len(chunk)
+            if size_bytes > self._limits.answer_bytes:
+                raise exchanges.AnswerTooLargeError('the answer is too large')
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+    def _lane(self, exchange: exchanges.Exchange) -> exchanges.Lane:
+        until_ms = self._suspects.get(exchange.address)
+        if until_ms is None:
+            return exchange.lane
+        if self._clock.monotonic_ms() < until_ms:
+            return exchanges.Lane.FRESH
+        del self._suspects[exchange.address]
+        return exchange.lane
+
+    def _note_silent(self, address: str) -> None:
+        # Idle connections to the same address may be silent as well, so
+        # none is used until all that are idle now have aged out.
+        self._silent_connections += 1
+        while len(self._suspects) >= SUSPECTS_KEPT:
+            self._suspects.pop(next(iter(self._suspects)))
+        now_ms = self._clock.monotonic_ms()
+        self._suspects[address] = now_ms + self._limits.idle_age_ms
+
+    def _session(self, lane: exchanges.Lane) -> aiohttp.ClientSession:
+        if self._closed:
+            raise aiohttp.ClientConnectionError('the client is closed')
+        if lane not in self._sessions:
+            self._sessions[lane] = aiohttp.ClientSession(
+                connector=self._connector(lane),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                headers={'Accept-Encoding': 'identity'},
+            )
+        return self._sessions[lane]
+
+    def _connector(self, lane: exchanges.Lane) -> oneshot.OneShotConnector:
+        match lane:
+            case exchanges.Lane.POOLED:
+                return oneshot.OneShotConnector(
+                    limit=self._limits.connections,
+                    limit_per_host=self._limits.connections_per_target,
+                    keepalive_timeout=self._limits.idle_age_ms / 1000,
+                    timeout_ceil_threshold=NO_CEILING_S,
+                )
+            case exchanges.Lane.FRESH:
+                return oneshot.OneShotConnector(
+                    limit=self._limits.fresh_connections,
+                    limit_per_host=self._limits.connections_per_target,
+                    force_close=True,
+                    timeout_ceil_threshold=NO_CEILING_S,
+                )
+
+    def _headers(self, exchange: exchanges.Exchange) -> dict[str, str]:
+        remaining_ms = exchange.deadline.remaining_ms(self._clock)
+        headers = {'Deadline-Ms': str(remaining_ms)}
+        if exchange.body is not None:
+            headers['Content-Type'] = 'application/json'
+        return headers
+
+    def _timeout(self, exchange: exchanges.Exchange) -> aiohttp.ClientTimeout:
+        silence_ms = exchange.silence_ms
+        return aiohttp.ClientTimeout(
+            total=None,
+            connect=self._limits.queue_timeout_ms / 1000,
+            sock_connect=self._limits.connect_timeout_ms / 1000,
+            sock_read=None if silence_ms is None else silence_ms / 1000,
+            ceil_threshold=NO_CEILING_S,
+        )
+
+    def _deadline_s(self, exchange: exchanges.Exchange) -> float:
+        remaining_ms = exchange.deadline.remaining_ms(self._clock)
+        return asyncio.get_running_loop().time() + remaining_ms / 1000
--- /dev/null
+++ b/sycamorebeam/clients/plain.py
@@ -0,0 +1,156 @@
+"""Calls with one answer, as pools and plain services take them."""
+
+import asyncio
+from collections.abc import Callable
+import json
+from typing import Any
+
+from sycamorebeam import hashing
+from sycamorebeam.clients import cancels
+from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import http
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import probes
+from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
+from sycamorebeam.clients import watch
+
+
+class PlainClient:
+    """Sends one call and verifies its answer."""
+
+    def __init__(
+        self,
+        client: http.Http,
+        canceller: cancels.Canceller,
+        settings: watch.WatchSettings,
+    ) -> None:
+        self._http = client
+        self._canceller = canceller
+        self._settings = settings
+        self._prober = probes.Prober(client)
+
+    async def call(
+        self,
+        replica: results.Replica,
+        attempt: ports.Attempt,
+        path: str,
+        body: dict[str, Any],
+    ) -> results.TargetResult:
+        """Send ``body`` to ``path`` and return what came of it."""
+        exchange = exchanges.Exchange(
+            method='POST',
+            address=replica.address,
+            path=path,
+            deadline=attempt.deadline,
+            body=json.dumps(body).encode(),
+            lane=lane_of(attempt),
+            before_send=attempt.before_send,
+        )
+        try:
+            reply = await self._fetch(replica, attempt, exchange)
+        except asyncio.CancelledError:
+            if exchange.connected:
+                self._cancel(replica, attempt)
+            raise
+        match reply:
+            case exchanges.HttpFailure(sent=True):
+                self._cancel(replica, attempt)
+                return failed(reply)
+            case exchanges.HttpFailure():
+                return failed(reply)
+            case exchanges.HttpReply():
+                return verify(attempt, exchange, reply)
+
+    async def _fetch(
+        self,
+        replica: results.Replica,
+        attempt: ports.Attempt,
+        exchange: exchanges.Exchange,
+    ) -> exchanges.HttpReply | exchanges.HttpFailure:
+        if not attempt.deadline.remaining_ms(self._http.clock):
+            return exchanges.HttpFailure(reasons.Reason.DEADLINE, sent=False)
+        scope = asyncio.timeout(None)
+        calls = watch.CallWatch(
+            self._http.clock,
+            self._settings,
+            lambda: self._prober.ask(replica, attempt.id),
+            _expire(exchange, scope),
+        )
+        try:
+            return await self._http.fetch(exchange, scope)
+        finally:
+            calls.stop()
+
+    def _cancel(
+        self, replica: results.Replica, attempt: ports.Attempt
+    ) -> None:
+        self._canceller.cancel(replica, f'/v1/calls/{attempt.id}')
+
+
+def _expire(
+    exchange: exchanges.Exchange, scope: asyncio.Timeout
+) -> Callable[[], None]:
+    def expire() -> None:
+        if scope.expired():
+            return
+        exchange.silent = True
+        scope.reschedule(asyncio.get_running_loop().time())
+
+    return expire
+
+
+def lane_of(attempt: ports.Attempt) -> exchanges.Lane:
+    """Return the lane for the first exchange of ``attempt``."""
+    if attempt.fresh_connection:
+        return exchanges.Lane.FRESH
+    return exchanges.Lane.POOLED
+
+
+def failed(failure: exchanges.HttpFailure) -> results.TargetResult:
+    """Return what a failed exchange says about its attempt."""
+    if not failure.sent:
+        return results.TargetNotRun(failure.reason)
+    return results.TargetMaybeRun(failure.reason, failure.request_id)
+
+
+def verify(
+    attempt: ports.Attempt,
+    exchange: exchanges.Exchange,
+    reply: exchanges.HttpReply,
+) -> results.TargetResult:
+    """Return the answer in ``reply`` if it is this attempt's and whole."""
+    answer = exchanges.parse(reply.body)
+    if answer.get('id') != attempt.id:
+        return results.TargetMaybeRun(_mismatch(reply, answer))
+    if reply.status == 503 and reply.not_run:
+        return results.TargetNotRun(reasons.Reason.REFUSED, reply.draining)
+    request_id = reply.request_id or _text(answer.get('request_id'))
+    if reply.status != 200:
+        return results.TargetMaybeRun(reasons.Reason.FAILED, request_id)
+    output = answer.get('output')
+    if not isinstance(output, dict):
+        return results.TargetMaybeRun(reasons.Reason.MALFORMED, request_id)
+    if answer.get('digest') != hashing.digest_value(output).hex():
+        return results.TargetMaybeRun(reasons.Reason.WRONG_DIGEST, request_id)
+    return results.TargetAnswer(
+        output=output,
+        sent_bytes=exchange.sent_bytes,
+        received_bytes=exchange.received_bytes,
+        target_request_id=request_id,
+        draining=reply.draining,
+    )
+
+
+def _mismatch(
+    reply: exchanges.HttpReply, answer: dict[str, Any]
+) -> reasons.Reason:
+    if 'id' in answer:
+        return reasons.Reason.WRONG_ID
+    if reply.status != 200:
+        return reasons.Reason.FAILED
+    return reasons.Reason.MALFORMED
+
+
+def _text(value: object) -> str | None:
+    return value if isinstance(value, str) else None
