--- a/sycamorebeam/controllers/claim_view.py
+++ b/sycamorebeam/controllers/claim_view.py
@@ -114,11 +114,16 @@
         """Begin to follow the stream."""
         self._task = asyncio.create_task(self._follow())
 
-    async def stop(self) -> None:
+    def cancel(self) -> None:
         """Stop to follow the stream."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def stop(self) -> None:
+        """Stop to follow the stream and wait until it is done."""
+        self.cancel()
         if self._task is None:
             return
-        self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
--- a/sycamorebeam/controllers/claims.py
+++ b/sycamorebeam/controllers/claims.py
@@ -38,6 +38,7 @@
 MIN_PROGRESS_RETRY_MS = 200
 MAX_PROGRESS_RETRY_MS = 2_000
 IDLE_VIEW_MS = 600_000
+MAX_VIEWS = 16
 REAP_INTERVAL_MS = 60_000
 TICKS_PER_WINDOW = 4
 OUTPUT_READ_TIMEOUT_MS = 500
@@ -456,6 +457,7 @@
     def _view(self, partition: int) -> claim_view.PartitionView:
         view = self._views.get(partition)
         if view is None:
+            self._make_room()
             view = claim_view.new_partition_view(
                 claim_records.stream_of(partition),
                 self._log,
@@ -470,6 +472,20 @@
         view.used_ms = self._clock.monotonic_ms()
         return view
 
+    def _make_room(self) -> None:
+        """Stop to follow the stream that was not asked for the longest.
+
+        Each waiting read takes a connection to the log.
+        """
+        idle = [
+            (view.used_ms, partition)
+            for partition, view in self._views.items()
+            if view.is_idle
+        ]
+        if len(self._views) >= MAX_VIEWS and idle:
+            _, partition = min(idle)
+            self._views.pop(partition).cancel()
+
     async def _wait_ready(
         self, view: claim_view.PartitionView, attempt: _Attempt
     ) -> bool:
@@ -522,7 +538,7 @@
             for partition, view in list(self._views.items()):
                 if view.is_idle and view.used_ms < oldest_ms:
                     del self._views[partition]
-                    await view.stop()
+                    view.cancel()
 
 
 def _fits(output: dict[str, Any] | None) -> bool:
--- a/tests/test_claims_controller.py
+++ b/tests/test_claims_controller.py
@@ -115,6 +115,16 @@
         replayed = await bench.ask(instance, 'k')
         self.assertEqual('completed', replayed.outcome)
 
+    async def test_follows_a_bounded_number_of_streams(self):
+        bench = claim_bench.Bench()
+        instance = bench.instance(claim_partitions=100)
+        for number in range(60):
+            told = await bench.ask(instance, f'k-{number}', first=True)
+            self.assertEqual('completed', told.outcome)
+        self.assertEqual(controller.MAX_VIEWS, len(instance.claims._views))
+        again = await bench.ask(instance, 'k-0')
+        self.assertTrue(again.answer.replayed)
+
     async def own(self, instance):
         return await instance.claims.claim(KEY, b'd', 1_000, True)
 
