--- a/tools/measure_site.py
+++ b/tools/measure_site.py
@@ -17,6 +17,7 @@
 
 from demo import processes
 from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
 from sycamorebeam import clock as clocks
 from sycamorebeam import publishing
 from sycamorebeam.clients import log
@@ -232,7 +233,7 @@
     for group in GROUPS:
         values.update(_entries_of(group))
     return [
-        catalogue_records.Edit(key, catalogue_records.ABSENT, values[key])
+        catalogue_records.Edit(key, catalogue_store.ABSENT, values[key])
         for key in values
     ]
 
