--- a/tools/measure_site.py
+++ b/tools/measure_site.py
@@ -179,7 +179,7 @@
     async def _publish(self) -> None:
         entry = _item('measured', 'entry', CALLERS) | {'peer_address': PEERS}
         await _list_instances([*self._items, entry])
-        client = log.new_log_client(f'http://{PLATFORM}', LOG_TIMEOUT_MS)
+        client = log.new_log_client(PLATFORM, LOG_TIMEOUT_MS)
         try:
             result = await publishing.publish(
                 client,
