Keep to a share of the link between regions

Cause: the setting region_link_share and the catalogue's limit on the link were checked but steered nothing; the weighting was taken from the first limit by name, whatever its resource. Change: a controller for the link reads weighting and limit of the resource region_link, counts bytes against this instance's share, and routing goes to another region while the share is overdrawn only when no replica is nearer.

--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -11,6 +11,7 @@
 import aiomisc
 
 from sycamorebeam import batching
+from sycamorebeam import checking
 from sycamorebeam import clock as clocks
 from sycamorebeam import server
 from sycamorebeam import settings as settings_module
@@ -25,6 +26,7 @@
 from sycamorebeam.controllers import limits
 from sycamorebeam.controllers import peers as peers_controller
 from sycamorebeam.controllers import readiness
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import shutdown
 from sycamorebeam.controllers import snapshots
 from sycamorebeam.controllers import targets
@@ -173,13 +175,17 @@
         )
 
     def _build_path(self) -> None:
+        link = region_link.RegionLink(
+            self._catalogue, self._clock, self._settings.region_link_share
+        )
         self._runner = runner.Runner(
             self._catalogue,
             self._targets,
-            route.Router(self._targets, self._clock, random.Random()),
+            route.Router(self._targets, self._clock, random.Random(), link),
             attempt.Attempts(
                 self._target_client, self._targets, self._clock, self._metrics
             ),
+            link,
             self._clock,
             bucket.RetryBudget(),
             self._metrics,
@@ -224,14 +230,14 @@
         if addresses.admin is not None:
             admin = self._server.admin_application()
             await self._serve(admin, addresses.admin)
-        host, port = _split(addresses.peers)
+        host, port = checking.split_address(addresses.peers)
         self._peer_server = await asyncio.start_server(
             self._peers.accept, host, port
         )
 
     async def _serve(self, app: web.Application, address: str) -> None:
         bounds = self._settings.bounds
-        host, port = _split(address)
+        host, port = checking.split_address(address)
         app_runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -288,11 +294,6 @@
         self._tasks.append(asyncio.create_task(work))
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def run(settings: settings_module.Settings) -> int:
     """Run an instance until it is stopped; return the exit code."""
     telemetry.configure_logs(settings.instance_id)
--- a/sycamorebeam/pipeline/route.py
+++ b/sycamorebeam/pipeline/route.py
@@ -6,6 +6,7 @@
 
 from sycamorebeam import catalogue
 from sycamorebeam import clock as clocks
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import targets
 from sycamorebeam.policy import score
 
@@ -27,10 +28,12 @@
         known: targets.Targets,
         clock: clocks.Clock,
         generator: random.Random,
+        link: region_link.RegionLink,
     ) -> None:
         self._targets = known
         self._clock = clock
         self._random = generator
+        self._link = link
 
     def choose(
         self,
@@ -66,12 +69,16 @@
         candidates: list[targets.ReplicaState],
         weighting: catalogue.Weighting,
     ) -> list[targets.ReplicaState]:
-        """Drop replicas in other regions while this region has enough."""
+        """Drop replicas in other regions while this region has enough.
+
+        One is enough when cost weighs more, or the link has no room.
+        """
         here = self._targets.here
         near = [
             state
             for state in candidates
             if state.replica.region == here.region
         ]
-        enough = 1 if weighting is catalogue.Weighting.COST else CHOICES
+        spares = weighting is catalogue.Weighting.COST
+        enough = 1 if spares or not self._link.has_room else CHOICES
         return near if len(near) >= enough else candidates
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -12,6 +12,7 @@
 from sycamorebeam import telemetry
 from sycamorebeam.clients import ports
 from sycamorebeam.clients import results
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import targets
 from sycamorebeam.controllers import view
 from sycamorebeam.filters import chain
@@ -20,7 +21,6 @@
 from sycamorebeam.pipeline import problems
 from sycamorebeam.pipeline import progress
 from sycamorebeam.pipeline import route
-from sycamorebeam.pipeline import weighting
 from sycamorebeam.policy import bucket
 from sycamorebeam.policy import quantiles
 
@@ -50,6 +50,7 @@
         known: targets.Targets,
         router: route.Router,
         attempts: attempt.Attempts,
+        link: region_link.RegionLink,
         clock: clocks.Clock,
         budget: bucket.RetryBudget,
         metrics: telemetry.Metrics,
@@ -58,19 +59,19 @@
         self._targets = known
         self._router = router
         self._attempts = attempts
+        self._link = link
         self._clock = clock
         self._budget = budget
         self._metrics = metrics
         self._durations: dict[tuple[str, str], quantiles.RecentDurations] = {}
         self._numbers = itertools.count(1)
-        self._weighting = weighting.CurrentWeighting(catalogue_view)
 
     async def run(self, request: chain.Request) -> answers.Answer:
         """Return the whole answer to ``request``, or why there is none."""
         assert request.pipeline is not None
         assert request.deadline is not None
         run = progress.Run(
-            request, request.pipeline, request.deadline, self._weighting.get()
+            request, request.pipeline, request.deadline, self._link.weighting
         )
         self._budget.earn()
         try:
@@ -252,6 +253,7 @@
         if isinstance(result, results.TargetAnswer):
             moved = result.sent_bytes + result.received_bytes
             run.region_bytes += moved
+            self._link.charge(moved)
             self._metrics.count('region.bytes', moved)
 
 
--- a/sycamorebeam/policy/bucket.py
+++ b/sycamorebeam/policy/bucket.py
@@ -23,6 +23,16 @@
         self._level -= amount
         return True
 
+    def has_room(self, now_ms: int) -> bool:
+        """Whether anything is left."""
+        self._fill(now_ms)
+        return self._level > 0
+
+    def charge(self, now_ms: int, amount: float) -> None:
+        """Take ``amount`` whether or not the bucket holds it."""
+        self._fill(now_ms)
+        self._level -= amount
+
     def wait_ms(self, now_ms: int, amount: float = 1.0) -> int:
         """Return how long until the bucket holds ``amount``."""
         self._fill(now_ms)
--- a/tests/build.py
+++ b/tests/build.py
@@ -10,6 +10,7 @@
 from sycamorebeam import settings
 from sycamorebeam import telemetry
 from sycamorebeam.clients import results
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import targets
 from sycamorebeam.filters import chain
 from sycamorebeam.pipeline import attempt
@@ -21,6 +22,7 @@
 CLOCK = clocks.Clock()
 HERE = settings.Placement(zone='a1', region='a')
 FREE = catalogue.Limits()
+LINK_SHARE = 0.5
 NORMAL = catalogue.ServiceClass.NORMAL
 
 
@@ -113,11 +115,14 @@
 def new_runner(client, entries=None, known=None, budget=None, seed=1):
     known = known or known_targets()
     metrics = telemetry.Metrics()
+    in_force = view(ENTRIES if entries is None else entries)
+    link = region_link.RegionLink(in_force, CLOCK, LINK_SHARE)
     return runner.Runner(
-        view(ENTRIES if entries is None else entries),
+        in_force,
         known,
-        route.Router(known, CLOCK, random.Random(seed)),
+        route.Router(known, CLOCK, random.Random(seed), link),
         attempt.Attempts(client, known, CLOCK, metrics),
+        link,
         CLOCK,
         budget or bucket.RetryBudget(),
         metrics,
--- a/tools/measure_policy.py
+++ b/tools/measure_policy.py
@@ -12,9 +12,9 @@
 from sycamorebeam import clock as clocks
 from sycamorebeam import settings
 from sycamorebeam.clients import results
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import targets
 from sycamorebeam.pipeline import route
-from sycamorebeam.pipeline import weighting
 from sycamorebeam.policy import quantiles
 from sycamorebeam.policy import subset
 
@@ -24,6 +24,7 @@
 MEANS_MS = (20, 2_000)
 MIN_S = 0.15
 SEED = 1
+LINK_SHARE = 1.0
 HERE = settings.Placement(zone='zone-1', region='region-1')
 
 
@@ -75,11 +76,11 @@
         team = {**common, 'token_sha256': [f'{number:064x}']}
         store.put(f'team/team-{number}', catalogue_store.pack(0, team))
     view = FixedView(catalogue.Catalogue(0, store.view()))
-    subject = weighting.CurrentWeighting(view).get
+    link = region_link.RegionLink(view, clocks.Clock(), LINK_SHARE)
     return Cost(
         decision='weighting of a request',
         size=f'{count:,} entries',
-        us=_mean_us(subject),
+        us=_mean_us(lambda: link.weighting),
     )
 
 
@@ -112,7 +113,9 @@
     known.replace(_replicas(count))
     for state in known.groups['group'].values():
         state.durations = _durations(MEANS_MS[0])
-    router = route.Router(known, clocks.Clock(), random.Random(SEED))
+    view = FixedView(catalogue.Catalogue())
+    link = region_link.RegionLink(view, clocks.Clock(), LINK_SHARE)
+    router = route.Router(known, clocks.Clock(), random.Random(SEED), link)
     weighed = catalogue.Weighting.ATTAINMENT
     return Cost(
         decision='choose a replica',
