--- /dev/null
+++ b/sycamorebeam/claim_answers.py
@@ -0,0 +1,42 @@
+"""What a caller is told of a request that ran under an earlier attempt."""
+
+from typing import Any
+
+from sycamorebeam import answers
+from sycamorebeam import claims
+
+
+def replay(
+    known: bool,
+    output: dict[str, Any] | None,
+    target_request_id: str | None,
+) -> claims.Replayed:
+    """Return the answer that an earlier run ended with."""
+    if not known:
+        return claims.Replayed(unknown(target_request_id))
+    if output is None:
+        return claims.Replayed(not_kept(target_request_id))
+    return claims.Replayed(answers.Completed(output, replayed=True))
+
+
+def unknown(target_request_id: str | None) -> answers.Problem:
+    """Return the problem of a run without a known outcome."""
+    return answers.Problem(
+        answers.ProblemKind.OUTCOME_UNKNOWN,
+        answers.Outcome.UNKNOWN,
+        'an earlier attempt of this key may have run, in whole or in part',
+        'look the request up at its target before you send it under a new '
+        'key; this key will not run again',
+        target_request_id=target_request_id,
+    )
+
+
+def not_kept(target_request_id: str | None) -> answers.Problem:
+    """Return the problem of a run whose answer was too large to store."""
+    return answers.Problem(
+        answers.ProblemKind.OUTCOME_UNKNOWN,
+        answers.Outcome.PARTIAL,
+        'the request ran to its end once, but its answer was not kept',
+        'look the answer up at the target; this key will not run again',
+        target_request_id=target_request_id,
+    )
--- /dev/null
+++ b/sycamorebeam/controllers/claim_views.py
@@ -0,0 +1,95 @@
+"""The claim streams that an instance follows, bounded in number."""
+
+import random
+
+import attrs
+from loguru import logger
+
+from sycamorebeam import claim_records
+from sycamorebeam import clock
+from sycamorebeam import log_health
+from sycamorebeam.clients import ports
+from sycamorebeam.controllers import claim_view
+
+IDLE_VIEW_MS = 600_000
+MAX_VIEWS = 16
+REAP_INTERVAL_MS = 60_000
+
+
+@attrs.define(eq=False)
+class ClaimViews:
+    """Follows a stream from the first claim that needs it until it idles."""
+
+    _log: ports.Log
+    _clock: clock.Clock
+    _random: random.Random
+    _window_ms: int
+    _max_keys: int
+    _health: log_health.LogHealth = attrs.field(init=False)
+    _views: dict[int, claim_view.PartitionView] = attrs.field(
+        init=False, factory=dict
+    )
+
+    def __attrs_post_init__(self) -> None:
+        self._health = log_health.LogHealth(self._clock, self._cut)
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    @property
+    def health(self) -> log_health.LogHealth:
+        """Whether the log answers."""
+        return self._health
+
+    def get(self, partition: int) -> claim_view.PartitionView:
+        """Return the view of a partition, begun if need be."""
+        view = self._views.get(partition)
+        if view is None:
+            self._make_room()
+            view = claim_view.new_partition_view(
+                claim_records.stream_of(partition),
+                self._log,
+                self._clock,
+                self._health,
+                self._random,
+                self._window_ms,
+                self._max_keys,
+            )
+            self._views[partition] = view
+            view.start()
+        view.used_ms = self._clock.monotonic_ms()
+        return view
+
+    async def reap_forever(self) -> None:
+        """Stop to follow streams that nobody asks for."""
+        while True:
+            await self._clock.sleep_ms(REAP_INTERVAL_MS)
+            oldest_ms = self._clock.monotonic_ms() - IDLE_VIEW_MS
+            for partition, view in list(self._views.items()):
+                if view.is_idle and view.used_ms < oldest_ms:
+                    self._views.pop(partition).cancel()
+
+    async def stop(self) -> None:
+        """Stop to follow all streams."""
+        for view in self._views.values():
+            await view.stop()
+        self._views.clear()
+
+    def _make_room(self) -> None:
+        """Stop to follow the stream that was not asked for the longest.
+
+        Each waiting read takes a connection to the log.
+        """
+        idle = [
+            (view.used_ms, partition)
+            for partition, view in self._views.items()
+            if view.is_idle
+        ]
+        if len(self._views) >= MAX_VIEWS and idle:
+            _, partition = min(idle)
+            self._views.pop(partition).cancel()
+
+    def _cut(self, reason: str) -> None:
+        logger.warning('event=claims_cut reason="{}"', reason)
+        for view in self._views.values():
+            view.cut(reason)
--- a/sycamorebeam/controllers/claims.py
+++ b/sycamorebeam/controllers/claims.py
@@ -12,24 +12,23 @@
 import uuid
 
 import attrs
-from loguru import logger
 import msgpack
 
-from sycamorebeam import answers
 from sycamorebeam import batching
+from sycamorebeam import claim_answers
 from sycamorebeam import claim_fold
 from sycamorebeam import claim_partition
 from sycamorebeam import claim_records
 from sycamorebeam import claims
 from sycamorebeam import clock
 from sycamorebeam import errors
-from sycamorebeam import log_health
 from sycamorebeam import records
 from sycamorebeam import settings
 from sycamorebeam.clients import ports
 from sycamorebeam.clients import results
 from sycamorebeam.controllers import claim_settling
 from sycamorebeam.controllers import claim_view
+from sycamorebeam.controllers import claim_views
 
 MAX_STORED_OUTPUT_BYTES = 16_384
 ABANDON_AFTER_MS = 500
@@ -37,9 +36,6 @@
 FAILED_RETRY_MS = 1_000
 MIN_PROGRESS_RETRY_MS = 200
 MAX_PROGRESS_RETRY_MS = 2_000
-IDLE_VIEW_MS = 600_000
-MAX_VIEWS = 16
-REAP_INTERVAL_MS = 60_000
 TICKS_PER_WINDOW = 4
 OUTPUT_READ_TIMEOUT_MS = 500
 SETTLE_TIMEOUT_MS = 5_000
@@ -77,20 +73,13 @@
     _instance_id: str
     _partitions: int
     _window_ms: int
-    _max_keys: int
+    _views: claim_views.ClaimViews
     _settler: claim_settling.ClaimSettler
-    _health: log_health.LogHealth = attrs.field(init=False)
-    _views: dict[int, claim_view.PartitionView] = attrs.field(
-        init=False, factory=dict
-    )
     _senders: set[asyncio.Task[None]] = attrs.field(init=False, factory=set)
     _periodic: tuple[asyncio.Task[None], ...] = attrs.field(
         init=False, default=()
     )
 
-    def __attrs_post_init__(self) -> None:
-        self._health = log_health.LogHealth(self._clock, self._cut_all)
-
     @property
     def unsettled(self) -> int:
         """The number of claims whose end is not yet in the log."""
@@ -99,7 +88,7 @@
     async def start(self) -> None:
         """Begin the periodic duties."""
         self._periodic = (
-            asyncio.create_task(self._reap()),
+            asyncio.create_task(self._views.reap_forever()),
             asyncio.create_task(self._tick()),
         )
 
@@ -108,9 +97,7 @@
         await self._settler.stop(timeout_ms)
         for task in [*self._periodic, *self._senders]:
             task.cancel()
-        for view in self._views.values():
-            await view.stop()
-        self._views.clear()
+        await self._views.stop()
 
     async def claim(
         self,
@@ -127,7 +114,7 @@
         attempt = self._attempt(
             key, request_digest, deadline_ms, first_attempt
         )
-        view = self._view(attempt.partition)
+        view = self._views.get(attempt.partition)
         if not await self._wait_ready(view, attempt):
             return self._failed(attempt, 'the claim stream was not read yet')
         if first_attempt:
@@ -137,7 +124,7 @@
         known = await self._known(view, attempt)
         if known is not None:
             return known
-        refusal = view.blocked or self._health.refusal()
+        refusal = view.blocked or self._views.health.refusal()
         if refusal is not None:
             return self._failed(attempt, refusal)
         return await self._claim(view, attempt)
@@ -227,7 +214,7 @@
         submitted = await self._submit(view, item)
         match submitted.result:
             case results.Appended():
-                self._health.append_worked()
+                self._views.health.append_worked()
                 await self._read_again_later(view, attempt)
             case results.AppendRefused() as refused:
                 verdict = claim_view.Refused(
@@ -235,7 +222,7 @@
                 )
                 view.decide(attempt.claim_id, verdict)
             case results.AppendUnknown() if view.awaits(attempt.claim_id):
-                self._health.append_unknown()
+                self._views.health.append_unknown()
                 view.read_again()
                 await self._abandon_later(view, attempt)
 
@@ -384,14 +371,18 @@
             case claim_fold.Open(claim_id) | claim_fold.Overdue(claim_id):
                 unsaved = self._settler.outcome_of(attempt.digest, claim_id)
                 if unsaved is not None:
-                    return _replay_unsaved(unsaved)
+                    return claim_answers.replay(
+                        unsaved.known,
+                        unsaved.output,
+                        unsaved.target_request_id,
+                    )
         match standing:
             case claim_fold.Open(claim_id, remaining_ms):
                 retry_ms = min(MAX_PROGRESS_RETRY_MS, remaining_ms)
                 retry_ms = max(MIN_PROGRESS_RETRY_MS, retry_ms)
                 return claims.InProgress(claim_id, retry_ms)
             case claim_fold.Overdue():
-                return claims.Replayed(_unknown(None))
+                return claim_answers.replay(False, None, None)
 
     async def _replay(
         self,
@@ -399,10 +390,10 @@
         attempt: _Attempt,
         outcome: claim_fold.StoredOutcome,
     ) -> claims.ClaimResult:
-        if not outcome.known:
-            return claims.Replayed(_unknown(outcome.target_request_id))
-        if not outcome.has_output:
-            return claims.Replayed(_not_kept(outcome.target_request_id))
+        if not outcome.known or not outcome.has_output:
+            return claim_answers.replay(
+                outcome.known, None, outcome.target_request_id
+            )
         output = view.state.outputs.get(attempt.digest)
         if output is None:
             output = await self._read_output(view.stream, outcome.position)
@@ -412,14 +403,14 @@
                 proved_not_run=False,
                 retry_after_ms=self._retry_ms(),
             )
-        return claims.Replayed(answers.Completed(output, replayed=True))
+        return claim_answers.replay(True, output, outcome.target_request_id)
 
     async def _read_output(
         self, stream: str, position: claim_fold.Position
     ) -> dict[str, Any] | None:
         """Read an output again that is no longer held in memory."""
         page: results.ReadResult | None = None
-        if self._health.reads_down:
+        if self._views.health.reads_down:
             return None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(OUTPUT_READ_TIMEOUT_MS / 1000):
@@ -454,44 +445,12 @@
         """Return a jittered wait, so that callers do not return at once."""
         return int(FAILED_RETRY_MS * self._random.uniform(1, 2))
 
-    def _view(self, partition: int) -> claim_view.PartitionView:
-        view = self._views.get(partition)
-        if view is None:
-            self._make_room()
-            view = claim_view.new_partition_view(
-                claim_records.stream_of(partition),
-                self._log,
-                self._clock,
-                self._health,
-                self._random,
-                self._window_ms,
-                self._max_keys,
-            )
-            self._views[partition] = view
-            view.start()
-        view.used_ms = self._clock.monotonic_ms()
-        return view
-
-    def _make_room(self) -> None:
-        """Stop to follow the stream that was not asked for the longest.
-
-        Each waiting read takes a connection to the log.
-        """
-        idle = [
-            (view.used_ms, partition)
-            for partition, view in self._views.items()
-            if view.is_idle
-        ]
-        if len(self._views) >= MAX_VIEWS and idle:
-            _, partition = min(idle)
-            self._views.pop(partition).cancel()
-
     async def _wait_ready(
         self, view: claim_view.PartitionView, attempt: _Attempt
     ) -> bool:
         if view.ready.is_set():
             return True
-        if self._health.reads_down:
+        if self._views.health.reads_down:
             return False
         waiter = view.expect(attempt.claim_id)
         ready = asyncio.ensure_future(view.ready.wait())
@@ -508,11 +467,6 @@
             view.forget(attempt.claim_id)
         return view.ready.is_set()
 
-    def _cut_all(self, reason: str) -> None:
-        logger.warning('event=claims_cut reason="{}"', reason)
-        for view in self._views.values():
-            view.cut(reason)
-
     async def _tick(self) -> None:
         """Keep the streams from being empty, one at random at a time.
 
@@ -530,16 +484,6 @@
                 batching.Priority.HOUSEKEEPING,
             )
 
-    async def _reap(self) -> None:
-        """Stop to follow streams that nobody asks for."""
-        while True:
-            await self._clock.sleep_ms(REAP_INTERVAL_MS)
-            oldest_ms = self._clock.monotonic_ms() - IDLE_VIEW_MS
-            for partition, view in list(self._views.items()):
-                if view.is_idle and view.used_ms < oldest_ms:
-                    del self._views[partition]
-                    view.cancel()
-
 
 def _fits(output: dict[str, Any] | None) -> bool:
     try:
@@ -548,35 +492,6 @@
         return False
 
 
-def _replay_unsaved(outcome: claim_records.Outcome) -> claims.Replayed:
-    if not outcome.known:
-        return claims.Replayed(_unknown(outcome.target_request_id))
-    if outcome.output is None:
-        return claims.Replayed(_not_kept(outcome.target_request_id))
-    return claims.Replayed(answers.Completed(outcome.output, replayed=True))
-
-
-def _unknown(target_request_id: str | None) -> answers.Problem:
-    return answers.Problem(
-        answers.ProblemKind.OUTCOME_UNKNOWN,
-        answers.Outcome.UNKNOWN,
-        'an earlier attempt of this key may have run, in whole or in part',
-        'look the request up at its target before you send it under a new '
-        'key; this key will not run again',
-        target_request_id=target_request_id,
-    )
-
-
-def _not_kept(target_request_id: str | None) -> answers.Problem:
-    return answers.Problem(
-        answers.ProblemKind.OUTCOME_UNKNOWN,
-        answers.Outcome.PARTIAL,
-        'the request ran to its end once, but its answer was not kept',
-        'look the answer up at the target; this key will not run again',
-        target_request_id=target_request_id,
-    )
-
-
 def new_claims(
     log: ports.Log,
     appender: batching.Appender,
@@ -600,7 +515,6 @@
             f'set it to {shortest_ms} at least, or lower '
             f'bounds.max_deadline_ms',
         )
-    settler = claim_settling.ClaimSettler(appender, clock_, random_, window_ms)
     return Claims(
         log,
         appender,
@@ -609,6 +523,6 @@
         configured.instance_id,
         configured.claim_partitions,
         window_ms,
-        max_keys,
-        settler,
+        claim_views.ClaimViews(log, clock_, random_, window_ms, max_keys),
+        claim_settling.ClaimSettler(appender, clock_, random_, window_ms),
     )
--- a/tests/test_claims_controller.py
+++ b/tests/test_claims_controller.py
@@ -8,6 +8,7 @@
 from sycamorebeam import claims
 from sycamorebeam import errors
 from sycamorebeam import records
+from sycamorebeam.controllers import claim_views
 from sycamorebeam.controllers import claims as controller
 from tests import base
 from tests import claim_bench
@@ -83,7 +84,7 @@
         await bench.ask(one, 'k', first=True)
         await bench.settle(one)
         await bench.ask(two, 'warm')
-        view = two.claims._views[0]
+        view = two.claims._views.get(0)
         view.state.outputs.max_bytes = 0
         await bench.ask(one, 'other')
         await bench.settle(one)
@@ -121,7 +122,7 @@
         for number in range(60):
             told = await bench.ask(instance, f'k-{number}', first=True)
             self.assertEqual('completed', told.outcome)
-        self.assertEqual(controller.MAX_VIEWS, len(instance.claims._views))
+        self.assertEqual(claim_views.MAX_VIEWS, len(instance.claims._views))
         again = await bench.ask(instance, 'k-0')
         self.assertTrue(again.answer.replayed)
 
@@ -198,8 +199,8 @@
         instance = bench.instance(claim_partitions=4)
         await instance.claims.start()
         await bench.ask(instance, 'k')
-        await bench.clock.sleep_ms(2 * controller.IDLE_VIEW_MS)
-        self.assertEqual({}, instance.claims._views)
+        await bench.clock.sleep_ms(2 * claim_views.IDLE_VIEW_MS)
+        self.assertEqual(0, len(instance.claims._views))
         await bench.clock.sleep_ms(3_600_000)
         self.assertEqual(4, len(bench.log.streams))
         # About four ticks a partition in each window.
