Send tokens that arrive together in one write

Cause: the profile of 1,208 streams shows 41,073 writes (1.58 s of some 11 s) and 39,864 calls of emit (2.85 s), one for each token, also where several tokens came in one read. Change: the engine's client hands on the tokens of one read in one call, in order and each once, and the server writes their events at once; the text of the events is as before. A token that comes alone is written alone, so none waits. Attempt.on_tokens and Request.emit_tokens are new and optional.

--- a/sycamorebeam/clients/engine.py
+++ b/sycamorebeam/clients/engine.py
@@ -1,6 +1,7 @@
 """Streams from model engines: whole, in order, resumed when they break."""
 
 import asyncio
+from collections.abc import Iterable
 import json
 from typing import Any
 
@@ -57,11 +58,15 @@
 
 @attrs.define(kw_only=True)
 class Generation:
-    """One attempt over all its streams."""
+    """One attempt over all its streams.
+
+    ``due`` are the tokens that the attempt's receiver has not got yet.
+    """
 
     replica: results.Replica
     attempt: ports.Attempt
     table: tokens.TokenTable = attrs.field(factory=tokens.TokenTable)
+    due: list[tuple[int, str]] = attrs.field(factory=list)
     sent: bool = False
     draining: bool = False
     sent_bytes: int = 0
@@ -246,20 +251,31 @@
         exchange.received_bytes += len(chunk)
         if exchange.received_bytes > limit_bytes:
             return Final(_maybe_run(generation, reasons.Reason.TOO_LARGE))
-        for event in parser.feed(chunk):
-            ending = await _take(generation, event)
-            if ending is not None:
-                return ending
+        ending = _take_all(generation, parser.feed(chunk))
+        if generation.due:
+            await _give(generation)
+        if ending is not None:
+            return ending
     return Broken(reasons.Reason.ENDED_EARLY)
 
 
-async def _take(generation: Generation, event: sse.Event) -> Ending | None:
+def _take_all(
+    generation: Generation, events: Iterable[sse.Event]
+) -> Ending | None:
+    for event in events:
+        ending = _take(generation, event)
+        if ending is not None:
+            return ending
+    return None
+
+
+def _take(generation: Generation, event: sse.Event) -> Ending | None:
     data = exchanges.parse(event.data)
     if data.get('id') != generation.attempt.id:
         return Broken(reasons.Reason.WRONG_ID)
     match event.name:
         case 'token':
-            return await _take_token(generation, data)
+            return _take_token(generation, data)
         case 'end':
             return _take_end(generation, data)
         case 'cancelled':
@@ -268,9 +284,7 @@
             return None
 
 
-async def _take_token(
-    generation: Generation, data: dict[str, Any]
-) -> Ending | None:
+def _take_token(generation: Generation, data: dict[str, Any]) -> Ending | None:
     index, text = data.get('i'), data.get('text')
     if not isinstance(index, int) or not isinstance(text, str):
         return Broken(reasons.Reason.MALFORMED)
@@ -279,16 +293,19 @@
     due = generation.table.add(index, text)
     if due is None:
         return Broken(reasons.Reason.MALFORMED)
-    for due_index, due_text in due:
-        await _give(generation.attempt, due_index, due_text)
+    generation.due.extend(due)
     return None
 
 
-async def _give(attempt: ports.Attempt, index: int, text: str) -> None:
-    if attempt.on_token is None:
-        return
+async def _give(generation: Generation) -> None:
+    due, generation.due = generation.due, []
+    attempt = generation.attempt
     try:
-        await attempt.on_token(index, text)
+        if attempt.on_tokens is not None:
+            await attempt.on_tokens(due)
+        elif attempt.on_token is not None:
+            for index, text in due:
+                await attempt.on_token(index, text)
     except Exception as error:
         # The receiver's connection errors must not pass for the engine's.
         raise TokenCallbackError from error
--- a/sycamorebeam/clients/ports.py
+++ b/sycamorebeam/clients/ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
@@ -33,6 +34,7 @@
 
 
 OnToken = Callable[[int, str], Awaitable[None]]
+OnTokens = Callable[[Sequence[tuple[int, str]]], Awaitable[None]]
 BeforeSend = Callable[[], None]
 
 
@@ -41,7 +43,8 @@
     """One try of one stage at one replica.
 
     ``on_token`` gets the index and text of each token of a generating
-    stage, in order and each once. ``fresh_connection`` asks for a
+    stage, in order and each once; ``on_tokens``, if set, gets them instead,
+    those that came together in one call. ``fresh_connection`` asks for a
     connection on which nothing was sent before. ``before_send`` runs when
     the connection stands, right before the first byte of the call; when it
     raises, nothing is sent.
@@ -55,6 +58,7 @@
     max_tokens: int = 64
     priority: int = 1
     on_token: OnToken | None = None
+    on_tokens: OnTokens | None = None
     fresh_connection: bool = False
     before_send: BeforeSend | None = None
 
--- a/sycamorebeam/filters/chain.py
+++ b/sycamorebeam/filters/chain.py
@@ -14,6 +14,7 @@
 from sycamorebeam import clock
 
 Emit = Callable[[str, dict[str, Any]], Awaitable[None]]
+EmitTokens = Callable[[Sequence[tuple[int, str]]], Awaitable[None]]
 
 
 @attrs.define(kw_only=True)
@@ -21,7 +22,8 @@
     """A caller's request on its way through the filters.
 
     ``emit`` sends one server-sent event to a streaming caller (name and
-    data); it is None for a plain request. Filters fill in ``team`` and
+    data) and ``emit_tokens`` the events of several tokens; both are None
+    for a plain request. Filters fill in ``team`` and
     ``pipeline``; ``permit`` is the dispatch permit of a request that runs
     at most once.
     """
@@ -35,6 +37,7 @@
     idempotency_key: str | None = None
     first_attempt: bool = False
     emit: Emit | None = None
+    emit_tokens: EmitTokens | None = None
     team_name: str = ''
     team: catalogue.Team | None = None
     pipeline: catalogue.Pipeline | None = None
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -1,6 +1,7 @@
 """Runs the stages of a pipeline for one request."""
 
 import asyncio
+from collections.abc import Sequence
 import itertools
 from typing import Any
 
@@ -153,6 +154,7 @@
             max_tokens=stage.max_tokens,
             priority=PRIORITIES[run.pipeline.service_class],
             on_token=self._emitter(run, stage),
+            on_tokens=self._emitter_of_many(run, stage),
             fresh_connection=not stage.idempotent,
             before_send=None if stage.idempotent else _dispatcher(run),
         )
@@ -196,6 +198,19 @@
 
         return on_token
 
+    def _emitter_of_many(
+        self, run: progress.Run, stage: catalogue.Stage
+    ) -> ports.OnTokens | None:
+        emit_tokens = run.request.emit_tokens
+        if emit_tokens is None or stage is not run.pipeline.stages[-1]:
+            return None
+
+        async def on_tokens(tokens: Sequence[tuple[int, str]]) -> None:
+            run.request.emitted += len(tokens)
+            await emit_tokens(tokens)
+
+        return on_tokens
+
     def _check_budget(self, run: progress.Run, index: int) -> None:
         """Refuse a stage when what follows cannot end in time."""
         if index and run.dispatched:
--- a/sycamorebeam/server.py
+++ b/sycamorebeam/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 from typing import Any
 
@@ -40,17 +41,27 @@
 
     async def emit(self, name: str, data: dict[str, Any]) -> None:
         """Send one event."""
+        await self._write(f'event: {name}\ndata: {json.dumps(data)}\n\n')
+
+    async def emit_tokens(self, tokens: Sequence[tuple[int, str]]) -> None:
+        """Send the events of tokens that came together, in one write."""
+        await self._write(''.join(map(_token_event, tokens)))
+
+    async def _write(self, text: str) -> None:
         if self._response is None:
-            self._response = web.StreamResponse(
-                headers={
-                    'Content-Type': caller_requests.EVENT_STREAM,
-                    'Cache-Control': 'no-store',
-                    'Request-Id': self._request_id,
-                }
-            )
-            await self._response.prepare(self._http)
-        text = json.dumps(data)
-        await self._response.write(f'event: {name}\ndata: {text}\n\n'.encode())
+            self._response = await self._begin()
+        await self._response.write(text.encode())
+
+    async def _begin(self) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': caller_requests.EVENT_STREAM,
+                'Cache-Control': 'no-store',
+                'Request-Id': self._request_id,
+            }
+        )
+        await response.prepare(self._http)
+        return response
 
 
 class CallerServer:
@@ -118,6 +129,7 @@
         if caller_requests.wants_stream(http):
             stream = EventStream(http, request_id)
             request.emit = stream.emit
+            request.emit_tokens = stream.emit_tokens
         answer = await self._run(request)
         if stream is not None:
             return await self._end_stream(stream, answer, request_id)
@@ -251,6 +263,12 @@
         return web.json_response(self._status())
 
 
+def _token_event(token: tuple[int, str]) -> str:
+    index, text = token
+    data = f'{{"i": {index}, "text": {json.dumps(text)}}}'
+    return f'event: token\ndata: {data}\n\n'
+
+
 def result_document(
     answer: answers.Completed, request_id: str
 ) -> dict[str, Any]:
