Keep connections for appends apart from those for long polls

Cause: one pool of 32 connections served long polls and appends. With 64 streams followed, an append waited for a connection until its time-out and its outcome was called unknown, though nothing had been sent.

Appends now have 16 connections of their own, reads 256. The test with 64 long polls failed before (AppendUnknown) and passes.

--- a/sycamorebeam/clients/log.py
+++ b/sycamorebeam/clients/log.py
@@ -14,7 +14,8 @@
 from sycamorebeam.clients import results
 
 MAX_RECORD_BYTES = 1_048_576
-MAX_CONNECTIONS = 32
+MAX_APPEND_CONNECTIONS = 16
+MAX_READ_CONNECTIONS = 256
 KEEP_ALIVE_S = 15.0
 
 _REFUSALS = (
@@ -35,7 +36,8 @@
 class LogClient:
     """Implements ``ports.Log`` over HTTP."""
 
-    _session: aiohttp.ClientSession
+    _appends: aiohttp.ClientSession
+    _reads: aiohttp.ClientSession
     _base: str
     _timeout_ms: int
 
@@ -47,7 +49,7 @@
                 f'{MAX_RECORD_BYTES}'
             )
         try:
-            async with self._session.post(
+            async with self._appends.post(
                 f'{self._base}/v1/streams/{stream}/records',
                 data=data,
                 headers={'Content-Type': 'application/msgpack'},
@@ -72,7 +74,7 @@
         """
         query = {'from': start, 'limit': limit, 'wait_ms': wait_ms}
         try:
-            async with self._session.get(
+            async with self._reads.get(
                 f'{self._base}/v1/streams/{stream}/records',
                 params=query,
                 timeout=self._timeout(wait_ms),
@@ -86,7 +88,7 @@
     ) -> results.LogPage | results.LogUnavailable:
         """Return the bounds of a stream, with no records."""
         try:
-            async with self._session.get(
+            async with self._reads.get(
                 f'{self._base}/v1/streams/{stream}', timeout=self._timeout()
             ) as response:
                 return _bounds_result(response.status, await response.read())
@@ -95,7 +97,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._appends.close()
+        await self._reads.close()
 
     def _timeout(self, wait_ms: int = 0) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
@@ -109,13 +112,22 @@
 
     Must be called on a running event loop.
     """
+    # Long polls occupy connections; appends never wait for them.
+    return LogClient(
+        _new_session(MAX_APPEND_CONNECTIONS),
+        _new_session(MAX_READ_CONNECTIONS),
+        f'http://{address}',
+        timeout_ms,
+    )
+
+
+def _new_session(connections: int) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
-        limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
+        limit=connections, keepalive_timeout=KEEP_ALIVE_S
     )
-    session = aiohttp.ClientSession(
+    return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar()
     )
-    return LogClient(session, f'http://{address}', timeout_ms)
 
 
 def _name(error: BaseException) -> str:
--- a/tests/test_log_on_standin.py
+++ b/tests/test_log_on_standin.py
@@ -15,6 +15,7 @@
 
 TIMEOUT_MS = 300
 LATE_MS = 150
+LONG_POLLS = 64
 IN_FORCE_MS = 2_000
 CLOCK = catalogue_bench.CLOCK
 APPENDED = results.Appended
@@ -89,6 +90,21 @@
             self.assertEqual([b'a'], [row.data for row in page.records])
 
 
+class ManyReadersTest(base.NetworkTestCase):
+    async def test_long_polls_do_not_hold_up_appends(self):
+        async with served() as (_, client):
+            polls = [
+                asyncio.create_task(client.read(f's{n}', 0, wait_ms=5_000))
+                for n in range(LONG_POLLS)
+            ]
+            await CLOCK.sleep_ms(100)
+            found = await client.append('other', b'data')
+            self.assertIsInstance(found, APPENDED)
+            for task in polls:
+                task.cancel()
+            await asyncio.gather(*polls, return_exceptions=True)
+
+
 class InForceTest(base.NetworkTestCase):
     async def test_a_change_is_in_force_on_every_instance(self):
         async with served() as (_, client):
