--- a/tests/test_model_trace.py
+++ b/tests/test_model_trace.py
@@ -16,6 +16,7 @@
 from sycamorebeam import claims
 from sycamorebeam import publishing
 from sycamorebeam import records
+from sycamorebeam import settings
 from sycamorebeam import snapshots
 from sycamorebeam.filters import idempotency
 from tests import base
@@ -34,7 +35,11 @@
     claim_records.Outcome,
 )
 NO_WINDOW_MS = 10**12
+LONG_WINDOW_MS = 3_600_000
+SHORT_WINDOW_MS = 10_000
+BOUNDS = settings.Bounds(max_deadline_ms=SHORT_WINDOW_MS // 2)
 SETTLE_MS = 120_000
+STREAM = claim_records.stream_of(0)
 FAULT_SHARE = 0.1
 ATTEMPT = contextvars.ContextVar('ATTEMPT')
 FAULT_STEPS = (
@@ -155,6 +160,7 @@
     rules.Dispatched,
     rules.Died,
 }
+AGEING_EVENTS = CLAIM_EVENTS | {'too_old'}
 CATALOGUE_EVENTS = {
     rules.ChangeLanded,
     rules.InForce,
@@ -240,8 +246,10 @@
 class TracedInstance(claim_bench.Instance):
     """An instance that notes permits, dispatches and the target's answers."""
 
-    def __init__(self, bench, name, faults, trace):
-        super().__init__(bench, name, faults)
+    def __init__(self, bench, name, faults, trace, window_ms):
+        super().__init__(
+            bench, name, faults, claim_window_ms=window_ms, bounds=BOUNDS
+        )
         self._trace = trace
         self._filter = idempotency.new_idempotency_filter(
             PermitTap(self.claims, trace), self.clock
@@ -265,23 +273,25 @@
 class ClaimTrace:
     """One seeded history of one key at three instances."""
 
+    _window_ms = LONG_WINDOW_MS
+
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.trace = []
         self.bench = claim_bench.Bench(seed)
-        self.key = 'key'
+        self.key = self.random.choice(('key', claim_bench.uuid7(0)))
         self._tap_log()
         self._instances = [self._instance(name) for name in 'abc']
         self._attempts = 0
 
     async def run(self):
         await self.bench.clock.sleep_ms(self.random.randrange(3_000))
-        if self.random.random() < 0.5:
-            self.key = claim_bench.uuid7(self.bench.clock.monotonic_ms())
         disturbing = asyncio.create_task(self._disturb())
         await self._ask(first=self.random.random() < 0.7)
         for _ in range(self.random.randrange(4)):
-            await self.bench.clock.sleep_ms(self.random.choice((1, 4_000)))
+            await self.bench.clock.sleep_ms(
+                self.random.choice((1, 4_000, 20_000))
+            )
             count = self.random.randint(1, 2)
             await asyncio.gather(*(self._ask() for _ in range(count)))
         disturbing.cancel()
@@ -290,6 +300,9 @@
         for name, instance in zip('abc', self._instances, strict=True):
             if instance.process.dead:
                 self.trace.append(rules.Died(name))
+        self._settle()
+
+    def _settle(self):
         self.trace.append(rules.Settled())
 
     async def _ask(self, first=False):
@@ -322,7 +335,9 @@
 
     def _instance(self, name):
         faults = dict(self._faults())
-        return TracedInstance(self.bench, name, faults, self.trace)
+        return TracedInstance(
+            self.bench, name, faults, self.trace, self._window_ms
+        )
 
     def _faults(self):
         for step in FAULT_STEPS:
@@ -339,16 +354,38 @@
         log = self.bench.log
         while True:
             await self.bench.clock.sleep_ms(self.random.choice((1, 500)))
-            match self.random.choice(('lose', 'late', 'down', 'up')):
+            match self.random.choice(('lose', 'late', 'down', 'up', 'cut')):
                 case 'lose':
                     log.lose_answers = 1
                 case 'late':
                     log.late_appends = 1
-                    log.late_by_ms = self.random.choice((0, 800, 5_000))
+                    log.late_by_ms = self.random.choice((0, 800, 30_000))
                 case 'down':
                     log.down = True
                 case 'up':
                     log.down = False
+                case 'cut':
+                    self._cut()
+
+    def _cut(self):
+        """Apply retention to what is beyond the window."""
+        log = self.bench.log
+        oldest_ms = self.bench.clock.monotonic_ms() - self._window_ms
+        for row in log.streams.get(STREAM, ()):
+            if row.time_ms < oldest_ms:
+                log.truncate(STREAM, row.offset + 1)
+
+
+class AgeingClaimTrace(ClaimTrace):
+    """A history that may outlast the window of its key.
+
+    What is not released by then is left to the window.
+    """
+
+    _window_ms = SHORT_WINDOW_MS
+
+    def _settle(self):
+        pass
 
 
 class CatalogueTrace(test_catalogue_histories.History):
@@ -423,6 +460,7 @@
 
     @ddt.named_data(
         ['claims', ClaimTrace, CLAIM_SEEDS, CLAIM_EVENTS],
+        ['ageing', AgeingClaimTrace, CLAIM_SEEDS, AGEING_EVENTS],
         ['catalogue', CatalogueTrace, CATALOGUE_SEEDS, CATALOGUE_EVENTS],
     )
     def test_keeps_the_rules(self, make, seeds, kinds):
