--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -1,6 +1,7 @@
 """Runs the stages of a pipeline for one request."""
 
 import asyncio
+from collections.abc import Sequence
 import itertools
 from typing import Any
 
@@ -12,6 +13,7 @@
 from sycamorebeam import telemetry
 from sycamorebeam.clients import ports
 from sycamorebeam.clients import results
+from sycamorebeam.controllers import region_link
 from sycamorebeam.controllers import targets
 from sycamorebeam.controllers import view
 from sycamorebeam.filters import chain
@@ -20,7 +22,6 @@
 from sycamorebeam.pipeline import problems
 from sycamorebeam.pipeline import progress
 from sycamorebeam.pipeline import route
-from sycamorebeam.pipeline import weighting
 from sycamorebeam.policy import bucket
 from sycamorebeam.policy import quantiles
 
@@ -50,6 +51,7 @@
         known: targets.Targets,
         router: route.Router,
         attempts: attempt.Attempts,
+        link: region_link.RegionLink,
         clock: clocks.Clock,
         budget: bucket.RetryBudget,
         metrics: telemetry.Metrics,
@@ -58,19 +60,19 @@
         self._targets = known
         self._router = router
         self._attempts = attempts
+        self._link = link
         self._clock = clock
         self._budget = budget
         self._metrics = metrics
         self._durations: dict[tuple[str, str], quantiles.RecentDurations] = {}
         self._numbers = itertools.count(1)
-        self._weighting = weighting.CurrentWeighting(catalogue_view)
 
     async def run(self, request: chain.Request) -> answers.Answer:
         """Return the whole answer to ``request``, or why there is none."""
         assert request.pipeline is not None
         assert request.deadline is not None
         run = progress.Run(
-            request, request.pipeline, request.deadline, self._weighting.get()
+            request, request.pipeline, request.deadline, self._link.weighting
         )
         self._budget.earn()
         try:
@@ -153,6 +155,7 @@
             max_tokens=stage.max_tokens,
             priority=PRIORITIES[run.pipeline.service_class],
             on_token=self._emitter(run, stage),
+            on_tokens=self._emitter_of_many(run, stage),
             fresh_connection=not stage.idempotent,
             before_send=None if stage.idempotent else _dispatcher(run),
         )
@@ -196,6 +199,19 @@
 
         return on_token
 
+    def _emitter_of_many(
+        self, run: progress.Run, stage: catalogue.Stage
+    ) -> ports.OnTokens | None:
+        emit_tokens = run.request.emit_tokens
+        if emit_tokens is None or stage is not run.pipeline.stages[-1]:
+            return None
+
+        async def on_tokens(tokens: Sequence[tuple[int, str]]) -> None:
+            run.request.emitted += len(tokens)
+            await emit_tokens(tokens)
+
+        return on_tokens
+
     def _check_budget(self, run: progress.Run, index: int) -> None:
         """Refuse a stage when what follows cannot end in time."""
         if index and run.dispatched:
@@ -252,6 +268,7 @@
         if isinstance(result, results.TargetAnswer):
             moved = result.sent_bytes + result.received_bytes
             run.region_bytes += moved
+            self._link.charge(moved)
             self._metrics.count('region.bytes', moved)
 
 
