Test limits and classes; replace every instance, lose a zone under load

Change: tables of limits over 1 to 9 instances, class ceilings and floors; all three instances are replaced by planned stops under load; an availability zone goes silent for good.

--- a/sycamorebeam/controllers/limits.py
+++ b/sycamorebeam/controllers/limits.py
@@ -69,6 +69,11 @@
         """How many admitted requests are in progress."""
         return sum(self._by_class.values())
 
+    @property
+    def teams_kept(self) -> int:
+        """How many teams have a state in memory."""
+        return len(self._teams)
+
     def in_flight_by_team(self) -> dict[str, int]:
         """Return how many requests each busy team has in progress."""
         return {
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,130 @@
+"""Tests of limits and admission on the virtual clock."""
+
+import asyncio
+
+import ddt
+
+from sycamorebeam import answers
+from sycamorebeam import catalogue
+from sycamorebeam.controllers import limits
+from sycamorebeam.filters import admission
+from tests import base
+from tests import build
+
+URGENT = catalogue.ServiceClass.URGENT
+NORMAL = catalogue.ServiceClass.NORMAL
+BULK = catalogue.ServiceClass.BULK
+CAPACITY = 100
+
+
+def controller(capacity=CAPACITY):
+    return limits.LimitsController(build.CLOCK, capacity)
+
+
+def admitted(subject, count, service_class, instances=1, **bounds):
+    bound = catalogue.Limits(**bounds)
+    results = [
+        subject.admit('crew', bound, service_class, instances)
+        for _ in range(count)
+    ]
+    return sum(isinstance(item, limits.Admitted) for item in results)
+
+
+@ddt.ddt
+class TeamLimitTest(base.TestCase):
+    @ddt.data(1, 3, 9)
+    async def test_shares_of_a_rate_sum_to_the_limit(self, instances):
+        """A burst at every instance at once, then a steady overload."""
+        fleet = [controller(10_000) for _ in range(instances)]
+        total = 0
+        for _ in range(100):
+            for subject in fleet:
+                total += admitted(
+                    subject, 20, NORMAL, instances, requests_per_s=90
+                )
+            await asyncio.sleep(0.1)
+        burst = 90 * limits.BURST_S
+        self.assertLessEqual(total, 90 * 10 + burst + instances)
+        self.assertGreaterEqual(total, 90 * 10)
+
+    @ddt.data((1, 90), (3, 90), (9, 90))
+    @ddt.unpack
+    async def test_shares_of_concurrency_sum_to_the_limit(
+        self, instances, limit
+    ):
+        fleet = [controller() for _ in range(instances)]
+        total = sum(
+            admitted(subject, 100, URGENT, instances, concurrency=limit)
+            for subject in fleet
+        )
+        self.assertEqual(limit, total)
+
+    async def test_a_released_slot_is_free_again(self):
+        subject = controller()
+        self.assertEqual(2, admitted(subject, 5, NORMAL, concurrency=2))
+        subject.release('crew', NORMAL)
+        self.assertEqual(1, admitted(subject, 5, NORMAL, concurrency=2))
+
+    async def test_says_when_to_come_back(self):
+        subject = controller()
+        bound = catalogue.Limits(requests_per_s=2)
+        subject.admit('crew', bound, NORMAL, 1)
+        subject.admit('crew', bound, NORMAL, 1)
+        refused = subject.admit('crew', bound, NORMAL, 1)
+        self.assertIsInstance(refused, limits.OverTeamLimit)
+        await asyncio.sleep(refused.retry_after_ms / 1000)
+        again = subject.admit('crew', bound, NORMAL, 1)
+        self.assertIsInstance(again, limits.Admitted)
+
+    async def test_a_burst_of_one_team_leaves_others_alone(self):
+        subject = controller()
+        bound = catalogue.Limits(concurrency=10)
+        for _ in range(1_000):
+            subject.admit('loud', bound, NORMAL, 1)
+        other = subject.admit('quiet', bound, NORMAL, 1)
+        self.assertIsInstance(other, limits.Admitted)
+
+    async def test_the_number_of_teams_kept_is_bounded(self):
+        subject = controller()
+        for number in range(3 * limits.MAX_TEAMS_KEPT):
+            subject.admit(f'team-{number}', build.FREE, NORMAL, 1)
+            subject.release(f'team-{number}', NORMAL)
+        self.assertLessEqual(subject.teams_kept, limits.MAX_TEAMS_KEPT + 1)
+
+
+@ddt.ddt
+class OverloadTest(base.TestCase):
+    @ddt.data((URGENT, 100), (NORMAL, 85), (BULK, 60))
+    @ddt.unpack
+    async def test_lower_classes_are_shed_first(self, service_class, most):
+        self.assertEqual(most, admitted(controller(), 200, service_class))
+
+    @ddt.data(NORMAL, BULK)
+    async def test_each_class_keeps_a_floor(self, service_class):
+        subject = controller()
+        admitted(subject, 200, URGENT)
+        self.assertEqual(5, admitted(subject, 200, service_class))
+
+    async def test_a_refusal_runs_nothing_and_is_answered_at_once(self):
+        subject = controller(1)
+        admitted(subject, 1, NORMAL)
+        filter_ = admission.Admission(subject, build.known_targets())
+
+        async def proceed(request):
+            raise AssertionError('a refused request went on')
+
+        answer = await filter_(build.request(), proceed)
+        self.assertEqual(answers.ProblemKind.OVERLOADED, answer.kind)
+        self.assertEqual(answers.Outcome.NOT_RUN, answer.outcome)
+        self.assertIsNotNone(answer.retry_after_ms)
+
+    async def test_a_slot_is_given_back_when_the_request_fails(self):
+        subject = controller()
+        filter_ = admission.Admission(subject, build.known_targets())
+
+        async def proceed(request):
+            raise RuntimeError('a fault of ours')
+
+        with self.assertRaises(RuntimeError):
+            await filter_(build.request(), proceed)
+        self.assertEqual(0, subject.in_flight)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -22,6 +22,7 @@
 INSTANCES = [1, 2, 3]
 RATE_PER_S = 20.0
 LOAD_S = 6.0
+LONG_LOAD_S = 14.0
 LONGEST_MS = 5_000
 ACTION_MS = 300
 PATIENT_S = 20.0
@@ -39,8 +40,8 @@
 
 
 async def drain_instances(site):
-    """Two instances are replaced by planned stops, one after the other."""
-    for number in (1, 2):
+    """Every instance is replaced by a planned stop, one after another."""
+    for number in INSTANCES:
         site.instances[number].signal(signal.SIGTERM)
         code = await site.instances[number].wait()
         assert code == 0, f'the planned stop ended with {code}'
@@ -96,6 +97,17 @@
         await site.post(address, '/standin/faults', {'errors': 1, 'hang': 1})
 
 
+async def lose_zone(site):
+    """All that stands in one availability zone goes silent for good."""
+    site.instances[1].signal(signal.SIGKILL)
+    for item in site.items:
+        if item['zone'] == 'vah-1' and item['group'] != 'entry':
+            await site.post(
+                item['address'], '/standin/faults', {'silent': 100_000}
+            )
+    await site.instances[1].wait()
+
+
 async def kill_while_log_is_down(site):
     """An instance dies while the log is down; both come back."""
     await site.post_platform('/standin/faults', {'down': True})
@@ -116,9 +128,11 @@
     lose_log_answers,
     silence_targets,
     spoil_answers,
+    lose_zone,
     kill_while_log_is_down,
 )
 
+LONG = (drain_instances, lose_zone)
 # Faults that leave every request without an action possible.
 NOT_FELT_BY_IDEMPOTENT_WORK = (
     drain_instances,
@@ -152,7 +166,9 @@
                     address, '/standin/faults', {'delay_ms': ACTION_MS}
                 )
 
-    async def send_load(self, try_timeout_s=load.TRY_TIMEOUT_S):
+    async def send_load(
+        self, try_timeout_s=load.TRY_TIMEOUT_S, duration_s=LOAD_S
+    ):
         rows = load.requests(
             'kovacik',
             self.site.entries,
@@ -163,7 +179,7 @@
             self.balancer,
             rows,
             RATE_PER_S,
-            LOAD_S,
+            duration_s,
             self.generator,
             try_timeout_s,
         )
@@ -180,7 +196,10 @@
             # Callers that wait long leave silent targets to the instances.
             patient = disturb is silence_targets
             try_timeout_s = PATIENT_S if patient else load.TRY_TIMEOUT_S
-            sending = asyncio.create_task(self.send_load(try_timeout_s))
+            duration_s = LONG_LOAD_S if disturb in LONG else LOAD_S
+            sending = asyncio.create_task(
+                self.send_load(try_timeout_s, duration_s)
+            )
             await asyncio.sleep(1)
             await disturb(self.site)
             rows = await sending
