--- /dev/null
+++ b/tools/measure_fleet.py
@@ -0,0 +1,135 @@
+"""Time until a published change is in force, and what following costs."""
+
+import asyncio
+import pathlib
+import time
+from typing import Any
+
+import attrs
+
+from demo import site as sites
+from sycamorebeam import catalogue
+from sycamorebeam import publishing
+from tools import measure_load
+
+USER = 'kovacik'
+PORT_SHIFT = 6_000
+SIZES = (3, 6)
+CHANGES = 10
+POLL_S = 0.002
+TIMEOUT_S = 10.0
+IDLE_S = 2.0
+FOLLOWED_CHANGES = 30
+SETTLE_S = 0.5
+TEAM = 'team/back-office'
+
+
+@attrs.frozen(kw_only=True)
+class InForce:
+    """How long changes took at a number of instances.
+
+    The times run from the publisher's append to the moment at which the
+    last instance says that the change is in force, read every 2 ms.
+    """
+
+    instances: int
+    times_ms: tuple[float, ...]
+    cpu_ms_per_change: float
+
+
+async def measure(folder: pathlib.Path) -> list[InForce]:
+    """Return the times at each size."""
+    return [await _measure(folder / str(size), size) for size in SIZES]
+
+
+async def _measure(folder: pathlib.Path, size: int) -> InForce:
+    site = sites.Site(USER, folder, PORT_SHIFT)
+    numbers = list(range(1, size + 1))
+    try:
+        await site.start(numbers)
+        pids = [site.instances[i].handle.pid for i in numbers]
+        times = [
+            await _time_change(site, numbers, count)
+            for count in range(1, CHANGES + 1)
+        ]
+        used_s = await _follow_cpu_s(site, pids)
+    finally:
+        await site.stop()
+    return InForce(
+        instances=size,
+        times_ms=tuple(times),
+        cpu_ms_per_change=used_s * 1_000 / FOLLOWED_CHANGES / size,
+    )
+
+
+async def _time_change(
+    site: sites.Site, numbers: list[int], count: int
+) -> float:
+    """Publish a change and wait until all instances have it."""
+    started_s = time.perf_counter()
+    offset = await _change(site, count)
+    await asyncio.gather(
+        *(_reached(site, number, offset) for number in numbers)
+    )
+    return (time.perf_counter() - started_s) * 1_000
+
+
+async def _follow_cpu_s(site: sites.Site, pids: list[int]) -> float:
+    """Return the CPU time that changes cost beyond a quiet time's."""
+    idle_share = await _idle_cpu_s(pids)
+    before_s = _cpu_s(pids)
+    started_s = time.perf_counter()
+    for count in range(FOLLOWED_CHANGES):
+        await _change(site, CHANGES + 1 + count)
+    await asyncio.sleep(SETTLE_S)
+    elapsed_s = time.perf_counter() - started_s
+    return _cpu_s(pids) - before_s - idle_share * elapsed_s
+
+
+async def _change(site: sites.Site, count: int) -> int:
+    """Publish a new limit of one team and return its offset."""
+    team = site.entries[TEAM]
+    limits = catalogue.Limits(concurrency=4 + count)
+    result = await site.publish({TEAM: attrs.evolve(team, limits=limits)})
+    if not isinstance(result, publishing.Accepted):
+        raise RuntimeError(f'the change was not accepted: {result}')
+    return result.offset
+
+
+async def _reached(site: sites.Site, number: int, offset: int) -> None:
+    async with asyncio.timeout(TIMEOUT_S):
+        while True:
+            status = await site.get(site.admin(number), '/admin/status')
+            if status['catalogue']['offset'] >= offset:
+                return
+            await asyncio.sleep(POLL_S)
+
+
+async def _idle_cpu_s(pids: list[int]) -> float:
+    """Return the CPU time that the processes use in a quiet second."""
+    before_s = _cpu_s(pids)
+    await asyncio.sleep(IDLE_S)
+    return (_cpu_s(pids) - before_s) / IDLE_S
+
+
+def _cpu_s(pids: list[int]) -> float:
+    return sum(map(measure_load.cpu_s, pids))
+
+
+def rows(found: list[InForce]) -> list[list[str]]:
+    """Return the rows of the page's table."""
+    return [
+        [
+            str(item.instances),
+            str(len(item.times_ms)),
+            f'{sorted(item.times_ms)[len(item.times_ms) // 2]:.0f}',
+            f'{max(item.times_ms):.0f}',
+            f'{item.cpu_ms_per_change:.1f}',
+        ]
+        for item in found
+    ]
+
+
+def document(found: list[InForce]) -> list[dict[str, Any]]:
+    """Return the measurements, for programs to read."""
+    return [attrs.asdict(item) for item in found]
--- a/tools/measure_policy.py
+++ b/tools/measure_policy.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random
 import time
+from typing import Any
 
 import attrs
 
@@ -158,6 +159,16 @@
     return (time.process_time() - started_s) / runs * 1_000_000
 
 
+def rows(costs: list[Cost]) -> list[list[str]]:
+    """Return the rows of the page's table."""
+    return [[cost.decision, cost.size, f'{cost.us:.1f}'] for cost in costs]
+
+
+def document(costs: list[Cost]) -> list[dict[str, Any]]:
+    """Return the costs, for programs to read."""
+    return [attrs.asdict(cost) for cost in costs]
+
+
 def main() -> None:
     """Print the costs."""
     for cost in measure():
--- a/tools/measure_report.py
+++ b/tools/measure_report.py
@@ -30,6 +30,16 @@
     'instance CPU us/token',
 )
 
+DECISION_HEADS = ('decision', 'size', 'CPU us')
+FLEET_HEADS = (
+    'instances',
+    'changes timed',
+    'in force everywhere, median ms',
+    'worst ms',
+    'CPU ms a change and instance',
+)
+START_HEADS = ('teams', 'read MiB', 'ready ms', 'CPU ms', 'kept MiB')
+
 
 def table(heads: tuple[str, ...], rows: list[list[str]]) -> str:
     """Return a table in Markdown."""
--- /dev/null
+++ b/tools/measure_start.py
@@ -0,0 +1,193 @@
+"""Time and memory of a start from a snapshot with many teams.
+
+It runs in a process of its own, so that the memory is the start's.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import subprocess
+import sys
+import time
+from typing import Any
+
+import attrs
+import psutil
+
+from demo import processes
+from sycamorebeam import catalogue_fold
+from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
+from sycamorebeam import clock as clocks
+from sycamorebeam import records
+from sycamorebeam import snapshots
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import catalogue
+from sycamorebeam.controllers import readiness
+
+TEAMS = 27_000
+STALE_MS = 30_000
+SNAPSHOT_ID = 'measured'
+TIMEOUT_S = 30.0
+MIB = 1_048_576
+
+
+@attrs.frozen(kw_only=True)
+class Start:
+    """What a start read, how long it took, and the memory that it kept."""
+
+    teams: int
+    read_bytes: int
+    ready_ms: float
+    cpu_ms: float
+    kept_mib: float
+
+
+@attrs.define
+class HeldLog:
+    """A log in memory that only gives what it holds."""
+
+    oldest: dict[str, int] = attrs.field(factory=dict)
+    records: dict[str, list[results.LogRecord]] = attrs.field(factory=dict)
+
+    def put(self, stream: str, data: bytes) -> None:
+        """Add a record."""
+        held = self.records.setdefault(stream, [])
+        held.append(results.LogRecord(len(held), 0, data))
+
+    async def append(self, stream: str, data: bytes) -> results.AppendResult:
+        """Refuse: nothing is added during a start."""
+        return results.AppendRefused('this log is only read')
+
+    async def read(
+        self, stream: str, start: int, limit: int = 100, wait_ms: int = 0
+    ) -> results.ReadResult:
+        """Return the records from ``start`` on."""
+        await asyncio.sleep(wait_ms / 1_000)
+        page = await self.bounds(stream)
+        held = self.records.get(stream, [])[start : start + limit]
+        return attrs.evolve(page, records=tuple(held))
+
+    async def bounds(self, stream: str) -> results.LogPage:
+        """Return the bounds of a stream."""
+        held = self.records.get(stream, [])
+        return results.LogPage(self.oldest.get(stream, 0), len(held), ())
+
+
+class NoPeers:
+    """Stands for an instance that reaches no other."""
+
+    def highest(self) -> None:
+        """Return no offset."""
+
+    async def fetch_state(self, peer_id: str, above: int) -> None:
+        """Return no state."""
+
+
+def measure() -> Start:
+    """Return the measurement of one start, made in another process."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'tools.measure_start'],
+        check=True,
+        capture_output=True,
+        cwd=processes.ROOT,
+        timeout=TIMEOUT_S,
+    )
+    return Start(**json.loads(done.stdout))
+
+
+async def _measure() -> Start:
+    log, read_bytes = _log_with_snapshot()
+    process = psutil.Process(os.getpid())
+    kept_before = process.memory_info().rss
+    started_s, cpu_s = time.perf_counter(), time.process_time()
+    follower = catalogue.new_catalogue_follower(
+        log, clocks.Clock(), NoPeers(), STALE_MS
+    )
+    follower.start()
+    async with asyncio.timeout(TIMEOUT_S):
+        await _until_ready(follower)
+    start = Start(
+        teams=len(follower.catalogue.entries),
+        read_bytes=read_bytes,
+        ready_ms=(time.perf_counter() - started_s) * 1_000,
+        cpu_ms=(time.process_time() - cpu_s) * 1_000,
+        kept_mib=(process.memory_info().rss - kept_before) / MIB,
+    )
+    await follower.stop()
+    return start
+
+
+async def _until_ready(follower: catalogue.CatalogueFollower) -> None:
+    while True:
+        if isinstance(follower.readiness, readiness.Ready):
+            return
+        await asyncio.sleep(0)
+
+
+def _log_with_snapshot() -> tuple[HeldLog, int]:
+    """Return a log whose catalogue is in a snapshot, and its size."""
+    log = HeldLog()
+    log.put(catalogue_records.STREAM, b'')
+    log.oldest[catalogue_records.STREAM] = 1
+    frozen = snapshots.freeze(_fold())
+    chunks = list(snapshots.pack_chunks(frozen))
+    for index, data in enumerate(chunks):
+        _put(
+            log,
+            snapshots.Chunk(snapshot_id=SNAPSHOT_ID, index=index, data=data),
+        )
+    _put(log, snapshots.manifest_of(frozen, SNAPSHOT_ID, len(chunks), 0, 0))
+    held = log.records[snapshots.STREAM]
+    return log, sum(len(record.data) for record in held)
+
+
+def _put(log: HeldLog, item: snapshots.Chunk | snapshots.Manifest) -> None:
+    record = snapshots.to_record(item)
+    log.put(snapshots.STREAM, records.pack_envelope([record]))
+
+
+def _fold() -> catalogue_fold.Fold:
+    fold = catalogue_fold.new_fold(
+        offset=0,
+        level=catalogue_records.FIRST_LEVEL,
+        history=bytes(catalogue_store.DIGEST_BYTES),
+        audit=(),
+    )
+    for number in range(TEAMS):
+        team = {
+            'owner': f'owner-{number % 100}',
+            'class': 'normal',
+            'limits': {'requests_per_s': 10, 'concurrency': 16},
+            'token_sha256': [_token(number)],
+        }
+        stored = catalogue_store.pack(0, team)
+        fold.store.put(f'team/team-{number:05}', stored)
+    return fold
+
+
+def _token(number: int) -> str:
+    return hashlib.sha256(str(number).encode()).hexdigest()
+
+
+def rows(start: Start) -> list[list[str]]:
+    """Return the row of the page's table."""
+    return [
+        [
+            f'{start.teams:,}',
+            f'{start.read_bytes / MIB:.2f}',
+            f'{start.ready_ms:.0f}',
+            f'{start.cpu_ms:.0f}',
+            f'{start.kept_mib:.1f}',
+        ]
+    ]
+
+
+def document(start: Start) -> dict[str, Any]:
+    """Return the measurement, for programs to read."""
+    return attrs.asdict(start)
+
+
+if __name__ == '__main__':
+    print(json.dumps(attrs.asdict(asyncio.run(_measure()))))
