Narrow 'not run' in one place; count all bytes to other regions

Cause: two mechanisms narrowed a refusal of a retry, and only one covered every filter; bytes of failed attempts, cancels and probes did not count against the link; two processes could take one range of ports. Change: NotRunFilter stands first in the chain and the outcome of other filters is plain; the client's hook charges the link; a guard socket holds a range of ports; the instance list is polled for 3 s at a time. Conclusion: one mechanism each.

--- a/demo/site.py
+++ b/demo/site.py
@@ -31,30 +31,49 @@
 LOG_TIMEOUT_MS = 2_000
 PORT_SHIFT = 1_000
 MAX_PORT_SHIFTS = 10
+# Held by whoever uses a shift; below all ports of the samples.
+GUARD_PORT = 20_000
 
 
-def free_port_shift(user: str) -> int:
-    """Return a shift by which all ports of a user's sample are free."""
+def reserve_port_shift(user: str) -> tuple[int, socket.socket]:
+    """Return a shift by which all ports of a user's sample are free.
+
+    The socket with it keeps the shift from other processes that reserve
+    one, until it is closed.
+    """
     texts = [path.read_text() for path in (SAMPLES / user).glob('*.jsonc')]
     ports = {
         int(port) for text in texts for port in PORT_PATTERN.findall(text)
     }
-    steps = range(MAX_PORT_SHIFTS)
     first = os.getpid() % MAX_PORT_SHIFTS
-    for step in steps:
-        shift = PORT_SHIFT * (1 + (first + step) % MAX_PORT_SHIFTS)
+    for step in range(MAX_PORT_SHIFTS):
+        number = 1 + (first + step) % MAX_PORT_SHIFTS
+        guard = _bind(GUARD_PORT + number)
+        if guard is None:
+            continue
+        shift = PORT_SHIFT * number
         if all(_is_free(port + shift) for port in ports):
-            return shift
+            return shift, guard
+        guard.close()
     raise OSError('no free range of ports for the stand-ins')
 
 
+def _bind(port: int) -> socket.socket | None:
+    guard = socket.socket()
+    try:
+        guard.bind(('127.0.0.1', port))
+    except OSError:
+        guard.close()
+        return None
+    guard.listen()
+    return guard
+
+
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(('127.0.0.1', port))
-        except OSError:
-            return False
+    probe = _bind(port)
+    if probe is None:
+        return False
+    probe.close()
     return True
 
 
--- a/sycamorebeam/controllers/instance_list.py
+++ b/sycamorebeam/controllers/instance_list.py
@@ -11,7 +11,8 @@
 from sycamorebeam.controllers import readiness
 from sycamorebeam.controllers import targets
 
-POLL_WAIT_MS = 10_000
+# Short, so that a poll whose connection went silent is soon given up.
+POLL_WAIT_MS = 3_000
 RETRY_MS = 500
 
 
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -75,6 +75,7 @@
         self._sizes = sizes
         self._groups: dict[str, dict[str, ReplicaState]] = {}
         self._instances: dict[str, results.Replica] = {}
+        self._far_addresses: frozenset[str] = frozenset()
         self._leaving_until_ms: dict[str, int] = {}
         self._on_leaving: list[Callable[[str], None]] = []
 
@@ -113,6 +114,12 @@
         self._groups = {
             group: self._merge(group, by_group[group]) for group in by_group
         }
+        self._far_addresses = frozenset(
+            state.replica.address
+            for states in self._groups.values()
+            for state in states.values()
+            if state.replica.region != self._here.region
+        )
         self._forget_old_marks({replica.id for replica in replicas})
 
     def candidates(
@@ -128,6 +135,10 @@
         in_use = ejection.usable(healths, self._clock.monotonic_ms())
         return [states[name] for name in in_use if name not in excluded]
 
+    def is_far(self, address: str) -> bool:
+        """Whether a replica in use at ``address`` is in another region."""
+        return address in self._far_addresses
+
     def is_leaving(self, replica_id: str) -> bool:
         """Whether the replica was observed to be leaving."""
         until_ms = self._leaving_until_ms.get(replica_id)
--- a/sycamorebeam/filters/admission.py
+++ b/sycamorebeam/filters/admission.py
@@ -21,7 +21,6 @@
         """Hold a slot while the request runs."""
         assert request.team is not None
         service_class = request.team.service_class
-        outcome = request.refused_outcome
         admitted = self._limits.admit(
             request.team_name,
             request.team.limits,
@@ -30,37 +29,29 @@
         )
         match admitted:
             case limits.OverTeamLimit(limit, retry_after_ms):
-                return _limited(
-                    request.team_name, limit, retry_after_ms, outcome
-                )
+                return _limited(request.team_name, limit, retry_after_ms)
             case limits.Overloaded(retry_after_ms):
-                return _overloaded(
-                    service_class.value, retry_after_ms, outcome
-                )
+                return _overloaded(service_class.value, retry_after_ms)
         try:
             return await proceed(request)
         finally:
             self._limits.release(request.team_name, service_class)
 
 
-def _limited(
-    team: str, limit: str, retry_after_ms: int, outcome: answers.Outcome
-) -> answers.Problem:
+def _limited(team: str, limit: str, retry_after_ms: int) -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.LIMITED,
-        outcome,
+        answers.Outcome.NOT_RUN,
         f'team {team!r} is over its limit {limit}',
         'wait as long as Retry-After says, or ask for a higher limit',
         retry_after_ms,
     )
 
 
-def _overloaded(
-    service_class: str, retry_after_ms: int, outcome: answers.Outcome
-) -> answers.Problem:
+def _overloaded(service_class: str, retry_after_ms: int) -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.OVERLOADED,
-        outcome,
+        answers.Outcome.NOT_RUN,
         f'this instance has no room for class {service_class!r}',
         'wait as long as Retry-After says and send the request again',
         retry_after_ms,
--- a/sycamorebeam/filters/chain.py
+++ b/sycamorebeam/filters/chain.py
@@ -44,17 +44,6 @@
     permit: claims.DispatchPermit | None = None
     emitted: int = 0
 
-    @property
-    def refused_outcome(self) -> answers.Outcome:
-        """What a refusal before the idempotency check can truly say.
-
-        A key may have run in an earlier attempt, unless the caller marked
-        this one as the first; without a key each request stands alone.
-        """
-        if self.idempotency_key is None or self.first_attempt:
-            return answers.Outcome.NOT_RUN
-        return answers.Outcome.ATTEMPT_NOT_RUN
-
 
 Handler = Callable[[Request], Awaitable[answers.Answer]]
 
--- a/sycamorebeam/filters/deadline.py
+++ b/sycamorebeam/filters/deadline.py
@@ -22,16 +22,16 @@
         asked_ms = request.deadline_ms
         duration_ms = allowed_ms if asked_ms is None else asked_ms
         if duration_ms <= 0:
-            return _expired(request.refused_outcome)
+            return _expired()
         duration_ms = min(duration_ms, allowed_ms)
         request.deadline = clocks.deadline_in(self._clock, duration_ms)
         return await proceed(request)
 
 
-def _expired(outcome: answers.Outcome) -> answers.Problem:
+def _expired() -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.DEADLINE,
-        outcome,
+        answers.Outcome.NOT_RUN,
         'the deadline had passed when the request came',
         'send Deadline-Ms as the milliseconds that remain',
     )
--- a/sycamorebeam/filters/identity.py
+++ b/sycamorebeam/filters/identity.py
@@ -19,15 +19,14 @@
         self, request: chain.Request, proceed: chain.Handler
     ) -> answers.Answer:
         """Pass a request on only with a known team and pipeline."""
-        outcome = request.refused_outcome
         team_name = self._team_of(request.token)
         if team_name is None:
-            return _unauthenticated(outcome)
+            return _unauthenticated()
         pipeline = self._view.catalogue.pipeline(request.pipeline_name)
         if pipeline is None:
-            return _unknown_pipeline(request.pipeline_name, outcome)
+            return _unknown_pipeline(request.pipeline_name)
         if pipeline.teams and team_name not in pipeline.teams:
-            return _forbidden(team_name, request.pipeline_name, outcome)
+            return _forbidden(team_name, request.pipeline_name)
         request.team_name = team_name
         request.team = self._view.catalogue.team(team_name)
         request.pipeline = pipeline
@@ -48,30 +47,28 @@
     return any(matches)
 
 
-def _unauthenticated(outcome: answers.Outcome) -> answers.Problem:
+def _unauthenticated() -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.UNAUTHENTICATED,
-        outcome,
+        answers.Outcome.NOT_RUN,
         'the request has no token of a known team',
         'send "Authorization: Bearer TOKEN" with the token of your team',
     )
 
 
-def _unknown_pipeline(name: str, outcome: answers.Outcome) -> answers.Problem:
+def _unknown_pipeline(name: str) -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.UNKNOWN_PIPELINE,
-        outcome,
+        answers.Outcome.NOT_RUN,
         f'no accepted pipeline is called {name!r}',
         'check the name, or publish the pipeline in the catalogue',
     )
 
 
-def _forbidden(
-    team: str, pipeline: str, outcome: answers.Outcome
-) -> answers.Problem:
+def _forbidden(team: str, pipeline: str) -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.FORBIDDEN,
-        outcome,
+        answers.Outcome.NOT_RUN,
         f'team {team!r} is not listed for pipeline {pipeline!r}',
         "ask the pipeline's owner to add the team to its entry",
     )
--- a/sycamorebeam/filters/validation.py
+++ b/sycamorebeam/filters/validation.py
@@ -22,7 +22,7 @@
             return await proceed(request)
         return answers.Problem(
             answers.ProblemKind.BAD_REQUEST,
-            request.refused_outcome,
+            answers.Outcome.NOT_RUN,
             '; '.join(faults),
             'send {"input": {...}} as docs/CALLERS.md describes',
         )
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -36,6 +36,7 @@
 from sycamorebeam.filters import deadline
 from sycamorebeam.filters import idempotency
 from sycamorebeam.filters import identity
+from sycamorebeam.filters import not_run
 from sycamorebeam.filters import validation
 from sycamorebeam.pipeline import attempt
 from sycamorebeam.pipeline import route
@@ -115,7 +116,9 @@
         self._list_client = instances.new_instance_list(
             platform.instances.removeprefix(URL_PREFIX), self._clock
         )
-        self._target_client = target_clients.new_targets(self._clock)
+        self._target_client = target_clients.new_targets(
+            self._clock, on_bytes=self._count_bytes
+        )
         self._appender = batching.new_appender(
             self._log,
             self._clock,
@@ -176,23 +179,29 @@
         )
 
     def _build_path(self) -> None:
-        link = region_link.RegionLink(
+        self._link = region_link.RegionLink(
             self._catalogue, self._clock, self._settings.region_link_share
         )
+        router = route.Router(
+            self._targets, self._clock, random.Random(), self._link
+        )
         self._runner = runner.Runner(
             self._catalogue,
             self._targets,
-            route.Router(self._targets, self._clock, random.Random(), link),
+            route.Router(
+                self._targets, self._clock, random.Random(), self._link
+            ),
             attempt.Attempts(
                 self._target_client, self._targets, self._clock, self._metrics
             ),
-            link,
+            self._link,
             self._clock,
             bucket.RetryBudget(),
             self._metrics,
         )
         handler = chain.chain(
             [
+                not_run.NotRunFilter(),
                 identity.Identity(self._catalogue),
                 deadline.DeadlineFilter(self._clock),
                 validation.Validation(),
@@ -265,6 +274,14 @@
             self._shutdown.hurry()
         self._asked_to_stop.set()
 
+    def _count_bytes(
+        self, address: str, sent_bytes: int, received_bytes: int
+    ) -> None:
+        if not self._targets.is_far(address):
+            return
+        self._link.charge(sent_bytes + received_bytes)
+        self._metrics.count('region.bytes', sent_bytes + received_bytes)
+
     def _hear_of_leaving(self, target_id: str) -> None:
         self._targets.mark_leaving(target_id, observed=False)
 
--- a/sycamorebeam/pipeline/progress.py
+++ b/sycamorebeam/pipeline/progress.py
@@ -50,7 +50,7 @@
             return answers.Outcome.UNKNOWN
         if self.sent:
             return answers.Outcome.PARTIAL
-        return self.request.refused_outcome
+        return answers.Outcome.NOT_RUN
 
     def take_back(self) -> None:
         """Note that the attempt sent last provably ran nothing."""
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -266,10 +266,7 @@
         if chosen.replica.region == self._targets.here.region:
             return
         if isinstance(result, results.TargetAnswer):
-            moved = result.sent_bytes + result.received_bytes
-            run.region_bytes += moved
-            self._link.charge(moved)
-            self._metrics.count('region.bytes', moved)
+            run.region_bytes += result.sent_bytes + result.received_bytes
 
 
 def _dispatcher(run: progress.Run) -> ports.BeforeSend:
--- a/tests/build.py
+++ b/tests/build.py
@@ -112,15 +112,15 @@
     return known
 
 
-def new_runner(client, entries=None, known=None, budget=None, seed=1):
+def new_runner(client, entries=None, known=None, budget=None, link=None):
     known = known or known_targets()
     metrics = telemetry.Metrics()
     in_force = view(ENTRIES if entries is None else entries)
-    link = region_link.RegionLink(in_force, CLOCK, LINK_SHARE)
+    link = link or region_link.RegionLink(in_force, CLOCK, LINK_SHARE)
     return runner.Runner(
         in_force,
         known,
-        route.Router(known, CLOCK, random.Random(seed), link),
+        route.Router(known, CLOCK, random.Random(1), link),
         attempt.Attempts(client, known, CLOCK, metrics),
         link,
         CLOCK,
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -12,11 +12,12 @@
     ``script`` maps an operation to a list of steps for its next attempts,
     each a result, a number (answer after that many ms) or a callable;
     afterwards every attempt is answered at once. ``runs`` holds the ids
-    that ran, by operation.
+    that ran, by operation. ``on_bytes`` is told the bytes of each answer.
     """
 
-    def __init__(self, script=None):
+    def __init__(self, script=None, on_bytes=None):
         self.script = script or {}
+        self._on_bytes = on_bytes
         self.attempts = []
         self.cancelled = []
         self.runs = {}
@@ -50,6 +51,8 @@
             return step
         if attempt.on_token is not None:
             await attempt.on_token(0, 'whole')
+        if self._on_bytes is not None:
+            self._on_bytes(replica.address, 100, 200)
         return results.TargetAnswer(
             {'operation': attempt.operation, 'of': attempt.id.split('.')[0]},
             sent_bytes=100,
--- a/tests/test_region_link.py
+++ b/tests/test_region_link.py
@@ -116,14 +116,21 @@
     async def test_traffic_keeps_to_the_share(self, _, zones, most):
         """Each call moves 300 bytes; the share allows 10 of 300 calls."""
         replicas = [
-            build.replica(f'pool-{number}', 'pool', zone)
-            for number, zone in enumerate(zones)
+            build.replica(f'pool-{n}', 'pool', zone, f'127.0.0.1:{n}')
+            for n, zone in enumerate(zones)
         ]
         found = dict(build.ENTRIES)
         found['limit/link'] = limited(1_000)
         found['pipeline/one'] = build.pipeline(build.stage('encode', 'pool'))
-        client = fake_targets.FakeTargets()
-        runner = build.new_runner(client, found, build.known_targets(replicas))
+        link = link_of(build.view(found))
+        known = build.known_targets(replicas)
+
+        def on_bytes(address, sent_bytes, received_bytes):
+            if known.is_far(address):
+                link.charge(sent_bytes + received_bytes)
+
+        client = fake_targets.FakeTargets(on_bytes=on_bytes)
+        runner = build.new_runner(client, found, known, link=link)
         crossed = 0
         for _ in range(300):
             answer = await runner.run(build.request('one', found))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -22,6 +22,7 @@
 from sycamorebeam.filters import chain
 from sycamorebeam.filters import deadline
 from sycamorebeam.filters import identity
+from sycamorebeam.filters import not_run
 from sycamorebeam.filters import validation
 from tests import base
 from tests import build
@@ -47,6 +48,7 @@
         runner = build.new_runner(self.targets, known=known)
         handler = chain.chain(
             [
+                not_run.NotRunFilter(),
                 identity.Identity(build.view(build.ENTRIES)),
                 deadline.DeadlineFilter(build.CLOCK),
                 validation.Validation(),
@@ -135,6 +137,19 @@
         self.assertEqual(200, after.status)
         self.assertEqual(4, len(service.targets.attempts))
 
+    @ddt.data(
+        ('no_key', {}, 'not_run'),
+        ('first', {'Idempotency-Key': 'k', 'First-Attempt': '1'}, 'not_run'),
+        ('later', {'Idempotency-Key': 'k'}, 'attempt_not_run'),
+    )
+    @ddt.unpack
+    async def test_a_refusal_speaks_of_what_it_knows(self, _, sent, outcome):
+        for state in (readiness.Ready(), readiness.NotReady('why')):
+            async with Service(state=state) as service:
+                headers = {**sent, 'Deadline-Ms': '0'}
+                _, text = await service.post('order', headers=headers)
+            self.assertEqual(outcome, document(text)['outcome'])
+
     @ddt.data('Idempotency-Key', 'Deadline-Ms', 'Authorization')
     async def test_doubled_headers(self, name):
         raw = f'{name}: 1\r\n{name}: 2\r\nContent-Length: 2\r\n\r\n{{}}'
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -149,9 +149,9 @@
         super().setUp()
         folder = pathlib.Path(self.make_temp_dir())
         self.probes = None
-        self.site = sites.Site(
-            'kovacik', folder, sites.free_port_shift('kovacik')
-        )
+        shift, guard = sites.reserve_port_shift('kovacik')
+        self.addCleanup(guard.close)
+        self.site = sites.Site('kovacik', folder, shift)
 
     async def start(self):
         self.generator = random.Random(SEED)
