Ask a replica for an answer before an action is sent to it

Change: a non-idempotent call goes only to a replica that answers a question for its load at that moment; in the scenarios each zone's targets are a process of their own, and the lost zone's is paused, then goes on.

--- a/demo/site.py
+++ b/demo/site.py
@@ -232,16 +232,27 @@
 
     async def _start_standins(self) -> None:
         platform = ['standin', 'platform', '--listen', self.platform]
-        targets = ['standin', 'targets', str(self.folder / 'replicas.json')]
-        sample = SAMPLES / self.user / 'catalogue.jsonc'
-        targets += ['--catalogue', str(sample)]
-        for name, arguments in (('platform', platform), ('targets', targets)):
+        commands = {'platform': platform}
+        for zone in sorted({item['zone'] for item in self._targets()}):
+            commands[f'targets-{zone}'] = self._targets_command(zone)
+        for name, arguments in commands.items():
             self.standins[name] = await processes.start(
                 name, arguments, self.folder
             )
         await processes.wait_until_up(self.platform, '/v1/instances')
-        last = [item for item in self.items if item['group'] != 'entry'][-1]
-        await processes.wait_until_up(last['address'], '/v1/load')
+        for item in self._targets():
+            await processes.wait_until_up(item['address'], '/v1/load')
+
+    def _targets(self) -> list[dict[str, Any]]:
+        return [item for item in self.items if item['group'] != 'entry']
+
+    def _targets_command(self, zone: str) -> list[str]:
+        """Write the replicas of a zone; return what serves them."""
+        items = [item for item in self._targets() if item['zone'] == zone]
+        path = self.folder / f'replicas-{zone}.json'
+        path.write_text(json.dumps(items))
+        known = SAMPLES / self.user / 'catalogue.jsonc'
+        return ['standin', 'targets', str(path), '--catalogue', str(known)]
 
     async def _list_instances(self, numbers: list[int]) -> None:
         ids = {self.settings[number]['instance_id'] for number in numbers}
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -188,9 +188,7 @@
         self._runner = runner.Runner(
             self._catalogue,
             self._targets,
-            route.Router(
-                self._targets, self._clock, random.Random(), self._link
-            ),
+            router,
             attempt.Attempts(
                 self._target_client, self._targets, self._clock, self._metrics
             ),
--- a/sycamorebeam/pipeline/attempt.py
+++ b/sycamorebeam/pipeline/attempt.py
@@ -52,6 +52,18 @@
                 )
         return result
 
+    async def is_answering(self, state: targets.ReplicaState) -> bool:
+        """Whether the replica answers a question right now.
+
+        Asked before an action is sent: what is sent to a silent replica
+        may have run, and cannot be sent to another.
+        """
+        if await self._client.load(state.replica) is not None:
+            return True
+        state.health.failed(self._clock.monotonic_ms())
+        self._metrics.count('attempt.unanswered_probe')
+        return False
+
     def _learn(
         self,
         state: targets.ReplicaState,
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -128,7 +128,7 @@
                 raise StageError(
                     problems.no_replica(run, stage, chosen.reason)
                 )
-            sent = await self._send(run, stage, target, chosen, stage_input)
+            sent = await self._attempt(run, stage, target, chosen, stage_input)
             self._count_bytes(run, chosen, sent)
             if isinstance(sent, results.TargetAnswer):
                 return sent
@@ -138,6 +138,19 @@
             tried |= {chosen.replica.id}
         raise AssertionError('the loop returns or raises')
 
+    async def _attempt(
+        self,
+        run: progress.Run,
+        stage: catalogue.Stage,
+        target: catalogue.Target,
+        chosen: targets.ReplicaState,
+        stage_input: dict[str, Any],
+    ) -> results.TargetResult:
+        """Send to a replica; an action only to one that answers now."""
+        if stage.idempotent or await self._attempts.is_answering(chosen):
+            return await self._send(run, stage, target, chosen, stage_input)
+        return results.TargetNotRun('the replica answered no probe')
+
     async def _send(
         self,
         run: progress.Run,
--- a/tests/build.py
+++ b/tests/build.py
@@ -26,8 +26,8 @@
 NORMAL = catalogue.ServiceClass.NORMAL
 
 
-def replica(name, group, zone='a1', **fields):
-    return results.Replica(name, group, '127.0.0.1:1', zone, zone[0], **fields)
+def replica(name, group, zone='a1', address='127.0.0.1:1', **fields):
+    return results.Replica(name, group, address, zone, zone[0], **fields)
 
 
 def target(kind, **fields):
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -12,12 +12,14 @@
     ``script`` maps an operation to a list of steps for its next attempts,
     each a result, a number (answer after that many ms) or a callable;
     afterwards every attempt is answered at once. ``runs`` holds the ids
-    that ran, by operation. ``on_bytes`` is told the bytes of each answer.
+    that ran, by operation. Replicas in ``silent`` report no load.
+    ``on_bytes`` is told the bytes of each answer.
     """
 
-    def __init__(self, script=None, on_bytes=None):
+    def __init__(self, script=None, on_bytes=None, silent=()):
         self.script = script or {}
         self._on_bytes = on_bytes
+        self._silent = silent
         self.attempts = []
         self.cancelled = []
         self.runs = {}
@@ -38,6 +40,8 @@
             raise
 
     async def load(self, replica):
+        if replica.id in self._silent:
+            return None
         return ports.LoadReport(
             running=0, waiting=0, capacity=4, draining=False, age_ms=0
         )
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -74,6 +74,16 @@
         if outcome:
             self.assertEqual(outcome, answer.outcome.value)
 
+    async def test_sends_no_action_to_a_silent_replica(self):
+        silent = ('service-1', 'service-2')
+        for _ in range(20):
+            client = fake_targets.FakeTargets(silent=silent)
+            runner = build.new_runner(client, budget=bucket.RetryBudget(3.0))
+            request = build.request('order', permit=permit())
+            answer = await runner.run(request)
+            self.assertIsInstance(answer, answers.Completed)
+            self.assertEqual('service-3', client.attempts[0][0])
+
     @ddt.data(
         ('before_anything', {'encode': [NOT_RUN] * 3}, 'not_run'),
         ('after_a_stage', {'restart': [NOT_RUN] * 3}, 'partial'),
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -100,11 +100,7 @@
 async def lose_zone(site):
     """All that stands in one availability zone goes silent for good."""
     site.instances[1].signal(signal.SIGKILL)
-    for item in site.items:
-        if item['zone'] == 'vah-1' and item['group'] != 'entry':
-            await site.post(
-                item['address'], '/standin/faults', {'silent': 100_000}
-            )
+    site.standins['targets-vah-1'].signal(signal.SIGSTOP)
     await site.instances[1].wait()
 
 
@@ -203,8 +199,9 @@
             await asyncio.sleep(1)
             await disturb(self.site)
             rows = await sending
+            rows += await self.check_service_goes_on()
+            await self.resume_targets()
             runs = await self.site.action_runs()
-            await self.check_service_goes_on()
         finally:
             await self.stop()
         broken = ledger.broken_promises(self.site.entries, rows, runs)
@@ -220,6 +217,7 @@
 
     async def check_service_goes_on(self):
         """After the fault, each pipeline is answered again."""
+        asked = []
         for name in ('alarm-explanation', 'pump-restart'):
             rows = load.requests(
                 'kovacik', self.site.entries, self.generator, [name]
@@ -227,6 +225,14 @@
             row = next(rows)
             await load.ask(self.balancer, row)
             self.assertEqual('complete', row.outcome, row)
+            asked.append(row)
+        return asked
+
+    async def resume_targets(self):
+        """Let paused targets do what was sent to them, if they would."""
+        for process in self.site.standins.values():
+            process.signal(signal.SIGCONT)
+        await asyncio.sleep(0.5)
 
     async def test_a_leaving_target_gets_no_new_work_after_three_seconds(self):
         try:
