Give orders to engines under leases

Engines kept whatever models they had: nothing carried the catalogue's model entries to them. A controller now reads back the engines that rendezvous hashing gives this instance, and sends the orders they lack under a lease whose offset on the log is the fencing number. The status document shows each engine under orders.

--- a/sycamorebeam/clients/orders.py
+++ b/sycamorebeam/clients/orders.py
@@ -8,6 +8,7 @@
 from sycamorebeam import clock as clock_module
 from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
+from sycamorebeam.clients import ports
 from sycamorebeam.clients import reasons
 from sycamorebeam.clients import results
 
@@ -96,8 +97,13 @@
         replica: results.Replica,
         order: EngineOrder,
         deadline: clock_module.Deadline,
+        before_send: ports.BeforeSend | None = None,
     ) -> OrderResult:
-        """Send ``order`` once, on a fresh connection."""
+        """Send ``order`` once, on a fresh connection.
+
+        ``before_send`` runs when the connection stands, right before the
+        first byte; when it raises, nothing is sent.
+        """
         exchange = exchanges.Exchange(
             method='POST',
             address=replica.address,
@@ -105,6 +111,7 @@
             deadline=deadline,
             body=json.dumps(attrs.asdict(order)).encode(),
             lane=exchanges.Lane.FRESH,
+            before_send=before_send,
         )
         reply = await self._http.fetch(exchange)
         if isinstance(reply, exchanges.HttpFailure):
--- /dev/null
+++ b/sycamorebeam/controllers/leases.py
@@ -0,0 +1,263 @@
+"""Takes, renews and loses leases of engines through the log.
+
+The streams are read on demand: before each order up to their end. So an
+engine that needs no order costs no call to the log, and there are no
+orders while the log cannot be read.
+"""
+
+import asyncio
+
+import attrs
+
+from sycamorebeam import batching
+from sycamorebeam import clock as clocks
+from sycamorebeam import errors
+from sycamorebeam import lease_fold
+from sycamorebeam import lease_records
+from sycamorebeam import leases
+from sycamorebeam import records
+from sycamorebeam import telemetry
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+
+READ_TIMEOUT_MS = 2_000
+PAGE_RECORDS = 500
+# A reader starts this far before the end: older leases ended long ago.
+TAIL_RECORDS = 2_000
+# How long a lost answer to an append keeps the next try back.
+PENDING_MS = 5_000
+
+
+@attrs.define(eq=False)
+class LeaseReader:
+    """The fold of one lease stream, read on demand."""
+
+    stream: str
+    _log: ports.Log
+    _clock: clocks.Clock
+    fold: lease_fold.LeaseFold = attrs.field(factory=lease_fold.LeaseFold)
+    next_offset: int = -1
+    _time_ms: int = 0
+    _read_at_ms: int = 0
+    _blocked: str | None = None
+    _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    def now_ms(self) -> int:
+        """Return the log's time, never later than it really is."""
+        elapsed_ms = self._clock.monotonic_ms() - self._read_at_ms
+        return self._time_ms + elapsed_ms
+
+    async def read_to_end(self) -> str | None:
+        """Read what is new; return why that failed, if it did."""
+        async with self._lock:
+            try:
+                async with asyncio.timeout(READ_TIMEOUT_MS / 1000):
+                    return await self._read_to_end()
+            except TimeoutError:
+                return 'the log does not answer reads'
+
+    async def _read_to_end(self) -> str | None:
+        if self.next_offset < 0:
+            bounds = await self._log.bounds(self.stream)
+            if isinstance(bounds, results.LogUnavailable):
+                return f'the log cannot be read: {bounds.reason}'
+            self._begin(bounds.oldest, bounds.next)
+        while self._blocked is None:
+            page = await self._log.read(
+                self.stream, self.next_offset, PAGE_RECORDS
+            )
+            match page:
+                case results.LogUnavailable(reason=reason):
+                    return f'the log cannot be read: {reason}'
+                case results.LogGap(oldest=oldest, next=end):
+                    self._begin(oldest, end)
+                case results.LogPage():
+                    for item in page.records:
+                        self._take(item)
+                    if self.next_offset >= page.next:
+                        self.fold.forget(self.now_ms())
+                        return self._blocked or self._cut_short(page)
+        return self._blocked
+
+    def _cut_short(self, page: results.LogPage) -> str | None:
+        if page.next < self.next_offset:
+            return f'the log ends at {page.next}, before what was read'
+        return None
+
+    def _begin(self, oldest: int, end: int) -> None:
+        self.fold = lease_fold.LeaseFold()
+        self.next_offset = max(oldest, end - TAIL_RECORDS)
+
+    def _take(self, item: results.LogRecord) -> None:
+        if self._blocked is not None:
+            return
+        self._time_ms = item.time_ms
+        self._read_at_ms = self._clock.monotonic_ms()
+        try:
+            found = [
+                lease_records.from_record(record)
+                for record in records.unpack_envelope(item.data)
+            ]
+        except errors.VersionError as error:
+            self._blocked = str(error)
+            telemetry.log_event(
+                'leases_blocked', 'ERROR', stream=self.stream, detail=error
+            )
+            return
+        for record in found:
+            self.fold.apply(record, item.offset, item.time_ms)
+        self.next_offset = item.offset + 1
+
+
+@attrs.define
+class _Own:
+    """What this process knows of its own lease of one engine.
+
+    ``valid_until_ms`` counts from before the append was sent. ``refused``
+    is the highest fencing number with which the engine refused an order.
+    """
+
+    valid_until_ms: int = 0
+    renewed_ms: int = 0
+    pending_until_ms: int = 0
+    refused: int = -1
+
+
+@attrs.define(eq=False)
+class Leases:
+    """The leases of one process, named ``holder``; no two share a name."""
+
+    holder: str
+    _log: ports.Log
+    _appender: batching.Appender
+    _clock: clocks.Clock
+    _readers: dict[str, LeaseReader] = attrs.field(factory=dict)
+    _own: dict[str, _Own] = attrs.field(factory=dict)
+
+    def state(self, engine: str) -> leases.LeaseState | None:
+        """Return the newest lease of an engine, as last read."""
+        return self._reader(engine).fold.state(engine)
+
+    def forget(self, engine: str) -> None:
+        """Keep nothing more about an engine."""
+        self._own.pop(engine, None)
+
+    async def refresh(self, engine: str) -> leases.NotHeld | None:
+        """Read the engine's stream to its end; return why that failed."""
+        reason = await self._reader(engine).read_to_end()
+        return leases.NotHeld(reason) if reason else None
+
+    def holding(self, engine: str) -> leases.Holding:
+        """Return whether an order may be sent now, as last read."""
+        state = self.state(engine)
+        own = self._own.get(engine)
+        if state is None or own is None:
+            return leases.NotHeld('no lease')
+        if state.holder != self.holder or state.adopted:
+            return leases.NotHeld(f'held by {state.holder}')
+        if state.released:
+            return leases.NotHeld('released')
+        if state.fence < own.refused:
+            return leases.NotHeld(f'the engine has seen {own.refused}')
+        if self._clock.monotonic_ms() >= own.valid_until_ms:
+            return leases.NotHeld('the lease was not renewed in time')
+        return leases.Held(state.fence)
+
+    async def take(self, engine: str) -> leases.Holding:
+        """Return the lease that is held, or try to get one."""
+        failure = await self.refresh(engine)
+        if failure is not None:
+            return failure
+        held = self.holding(engine)
+        if isinstance(held, leases.Held):
+            return held
+        refusal = self._refusal(engine)
+        if refusal is not None:
+            return refusal
+        own = self._own.setdefault(engine, _Own())
+        record = lease_records.Lease(engine=engine, holder=self.holder)
+        return await self._extend(engine, own, record)
+
+    async def renew(self, engine: str) -> leases.Holding:
+        """Renew the lease that is held, when it is time to."""
+        held = self.holding(engine)
+        if isinstance(held, leases.NotHeld):
+            return held
+        own = self._own[engine]
+        if self._clock.monotonic_ms() - own.renewed_ms < leases.RENEW_MS:
+            return held
+        record = lease_records.Renew(
+            engine=engine, holder=self.holder, fence=held.fence
+        )
+        return await self._extend(engine, own, record)
+
+    async def release(self, engine: str) -> None:
+        """Give the lease up, so that another need not wait for its end."""
+        held = self.holding(engine)
+        self.forget(engine)
+        if isinstance(held, leases.Held):
+            record = lease_records.Release(
+                engine=engine, holder=self.holder, fence=held.fence
+            )
+            await self._submit(engine, record)
+
+    def refused(self, engine: str, fence: int) -> None:
+        """Give the lease up: the engine has seen the higher ``fence``."""
+        own = self._own.setdefault(engine, _Own())
+        own.refused = max(own.refused, fence)
+        own.valid_until_ms = 0
+
+    def _refusal(self, engine: str) -> leases.NotHeld | None:
+        reader = self._reader(engine)
+        state = reader.fold.state(engine)
+        if state and not state.may_be_taken(self.holder, reader.now_ms()):
+            return leases.NotHeld(f'held by {state.holder}')
+        own = self._own.get(engine)
+        if own is None:
+            return None
+        if self._clock.monotonic_ms() < own.pending_until_ms:
+            return leases.NotHeld('an append has had no answer yet')
+        if reader.next_offset <= own.refused:
+            return leases.NotHeld(
+                f'the engine has seen {own.refused}, the log ends at '
+                f'{reader.next_offset}'
+            )
+        return None
+
+    async def _extend(
+        self,
+        engine: str,
+        own: _Own,
+        record: lease_records.Lease | lease_records.Renew,
+    ) -> leases.Holding:
+        """Append ``record``, read through it and say what holds then."""
+        started_ms = self._clock.monotonic_ms()
+        result = await self._submit(engine, record)
+        if isinstance(result, results.AppendRefused):
+            return leases.NotHeld(result.reason)
+        if isinstance(result, results.AppendUnknown):
+            own.pending_until_ms = started_ms + PENDING_MS
+        failure = await self.refresh(engine)
+        if failure is not None:
+            return failure
+        if isinstance(result, results.AppendUnknown):
+            return leases.NotHeld(f'outcome unknown: {result.reason}')
+        own.renewed_ms = started_ms
+        own.valid_until_ms = started_ms + leases.LEASE_MS - leases.GUARD_MS
+        return self.holding(engine)
+
+    async def _submit(
+        self, engine: str, record: lease_records.LeaseRecord
+    ) -> results.AppendResult:
+        submitted = await self._appender.submit(
+            lease_records.stream_of(engine),
+            lease_records.to_record(record),
+            batching.Priority.NORMAL,
+        )
+        return submitted.result
+
+    def _reader(self, engine: str) -> LeaseReader:
+        stream = lease_records.stream_of(engine)
+        if stream not in self._readers:
+            self._readers[stream] = LeaseReader(stream, self._log, self._clock)
+        return self._readers[stream]
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -75,6 +75,7 @@
         self._sizes = sizes
         self._groups: dict[str, dict[str, ReplicaState]] = {}
         self._instances: dict[str, results.Replica] = {}
+        self._listed: list[results.Replica] = []
         self._leaving_until_ms: dict[str, int] = {}
         self._on_leaving: list[Callable[[str], None]] = []
 
@@ -93,6 +94,18 @@
         """Our own instances as the list names them, by id."""
         return self._instances
 
+    @property
+    def listed(self) -> list[results.Replica]:
+        """All replicas that the list names, in use here or not."""
+        return self._listed
+
+    @property
+    def live_ids(self) -> set[str]:
+        """The ids of our instances that are live, as the list names them."""
+        return {
+            name for name, item in self._instances.items() if not item.leaving
+        }
+
     @property
     def live_instances(self) -> int:
         """How many of our instances are live, at least this one."""
@@ -105,6 +118,7 @@
 
     def replace(self, replicas: list[results.Replica]) -> None:
         """Take a new version of the whole instance list."""
+        self._listed = [item for item in replicas if item.group != ENTRY_GROUP]
         by_group: dict[str, list[results.Replica]] = {}
         for replica in replicas:
             by_group.setdefault(replica.group, []).append(replica)
--- a/sycamorebeam/errors.py
+++ b/sycamorebeam/errors.py
@@ -52,6 +52,11 @@
     """A dispatch permit was used twice, or after its release."""
 
 
+@attrs.define
+class LeaseError(SycamoreError):
+    """An order was stopped before it was sent: it is not right any more."""
+
+
 @attrs.define
 class DigestError(SycamoreError):
     """Two states that must be equal have different digests."""
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -11,6 +11,7 @@
 import aiomisc
 
 from sycamorebeam import batching
+from sycamorebeam import catalogue
 from sycamorebeam import clock as clocks
 from sycamorebeam import server
 from sycamorebeam import settings as settings_module
@@ -23,6 +24,7 @@
 from sycamorebeam.controllers import claims as claims_controller
 from sycamorebeam.controllers import instance_list
 from sycamorebeam.controllers import limits
+from sycamorebeam.controllers import orders
 from sycamorebeam.controllers import peers as peers_controller
 from sycamorebeam.controllers import readiness
 from sycamorebeam.controllers import shutdown
@@ -73,6 +75,7 @@
         """Join the parts and begin to serve."""
         self._build_clients()
         self._build_state()
+        self._build_orders()
         self._build_path()
         self._follow()
         await self._listen()
@@ -172,6 +175,28 @@
             ]
         )
 
+    def _build_orders(self) -> None:
+        self._orders = orders.new_orders(
+            self._settings.instance_id,
+            self._log,
+            self._appender,
+            self._clock,
+            self._target_client.orders,
+            orders.Surroundings(
+                catalogue=self._trusted_catalogue,
+                replicas=lambda: self._targets.listed,
+                instances=lambda: self._targets.live_ids,
+            ),
+            self._metrics,
+        )
+
+    def _trusted_catalogue(self) -> catalogue.Catalogue | None:
+        match self._catalogue.readiness:
+            case readiness.Ready():
+                return self._catalogue.catalogue
+            case _:
+                return None
+
     def _build_path(self) -> None:
         self._runner = runner.Runner(
             self._catalogue,
@@ -209,6 +234,7 @@
             self._claims.start(),
             self._snapshots.run(),
             self._list.follow(),
+            self._orders.run(),
             self._targets.poll_loads(self._target_client),
             self._peers.dial_forever(),
             self._peers.ping_forever(),
@@ -281,6 +307,7 @@
             self._peers,
             self._limits,
             self._claims,
+            self._orders,
             self._metrics,
         )
 
--- /dev/null
+++ b/sycamorebeam/lease_records.py
@@ -0,0 +1,90 @@
+"""The records of the lease streams, and the streams that hold them."""
+
+from typing import Any
+
+import attrs
+
+from sycamorebeam import errors
+from sycamorebeam import hashing
+from sycamorebeam import records
+
+STREAM_PREFIX = 'leases.'
+RECORD_VERSION = 1
+# Fencing numbers of an engine are offsets of one stream for ever, so this
+# number must not change on a log that is in use.
+PARTITIONS = 4
+
+
+@attrs.frozen(kw_only=True)
+class Lease:
+    """``holder``, one process, takes the lease of an engine."""
+
+    engine: str
+    holder: str
+
+
+@attrs.frozen(kw_only=True)
+class Renew:
+    """The holder of the lease at offset ``fence`` is still there."""
+
+    engine: str
+    holder: str
+    fence: int
+
+
+@attrs.frozen(kw_only=True)
+class Release:
+    """The holder of the lease at offset ``fence`` gives no more orders."""
+
+    engine: str
+    holder: str
+    fence: int
+
+
+LeaseRecord = Lease | Renew | Release
+
+_TYPES: dict[str, type[LeaseRecord]] = {
+    'lease': Lease,
+    'renew': Renew,
+    'release': Release,
+}
+_NAMES = {kind: name for name, kind in _TYPES.items()}
+
+
+def to_record(item: LeaseRecord) -> records.Record:
+    """Return the record that carries ``item``."""
+    return records.Record(
+        _NAMES[type(item)], RECORD_VERSION, attrs.asdict(item)
+    )
+
+
+def from_record(record: records.Record) -> LeaseRecord:
+    """Return what ``record`` carries; fields it does not know are ignored.
+
+    Raises VersionError for an unknown type or version: a reader that
+    skipped a lease could believe that an older one still holds.
+    """
+    kind = _TYPES.get(record.type)
+    if kind is None or record.version != RECORD_VERSION:
+        raise errors.VersionError(
+            f'a lease stream has a record {record.type!r} of version '
+            f'{record.version}',
+            'run a newer version of this program',
+        )
+    names = {field.name for field in attrs.fields(kind)}
+    known: dict[str, Any] = {
+        name: value for name, value in record.fields.items() if name in names
+    }
+    try:
+        return kind(**known)
+    except TypeError as error:
+        raise errors.VersionError(
+            f'a lease stream has a malformed {record.type!r} ({error})',
+            'check what else writes to this stream',
+        ) from error
+
+
+def stream_of(engine: str) -> str:
+    """Return the name of the stream that holds an engine's leases."""
+    digest = hashing.digest(engine.encode())
+    return f'{STREAM_PREFIX}{int.from_bytes(digest[:8]) % PARTITIONS}'
--- a/sycamorebeam/status.py
+++ b/sycamorebeam/status.py
@@ -7,6 +7,7 @@
 from sycamorebeam.controllers import catalogue
 from sycamorebeam.controllers import claims
 from sycamorebeam.controllers import limits
+from sycamorebeam.controllers import orders
 from sycamorebeam.controllers import peers
 from sycamorebeam.controllers import readiness
 from sycamorebeam.controllers import shutdown
@@ -24,6 +25,7 @@
     connected: peers.Peers,
     counted: limits.LimitsController,
     claimed: claims.Claims,
+    ordered: orders.Orders,
     metrics: telemetry.Metrics,
 ) -> dict[str, Any]:
     """Return the status document of ``GET /admin/status``."""
@@ -46,6 +48,7 @@
             'teams': counted.in_flight_by_team(),
         },
         'claims': {'unsettled': claimed.unsettled},
+        'orders': ordered.status,
         'counters': metrics.totals,
     }
 
--- /dev/null
+++ b/sycamorebeam/wanted_state.py
@@ -0,0 +1,111 @@
+"""What the catalogue wants of an engine, and the orders that are missing."""
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam.clients import orders
+
+WEIGHT_STORE = 'weight_store'
+LOADS = frozenset({'load_model', 'load_adapter'})
+
+
+@attrs.frozen
+class Wanted:
+    """The state that every engine of a group shall have.
+
+    A ``role`` of None leaves the role as it is.
+    """
+
+    models: dict[str, str]
+    adapters: tuple[str, ...] = ()
+    role: str | None = None
+
+
+@attrs.frozen
+class Action:
+    """One declarative order, without its lease."""
+
+    kind: str
+    name: str
+    version: str = ''
+
+    @property
+    def is_load(self) -> bool:
+        """Whether the engine reads from the weight store for it."""
+        return self.kind in LOADS
+
+    def __str__(self) -> str:
+        return ' '.join(part for part in attrs.astuple(self) if part)
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What one catalogue says of engines and of the weight store.
+
+    ``wanted`` has the groups of engines for which it names a model; the
+    engines of others get no orders.
+    """
+
+    catalogue: catalogue.Catalogue
+    wanted: dict[str, Wanted]
+    loads_per_s: float | None
+    concurrency: int | None
+
+
+def plan_of(accepted: catalogue.Catalogue) -> Plan:
+    """Return the plan that follows from a catalogue."""
+    store = _store_limits(accepted)
+    rates = [item.requests_per_s for item in store]
+    at_once = [item.concurrency for item in store]
+    return Plan(
+        catalogue=accepted,
+        wanted=_wanted_by_group(accepted),
+        loads_per_s=min((rate for rate in rates if rate), default=None),
+        concurrency=min((count for count in at_once if count), default=None),
+    )
+
+
+def _wanted_by_group(accepted: catalogue.Catalogue) -> dict[str, Wanted]:
+    models: dict[str, dict[str, str]] = {}
+    adapters: dict[str, set[str]] = {}
+    for name, entry in accepted.of_kind('model').items():
+        if not isinstance(entry, catalogue.Model):
+            continue
+        target = accepted.target(entry.target)
+        if target is None or target.kind is not catalogue.TargetKind.ENGINE:
+            continue
+        models.setdefault(entry.target, {})[name] = entry.version
+        adapters.setdefault(entry.target, set()).update(entry.adapters)
+    return {
+        group: Wanted(models[group], tuple(sorted(adapters[group])))
+        for group in models
+    }
+
+
+def _store_limits(accepted: catalogue.Catalogue) -> list[catalogue.Limits]:
+    return [
+        entry.limits
+        for entry in accepted.of_kind('limit').values()
+        if isinstance(entry, catalogue.SharedLimit)
+        and entry.resource == WEIGHT_STORE
+    ]
+
+
+def missing(wanted: Wanted, seen: orders.EngineState) -> list[Action]:
+    """Return the orders that lead from ``seen`` to ``wanted``.
+
+    Loads come before unloads, so that an engine is never emptied first.
+    """
+    actions = []
+    if wanted.role is not None and wanted.role != seen.role:
+        actions.append(Action('set_role', wanted.role))
+    for name, version in sorted(wanted.models.items()):
+        if seen.models.get(name) != version:
+            actions.append(Action('load_model', name, version))
+    for name in wanted.adapters:
+        if name not in seen.adapters:
+            actions.append(Action('load_adapter', name))
+    kept = {*wanted.models, *wanted.adapters}
+    loaded = {*seen.models, *seen.adapters}
+    actions.extend(Action('unload', name) for name in sorted(loaded - kept))
+    return actions
--- /dev/null
+++ b/tests/order_bench.py
@@ -0,0 +1,206 @@
+"""Instances that give orders to fake engines, all in memory."""
+
+import asyncio
+import random
+
+import attrs
+
+from sycamorebeam import batching
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clocks
+from sycamorebeam import leases
+from sycamorebeam import telemetry
+from sycamorebeam.clients import orders as order_client
+from sycamorebeam.clients import results
+from sycamorebeam.controllers import orders
+from tests import fake_log
+
+LIMITS = catalogue.Limits()
+COMMON = {
+    'owner': 'o',
+    'service_class': catalogue.ServiceClass.BULK,
+    'limits': LIMITS,
+}
+
+
+def make_catalogue(version, per_s=1_000.0, at_once=1_000, adapters=('fine',)):
+    limits = catalogue.Limits(requests_per_s=per_s, concurrency=at_once)
+    store = COMMON | {'limits': limits}
+    found = {
+        'target/engines': catalogue.Target(
+            kind=catalogue.TargetKind.ENGINE, **COMMON
+        ),
+        'model/writer': catalogue.Model(
+            target='engines', version=version, adapters=adapters, **COMMON
+        ),
+        'limit/store': catalogue.SharedLimit(resource='weight_store', **store),
+    }
+    return catalogue.Catalogue(
+        1, {key: catalogue.Versioned(1, item) for key, item in found.items()}
+    )
+
+
+class FakeEngine:
+    """Carries orders out and counts them; checks fences if told to.
+
+    ``carried`` holds (time, fence, kind, name, version) of each. With
+    ``lose`` the next orders are carried out without an answer; ``carry``
+    lets an order in at any time, as a delayed packet does.
+    """
+
+    def __init__(self, name, checks=True, load_ms=0):
+        self.replica = results.Replica(name, 'engines', '', 'z', 'r')
+        self.checks = checks
+        self.load_ms = load_ms
+        self.lose = 0
+        self.busy = 0
+        self.most_busy = 0
+        self.carried = []
+        self.state_reads = 0
+        self.restart()
+
+    def restart(self):
+        self.models = {}
+        self.adapters = []
+        self.fence = 0
+
+    def state(self):
+        return order_client.EngineState(
+            role='generate',
+            models=dict(self.models),
+            adapters=tuple(self.adapters),
+            fence=self.fence,
+        )
+
+    def carry(self, order):
+        if self.checks and order.fence < self.fence:
+            return order_client.OrderFenced(self.fence)
+        if self.checks:
+            self.fence = order.fence
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        self.carried.append(
+            (now_ms, order.fence, order.kind, order.name, order.version)
+        )
+        match order.kind:
+            case 'load_model':
+                self.models[order.name] = order.version
+            case 'load_adapter':
+                self.adapters.append(order.name)
+            case 'unload':
+                self.models.pop(order.name, None)
+                self.adapters = [a for a in self.adapters if a != order.name]
+        return order_client.OrderDone(self.state())
+
+
+class FakeOrderClient:
+    """Brings orders of one instance to the engines.
+
+    ``pause_ms`` holds the next order back right before its first byte, in
+    front of ``before_send``; ``pause_after_ms`` holds it right behind.
+    """
+
+    def __init__(self, engines):
+        self.engines = {engine.replica.id: engine for engine in engines}
+        self.pause_ms = 0
+        self.pause_after_ms = 0
+
+    async def order(self, replica, order, deadline, before_send=None):
+        engine = self.engines[replica.id]
+        pause_ms, self.pause_ms = self.pause_ms, 0
+        await asyncio.sleep(pause_ms / 1000)
+        if before_send is not None:
+            before_send()
+        pause_ms, self.pause_after_ms = self.pause_after_ms, 0
+        await asyncio.sleep(pause_ms / 1000)
+        engine.busy += 1
+        engine.most_busy = max(engine.most_busy, engine.busy)
+        if order.kind.startswith('load'):
+            await asyncio.sleep(engine.load_ms / 1000)
+        engine.busy -= 1
+        found = engine.carry(order)
+        if engine.lose:
+            engine.lose -= 1
+            return results.TargetMaybeRun('lost')
+        return found
+
+    async def state(self, replica):
+        self.engines[replica.id].state_reads += 1
+        return self.engines[replica.id].state()
+
+
+@attrs.define
+class Member:
+    """One instance: its view of the others is its own."""
+
+    name: str
+    client: FakeOrderClient
+    orders: orders.Orders
+    appender: batching.Appender
+    instances: set
+    task: asyncio.Task = None
+
+    def row(self, engine='e0'):
+        rows = {row['engine']: row for row in self.orders.status}
+        return rows.get(engine)
+
+
+class Bench:
+    """Instances, engines and one log under one catalogue."""
+
+    def __init__(self, engines, version='1', seed=1, **limits):
+        self.log = fake_log.FakeLog()
+        self.engines = engines
+        self.catalogue = make_catalogue(version, **limits)
+        self.limits = limits
+        self.seed = seed
+        self.members = []
+        self.listed = [engine.replica for engine in engines]
+
+    def publish(self, version, **changes):
+        self.catalogue = make_catalogue(version, **(self.limits | changes))
+
+    def member(self, name, instances=None):
+        clock = clocks.Clock()
+        chance = random.Random(f'{self.seed}/{name}')
+        appender = batching.new_appender(self.log, clock, 40, 5, chance)
+        client = FakeOrderClient(self.engines)
+        live = instances if instances is not None else {name}
+        around = orders.Surroundings(
+            catalogue=lambda: self.catalogue,
+            replicas=lambda: self.listed,
+            instances=lambda: member.instances,
+        )
+        controller = orders.new_orders(
+            name,
+            self.log,
+            appender,
+            clock,
+            client,
+            around,
+            telemetry.Metrics(),
+            chance,
+        )
+        member = Member(name, client, controller, appender, live)
+        member.task = asyncio.create_task(controller.run())
+        self.members.append(member)
+        return member
+
+    async def stop(self):
+        for member in self.members:
+            member.task.cancel()
+            await asyncio.gather(member.task, return_exceptions=True)
+            await member.appender.stop()
+
+    def as_wanted(self, version='1', adapters=('fine',)):
+        return all(
+            engine.models == {'writer': version}
+            and tuple(engine.adapters) == adapters
+            for engine in self.engines
+        )
+
+
+async def seconds(count):
+    await asyncio.sleep(count)
+
+
+LEASE_S = leases.LEASE_MS / 1000
