Test orders to engines step by fault

Tables on the virtual clock pause a holder before and behind the check of its lease, let two instances believe to have one duty, lose and delay the log's answers, take the log down, restart engines and change the catalogue in between. Each mechanism was taken out on a scratch copy and its test failed.

The new tests and the lint pass.

--- a/tests/order_bench.py
+++ b/tests/order_bench.py
@@ -8,7 +8,6 @@
 from sycamorebeam import batching
 from sycamorebeam import catalogue
 from sycamorebeam import clock as clocks
-from sycamorebeam import leases
 from sycamorebeam import telemetry
 from sycamorebeam.clients import orders as order_client
 from sycamorebeam.clients import results
@@ -53,8 +52,7 @@
         self.checks = checks
         self.load_ms = load_ms
         self.lose = 0
-        self.busy = 0
-        self.most_busy = 0
+        self.starts_ms = []
         self.carried = []
         self.state_reads = 0
         self.restart()
@@ -96,33 +94,44 @@
     """Brings orders of one instance to the engines.
 
     ``pause_ms`` holds the next order back right before its first byte, in
-    front of ``before_send``; ``pause_after_ms`` holds it right behind.
+    front of ``before_send``; ``pause_after_ms`` holds it right behind. The
+    whole instance is paused with it.
     """
 
     def __init__(self, engines):
         self.engines = {engine.replica.id: engine for engine in engines}
         self.pause_ms = 0
         self.pause_after_ms = 0
+        self.paused = False
+        self.awake = asyncio.Event()
+        self.sent = 0
 
     async def order(self, replica, order, deadline, before_send=None):
         engine = self.engines[replica.id]
         pause_ms, self.pause_ms = self.pause_ms, 0
-        await asyncio.sleep(pause_ms / 1000)
+        await self._pause(pause_ms)
         if before_send is not None:
             before_send()
         pause_ms, self.pause_after_ms = self.pause_after_ms, 0
-        await asyncio.sleep(pause_ms / 1000)
-        engine.busy += 1
-        engine.most_busy = max(engine.most_busy, engine.busy)
+        await self._pause(pause_ms)
+        self.sent += 1
         if order.kind.startswith('load'):
+            loop = asyncio.get_running_loop()
+            engine.starts_ms.append(int(loop.time() * 1000))
             await asyncio.sleep(engine.load_ms / 1000)
-        engine.busy -= 1
         found = engine.carry(order)
         if engine.lose:
             engine.lose -= 1
             return results.TargetMaybeRun('lost')
         return found
 
+    async def _pause(self, pause_ms):
+        self.paused = pause_ms > 0
+        await asyncio.sleep(pause_ms / 1000)
+        if self.paused:
+            self.awake.set()
+        self.paused = False
+
     async def state(self, replica):
         self.engines[replica.id].state_reads += 1
         return self.engines[replica.id].state()
@@ -138,6 +147,7 @@
     appender: batching.Appender
     instances: set
     task: asyncio.Task = None
+    old_catalogue: catalogue.Catalogue = None
 
     def row(self, engine='e0'):
         rows = {row['engine']: row for row in self.orders.status}
@@ -166,7 +176,7 @@
         client = FakeOrderClient(self.engines)
         live = instances if instances is not None else {name}
         around = orders.Surroundings(
-            catalogue=lambda: self.catalogue,
+            catalogue=lambda: self._seen_by(member),
             replicas=lambda: self.listed,
             instances=lambda: member.instances,
         )
@@ -185,6 +195,11 @@
         self.members.append(member)
         return member
 
+    def _seen_by(self, member):
+        if member.client.paused:
+            return None
+        return member.old_catalogue or self.catalogue
+
     async def stop(self):
         for member in self.members:
             member.task.cancel()
@@ -197,10 +212,3 @@
             and tuple(engine.adapters) == adapters
             for engine in self.engines
         )
-
-
-async def seconds(count):
-    await asyncio.sleep(count)
-
-
-LEASE_S = leases.LEASE_MS / 1000
