Let a target name the role of its engines

The catalogue could not say which role engines have, so set_role was never ordered. A target entry gets an optional role, null by default; the orders follow from it. Every entry is written with all fields, so the digest of targets changes with this commit, and a program from before it rejects entries that carry the field.

An order that is stopped in front of its first byte is shown to reach nothing at the stand-in. Lint and the tests of orders, entries, samples, pages and catalogue pass.

--- a/sycamorebeam/catalogue.py
+++ b/sycamorebeam/catalogue.py
@@ -88,12 +88,17 @@
 
 @attrs.frozen(kw_only=True)
 class Target(Entry):
-    """A group of equal replicas."""
+    """A group of equal replicas.
+
+    ``role`` is the role that engines are ordered to take; None leaves
+    theirs as it is.
+    """
 
     kind: TargetKind
     checks_fencing: bool = False
     cost_per_call: float = 1.0
     cost_per_token: float = 0.0
+    role: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/sycamorebeam/entries.py
+++ b/sycamorebeam/entries.py
@@ -59,6 +59,7 @@
         catalogue.Target: {
             'cost_per_call': checking.Range(0, MAX_COST),
             'cost_per_token': checking.Range(0, MAX_COST),
+            'role': NAME,
         },
         catalogue.Model: {'adapters': checking.Items(0, MAX_ADAPTERS)},
         catalogue.Team: {
--- a/sycamorebeam/wanted_state.py
+++ b/sycamorebeam/wanted_state.py
@@ -71,14 +71,15 @@
     for name, entry in accepted.of_kind('model').items():
         if not isinstance(entry, catalogue.Model):
             continue
-        target = accepted.target(entry.target)
-        if target is None or target.kind is not catalogue.TargetKind.ENGINE:
-            continue
         models.setdefault(entry.target, {})[name] = entry.version
         adapters.setdefault(entry.target, set()).update(entry.adapters)
     return {
-        group: Wanted(models[group], tuple(sorted(adapters[group])))
+        group: Wanted(
+            models[group], tuple(sorted(adapters[group])), target.role
+        )
         for group in models
+        if (target := accepted.target(group)) is not None
+        and target.kind is catalogue.TargetKind.ENGINE
     }
 
 
--- a/tests/order_bench.py
+++ b/tests/order_bench.py
@@ -22,12 +22,14 @@
 }
 
 
-def make_catalogue(version, per_s=1_000.0, at_once=1_000, adapters=('fine',)):
+def make_catalogue(
+    version, per_s=1_000.0, at_once=1_000, adapters=('fine',), role=None
+):
     limits = catalogue.Limits(requests_per_s=per_s, concurrency=at_once)
     store = COMMON | {'limits': limits}
     found = {
         'target/engines': catalogue.Target(
-            kind=catalogue.TargetKind.ENGINE, **COMMON
+            kind=catalogue.TargetKind.ENGINE, role=role, **COMMON
         ),
         'model/writer': catalogue.Model(
             target='engines', version=version, adapters=adapters, **COMMON
@@ -58,13 +60,14 @@
         self.restart()
 
     def restart(self):
+        self.role = 'generate'
         self.models = {}
         self.adapters = []
         self.fence = 0
 
     def state(self):
         return order_client.EngineState(
-            role='generate',
+            role=self.role,
             models=dict(self.models),
             adapters=tuple(self.adapters),
             fence=self.fence,
@@ -84,6 +87,8 @@
                 self.models[order.name] = order.version
             case 'load_adapter':
                 self.adapters.append(order.name)
+            case 'set_role':
+                self.role = order.name
             case 'unload':
                 self.models.pop(order.name, None)
                 self.adapters = [a for a in self.adapters if a != order.name]
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -152,6 +152,15 @@
         self.assertTrue(bench.as_wanted())
         await bench.stop()
 
+    async def test_a_change_of_role(self):
+        bench = self.bench()
+        bench.member('a')
+        await asyncio.sleep(20)
+        bench.publish('1', role='prefill')
+        await asyncio.sleep(20)
+        self.assertEqual('prefill', bench.engines[0].role)
+        await bench.stop()
+
     async def test_an_engine_ahead_of_the_log_is_left_alone(self):
         bench = self.bench()
         bench.engines[0].fence = 50
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import ddt
+import testtools
 
 from sycamorebeam import clock
+from sycamorebeam import errors
 from sycamorebeam.clients import orders
 from sycamorebeam.clients import reasons
 from sycamorebeam.clients import results
@@ -58,6 +60,21 @@
                 self.assertEqual(expected, found)
             self.assertLessEqual(len(stand.runs.of_id('o2')), 1)
 
+    async def test_stopped_right_before_its_first_byte(self):
+        def stop():
+            raise errors.LeaseError('lost', 'nothing was sent')
+
+        async with case.stand(case.ENGINE) as stand:
+            deadline = clock.deadline_in(case.CLOCK, 200)
+            client = stand.client.orders
+            with testtools.ExpectedException(errors.LeaseError):
+                await client.order(
+                    stand.replica, load_order('o1', 7), deadline, stop
+                )
+            self.assertEqual([], stand.runs.of_id('o1'))
+            state = await client.state(stand.replica)
+            self.assertEqual({}, state.models)
+
     async def test_is_declarative(self):
         steps = ['load_model', 'load_adapter', 'set_role', 'unload']
         async with case.stand(case.ENGINE) as stand:
