--- a/sycamorebeam/controllers/leases.py
+++ b/sycamorebeam/controllers/leases.py
@@ -24,8 +24,6 @@
 PAGE_RECORDS = 500
 # A reader starts this far before the end: older leases ended long ago.
 TAIL_RECORDS = 2_000
-# How long a lost answer to an append keeps the next try back.
-PENDING_MS = 5_000
 
 
 @attrs.define(eq=False)
@@ -119,7 +117,6 @@
 
     valid_until_ms: int = 0
     renewed_ms: int = 0
-    pending_until_ms: int = 0
     refused: int = -1
 
 
@@ -215,8 +212,6 @@
         own = self._own.get(engine)
         if own is None:
             return None
-        if self._clock.monotonic_ms() < own.pending_until_ms:
-            return leases.NotHeld('an append has had no answer yet')
         if reader.next_offset <= own.refused:
             return leases.NotHeld(
                 f'the engine has seen {own.refused}, the log ends at '
@@ -235,8 +230,6 @@
         result = await self._submit(engine, record)
         if isinstance(result, results.AppendRefused):
             return leases.NotHeld(result.reason)
-        if isinstance(result, results.AppendUnknown):
-            own.pending_until_ms = started_ms + PENDING_MS
         failure = await self.refresh(engine)
         if failure is not None:
             return failure
