Bound appends and load polls by the size of the fleet

Cause: each instance could append 40 records a second whatever the number of instances, 16,400 a second with 410 of them, and polled every replica of its subsets every two seconds. Each admission counted the live instances anew.

Change: an instance uses at most its share of the new setting platform.log_limit_appends_per_s by live instances, and saves up no burst while it is refused. Load polls are bounded to 14 a second. The number of live instances is counted when the list changes.

Sites of up to 28 replicas are polled as before; at 200 replicas 14 polls a second in place of 100.

Conclusion: 410 instances are allowed 300 appends a second together.

--- a/sycamorebeam/batching.py
+++ b/sycamorebeam/batching.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import enum
@@ -119,6 +120,7 @@
     _appends_per_s: float
     _linger_ms: int
     _random: random.Random
+    _share_per_s: Callable[[], float] | None = None
     _lanes: dict[str, _Lane] = attrs.field(factory=dict)
     _queued: int = 0
     _queued_bytes: int = 0
@@ -143,8 +145,15 @@
 
     @property
     def rate(self) -> float:
-        """The present bound on appends a second."""
-        return self._rate
+        """The present bound on appends a second.
+
+        It is lower by as much as this instance's share of the log's limit
+        is below its own limit.
+        """
+        if self._share_per_s is None:
+            return self._rate
+        part = self._share_per_s() / self._appends_per_s
+        return self._rate * min(1.0, part)
 
     async def submit(
         self, stream: str, record: records.Record, priority: Priority
@@ -265,15 +274,16 @@
         return oldest_ms if lane.is_full() else oldest_ms + self._linger_ms
 
     def _token_delay_ms(self, now_ms: int) -> float:
+        rate = self.rate
         if self._filled_at_ms is not None:
             elapsed_ms = now_ms - self._filled_at_ms
             self._tokens = min(
-                BURST_APPENDS, self._tokens + elapsed_ms * self._rate / 1000
+                BURST_APPENDS, self._tokens + elapsed_ms * rate / 1000
             )
         self._filled_at_ms = now_ms
         if self._tokens >= 1:
             return 0
-        return max(1.0, (1 - self._tokens) * 1000 / self._rate)
+        return max(1.0, (1 - self._tokens) * 1000 / rate)
 
     def _next_stream(self) -> str:
         now_ms = self._clock.monotonic_ms()
@@ -341,6 +351,7 @@
     def _back_off(self, retry_after_ms: int) -> None:
         slowest = self._appends_per_s * SLOWEST_SHARE
         self._rate = max(slowest, self._rate / 2)
+        self._tokens = min(self._tokens, 1.0)
         growth = 2 ** min(self._failures, 10)
         self._failures += 1
         hold_ms = min(MAX_HOLD_MS, FIRST_HOLD_MS * growth)
@@ -361,8 +372,18 @@
     appends_per_s: float,
     linger_ms: int,
     random_: random.Random | None = None,
+    share_per_s: Callable[[], float] | None = None,
 ) -> Appender:
-    """Return an appender; it starts its worker with the first record."""
+    """Return an appender; it starts its worker with the first record.
+
+    ``share_per_s`` returns this instance's present share of the limit
+    that the log has for all instances together.
+    """
     return Appender(
-        log, clock_, appends_per_s, linger_ms, random_ or random.Random()
+        log,
+        clock_,
+        appends_per_s,
+        linger_ms,
+        random_ or random.Random(),
+        share_per_s,
     )
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -21,6 +21,8 @@
 
 ENTRY_GROUP = 'entry'
 LOAD_POLL_MS = 2_000
+# A bound for large subsets: each replica is then polled less often.
+MAX_LOAD_POLLS_PER_S = 14
 # An observed departure outlives the list's lag, then the list is believed.
 LEAVING_MARK_MS = 60_000
 
@@ -71,6 +73,7 @@
         self._sizes = sizes
         self._groups: dict[str, dict[str, ReplicaState]] = {}
         self._instances: dict[str, results.Replica] = {}
+        self._live_instances = 1
         self._leaving_until_ms: dict[str, int] = {}
         self._on_leaving: list[Callable[[str], None]] = []
 
@@ -92,8 +95,7 @@
     @property
     def live_instances(self) -> int:
         """How many of our instances are live, at least this one."""
-        live = [i for i in self._instances.values() if not i.leaving]
-        return max(1, len(live))
+        return self._live_instances
 
     def on_leaving(self, callback: Callable[[str], None]) -> None:
         """Call ``callback`` with the id of each replica observed leaving."""
@@ -106,6 +108,8 @@
             by_group.setdefault(replica.group, []).append(replica)
         entries = by_group.pop(ENTRY_GROUP, [])
         self._instances = {replica.id: replica for replica in entries}
+        live = sum(not replica.leaving for replica in entries)
+        self._live_instances = max(1, live)
         self._groups = {
             group: self._merge(group, by_group[group]) for group in by_group
         }
@@ -148,7 +152,7 @@
         """Ask the replicas in use for their load, again and again."""
         while True:
             states = self._all_states()
-            pause_ms = LOAD_POLL_MS / max(1, len(states))
+            pause_ms = poll_pause_ms(len(states))
             for state in states:
                 await self._poll_one(client, state)
                 await self._clock.sleep_ms(pause_ms)
@@ -198,3 +202,9 @@
             for name, until_ms in self._leaving_until_ms.items()
             if until_ms > now_ms or name in listed
         }
+
+
+def poll_pause_ms(replicas: int) -> float:
+    """Return the time between two load polls of one instance."""
+    shortest_ms = 1000 / MAX_LOAD_POLLS_PER_S
+    return max(shortest_ms, LOAD_POLL_MS / max(1, replicas))
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -117,6 +117,7 @@
             self._clock,
             platform.log_appends_per_s,
             platform.batch_linger_ms,
+            share_per_s=self._log_share_per_s,
         )
 
     def _build_state(self) -> None:
@@ -246,6 +247,10 @@
             self._shutdown.hurry()
         self._asked_to_stop.set()
 
+    def _log_share_per_s(self) -> float:
+        limit = self._settings.platform.log_limit_appends_per_s
+        return limit / self._targets.live_instances
+
     def _hear_of_leaving(self, target_id: str) -> None:
         self._targets.mark_leaving(target_id, observed=False)
 
--- a/sycamorebeam/settings.py
+++ b/sycamorebeam/settings.py
@@ -51,12 +51,17 @@
 
 @attrs.frozen(kw_only=True)
 class Platform:
-    """Where the platform's services are, and how long to wait for them."""
+    """Where the platform's services are, and how long to wait for them.
+
+    ``log_appends_per_s`` bounds this instance, and
+    ``log_limit_appends_per_s`` all live instances together.
+    """
 
     log: str
     instances: str
     log_timeout_ms: int = 1000
     log_appends_per_s: float = 40.0
+    log_limit_appends_per_s: float = 300.0
     batch_linger_ms: int = 5
 
 
@@ -118,6 +123,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_PARTITIONS = 1024
 MAX_APPENDS_PER_S = 1000
+MAX_LOG_APPENDS_PER_S = 100_000
 MAX_IN_FLIGHT = 65_536
 
 SCHEMA = checking.Schema(
@@ -135,6 +141,9 @@
             'instances': checking.Url(),
             'log_timeout_ms': checking.Range(10, MINUTE_MS),
             'log_appends_per_s': checking.Range(0.1, MAX_APPENDS_PER_S),
+            'log_limit_appends_per_s': checking.Range(
+                1, MAX_LOG_APPENDS_PER_S
+            ),
             'batch_linger_ms': checking.Range(0, SECOND_MS),
         },
         Bounds: {
--- /dev/null
+++ b/tests/test_fleet_bounds.py
@@ -0,0 +1,116 @@
+"""Tests of what an instance may take as the fleet grows."""
+
+import asyncio
+import random
+
+import ddt
+
+from sycamorebeam import batching
+from sycamorebeam import records
+from tests import base
+from tests import build
+from tests import fake_log
+from tests import fake_targets
+
+OWN_PER_S = 40.0
+LIMIT_PER_S = 300.0
+LOAD_S = 10
+SEED = 3
+
+
+class CountingTargets(fake_targets.FakeTargets):
+    """Counts load polls by replica."""
+
+    def __init__(self):
+        super().__init__()
+        self.polls = {}
+
+    async def load(self, replica):
+        self.polls[replica.id] = self.polls.get(replica.id, 0) + 1
+        return await super().load(replica)
+
+
+async def offer(appender, stream):
+    """Offer one record after another until cancelled."""
+    while True:
+        await appender.submit(
+            stream, records.Record('t', 1, {}), batching.Priority.CLAIM
+        )
+        await asyncio.sleep(0.005)
+
+
+async def run_for(works, seconds):
+    tasks = [asyncio.create_task(work) for work in works]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+
+
+@ddt.ddt
+class FleetBoundsTest(base.TestCase):
+    @ddt.data(1, 6, 60, 410)
+    async def test_appends_stay_below_the_share_of_the_log(self, instances):
+        log = fake_log.FakeLog()
+        share_per_s = LIMIT_PER_S / instances
+        appender = batching.new_appender(
+            log,
+            build.CLOCK,
+            OWN_PER_S,
+            0,
+            random.Random(SEED),
+            lambda: share_per_s,
+        )
+        await run_for(
+            (offer(appender, f's{number}') for number in range(4)), LOAD_S
+        )
+        most = min(OWN_PER_S, share_per_s) * LOAD_S + batching.BURST_APPENDS
+        self.assertLessEqual(log.append_calls, most)
+        self.assertGreaterEqual(log.append_calls, most * 0.5)
+        await appender.stop()
+
+    async def test_no_burst_is_saved_up_during_an_outage(self):
+        log = fake_log.FakeLog()
+        log.down = True
+        appender = batching.new_appender(
+            log, build.CLOCK, OWN_PER_S, 0, random.Random(SEED), lambda: 1.0
+        )
+        await appender.submit(
+            's', records.Record('t', 1, {}), batching.Priority.CLAIM
+        )
+        log.down = False
+        log.append_calls = 0
+        await run_for(
+            (offer(appender, f's{number}') for number in range(4)), 1
+        )
+        self.assertLessEqual(log.append_calls, 2)
+        await appender.stop()
+
+    @ddt.data((4, 20), (27, 135), (200, 140))
+    @ddt.unpack
+    async def test_load_polls_are_bounded(self, replicas, most):
+        known = build.known_targets(
+            [
+                build.replica(f'{group}-{number}', f'g{group}')
+                for group in range(-(-replicas // 8))
+                for number in range(min(8, replicas - group * 8))
+            ]
+        )
+        client = CountingTargets()
+        await run_for([known.poll_loads(client)], LOAD_S)
+        self.assertEqual(
+            min(replicas, sum(client.polls.values())), len(client.polls)
+        )
+        self.assertLessEqual(sum(client.polls.values()), most + 1)
+        self.assertGreaterEqual(sum(client.polls.values()), most * 0.9)
+
+    async def test_counts_instances_that_are_not_leaving(self):
+        known = build.known_targets([])
+        self.assertEqual(1, known.live_instances)
+        known.replace(
+            [
+                build.replica(f'e{number}', 'entry', leaving=number == 2)
+                for number in range(4)
+            ]
+        )
+        self.assertEqual(3, known.live_instances)
