Add the page on capacity at the size of two years

Cause: nobody could say which parts of today's design reach 410 instances before 12,000 replicas, and which do not.

Change: tools/capacity*.py measure slopes and render docs/CAPACITY.md from docs/capacity/data.json; a test fails when page and data differ. The data comes from one run of each part, with two parts at a time.

--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,92 @@
+"""Measures the slopes of ``docs/CAPACITY.md`` and renders its tables.
+
+Without an option it does both. The page's prose stands between the
+generated parts and is left as it is.
+"""
+
+import json
+import os
+import pathlib
+import platform
+import re
+from typing import Annotated
+from typing import Any
+
+import attrs
+import typer
+
+from tools import capacity_catalogue
+from tools import capacity_claims
+from tools import capacity_fit as fits
+from tools import capacity_fleet
+from tools import capacity_page
+from tools import capacity_path
+from tools import capacity_peers
+from tools import capacity_regions
+
+ROOT = pathlib.Path(__file__).parents[1]
+DATA = ROOT / 'docs' / 'capacity' / 'data.json'
+PAGE = ROOT / 'docs' / 'CAPACITY.md'
+MARKED = re.compile(
+    r'(<!-- begin (?P<name>[a-z-]+) -->\n).*?(<!-- end (?P=name) -->)',
+    re.DOTALL,
+)
+
+
+def measure() -> dict[str, Any]:
+    """Return everything that was measured, ready for JSON."""
+    series: list[fits.Series] = []
+    for work in (
+        capacity_path.measure,
+        capacity_catalogue.measure,
+        capacity_claims.measure,
+        capacity_fleet.measure,
+        capacity_peers.measure,
+    ):
+        series += work()
+        print(f'measured {work.__module__}', flush=True)
+    stages, tokens = capacity_regions.measure()
+    return {
+        'machine': {
+            'cores': os.cpu_count(),
+            'python': platform.python_version(),
+        },
+        'series': [attrs.asdict(item) for item in [*series, tokens]],
+        'stages': [attrs.asdict(item) for item in stages],
+    }
+
+
+def load_data(path: pathlib.Path = DATA) -> capacity_page.Measured:
+    """Return what a file of measurements holds."""
+    return fits.CONVERTER.structure(
+        json.loads(path.read_text()), capacity_page.Measured
+    )
+
+
+def render(page: str, measured: capacity_page.Measured) -> str:
+    """Return the page with each generated part made anew."""
+    parts = capacity_page.parts(measured)
+
+    def part(found: re.Match[str]) -> str:
+        return f'{found[1]}{parts[found["name"]]}{found[3]}'
+
+    return MARKED.sub(part, page)
+
+
+def main(
+    measuring: Annotated[
+        bool, typer.Option('--measure', help='Measure again only.')
+    ] = False,
+    rendering: Annotated[
+        bool, typer.Option('--render', help='Render the page only.')
+    ] = False,
+) -> None:
+    """Measure the slopes and render docs/CAPACITY.md."""
+    if measuring or not rendering:
+        DATA.write_text(json.dumps(measure(), indent=1) + '\n')
+    if rendering or not measuring:
+        PAGE.write_text(render(PAGE.read_text(), load_data()))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/tools/capacity_fit.py
@@ -0,0 +1,92 @@
+"""Straight lines through measured points, with their spread."""
+
+from collections.abc import Callable
+import gc
+import time
+import tracemalloc
+from typing import Any
+
+import attrs
+import cattrs
+import numpy as np
+
+CONVERTER = cattrs.Converter()
+MIN_SIZES = 4
+MIN_RANGE = 100
+
+
+@attrs.frozen
+class Point:
+    """One measurement: the size and what was found there."""
+
+    size: float
+    value: float
+
+
+@attrs.frozen(kw_only=True)
+class Series:
+    """Measurements of one quantity at several sizes."""
+
+    name: str
+    size_unit: str
+    value_unit: str
+    points: tuple[Point, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Fit:
+    """The least squares line, and the largest distance of a point from it.
+
+    ``spread`` is that distance as a share of the largest value.
+    """
+
+    slope: float
+    intercept: float
+    spread: float
+
+    def at(self, size: float) -> float:
+        """Return the value at a size; a negative intercept is left out."""
+        return self.slope * size + max(0.0, self.intercept)
+
+    def size_for(self, value: float) -> float:
+        """Return the size at which the line reaches a value."""
+        room = value - max(0.0, self.intercept)
+        if room <= 0:
+            return 0.0
+        return room / self.slope if self.slope > 0 else float('inf')
+
+
+def fit(series: Series) -> Fit:
+    """Return the line through the points of a series."""
+    sizes = np.array([point.size for point in series.points])
+    values = np.array([point.value for point in series.points])
+    slope, intercept = np.polyfit(sizes, values, 1)
+    found = slope * sizes + intercept
+    largest = float(np.max(np.abs(values))) or 1.0
+    spread = float(np.max(np.abs(values - found))) / largest
+    return Fit(slope=float(slope), intercept=float(intercept), spread=spread)
+
+
+def cpu_ms(work: Callable[[], object], repeats: int = 3) -> float:
+    """Return the least CPU time of several runs, in milliseconds."""
+    found = []
+    for _ in range(repeats):
+        gc.collect()
+        start = time.process_time()
+        work()
+        found.append((time.process_time() - start) * 1000)
+    return min(found)
+
+
+def held_bytes(make: Callable[[], Any]) -> tuple[int, int]:
+    """Return the bytes that a new object holds, and the peak on the way."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        kept = make()
+        gc.collect()
+        held, peak = tracemalloc.get_traced_memory()
+        del kept
+        return held, peak
+    finally:
+        tracemalloc.stop()
--- /dev/null
+++ b/tools/capacity_fleet.py
@@ -0,0 +1,279 @@
+"""Measures what grows with targets and teams: lists, polls and limits."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import clock as clocks
+from sycamorebeam import settings
+from sycamorebeam.clients import instances
+from sycamorebeam.clients import results
+from sycamorebeam.clients import targets as target_clients
+from sycamorebeam.controllers import limits
+from sycamorebeam.controllers import targets
+from sycamorebeam.policy import subset
+from sycamorebeam.standins import target as target_standin
+from tools import capacity_fit as fits
+
+REPLICAS = (120, 400, 1_200, 4_000, 12_000)
+INSTANCES = (6, 20, 60, 200, 600)
+TEAMS = (40, 120, 400, 1_200, 4_000)
+POLLS = (10, 30, 100, 300, 1_000)
+GROUPS = 16
+GROUP_COUNTS = (1, 4, 12, 40, 100)
+MOST_REPLICAS = 12_000
+ZONES = 33
+REGIONS = 11
+DECISIONS = 200
+CLOCK = clocks.Clock()
+HERE = settings.Placement(zone='zone-0', region='region-0')
+
+
+def items(
+    replicas: int, entries: int = 0, groups: int = GROUPS
+) -> list[dict[str, Any]]:
+    """Return the items of an instance list, spread over zones."""
+    found = []
+    for number in range(replicas + entries):
+        zone = number % ZONES
+        group = f'group-{number // ZONES % groups}'
+        item = {
+            'id': f'{group}-{number:05}',
+            'group': group,
+            'address': f'10.{number >> 16}.{number >> 8 & 255}.'
+            f'{number & 255}:21401',
+            'zone': f'zone-{zone}',
+            'region': f'region-{zone % REGIONS}',
+            'state': 'live',
+        }
+        if number >= replicas:
+            item |= {
+                'id': f'entry-{number:05}',
+                'group': targets.ENTRY_GROUP,
+                'peer_address': item['address'],
+            }
+        found.append(item)
+    return found
+
+
+def body(replicas: int) -> bytes:
+    """Return the answer of the platform's instance list."""
+    return json.dumps({'version': 1, 'items': items(replicas)}).encode()
+
+
+def parse(data: bytes) -> list[results.Replica]:
+    """Return the replicas of an answer, as the client reads them."""
+    page = instances._page(json.loads(data))
+    assert isinstance(page, instances.InstancePage)
+    return list(page.replicas)
+
+
+def new_targets(replicas: list[results.Replica]) -> targets.Targets:
+    """Return the targets of one instance after one list."""
+    known = targets.Targets('entry-1', HERE, CLOCK, subset.SubsetSizes())
+    asyncio.run(_replace(known, replicas))
+    return known
+
+
+async def _replace(
+    known: targets.Targets, replicas: list[results.Replica]
+) -> None:
+    known.replace(replicas)
+
+
+def measure() -> list[fits.Series]:
+    """Return the series of list, targets, polls, limits and scans."""
+    return [
+        *_list(),
+        _state(),
+        _limits(),
+        _scan(),
+        *_polls(),
+    ]
+
+
+@attrs.frozen
+class _Found:
+    list_bytes: int
+    parse_ms: float
+    peak: int
+    replace_ms: float
+
+
+def _list() -> list[fits.Series]:
+    found = [(count, _by_replicas(count)) for count in REPLICAS]
+
+    def series(name: str, unit: str, field: str) -> fits.Series:
+        points = tuple(
+            fits.Point(count, getattr(item, field)) for count, item in found
+        )
+        return fits.Series(
+            name=name, size_unit='replicas', value_unit=unit, points=points
+        )
+
+    return [
+        series('list.answer', 'bytes', 'list_bytes'),
+        series('list.parse', 'ms', 'parse_ms'),
+        series('list.peak', 'bytes', 'peak'),
+        series('targets.replace', 'ms', 'replace_ms'),
+    ]
+
+
+def _by_replicas(count: int) -> _Found:
+    data = body(count)
+    replicas = parse(data)
+    _, peak = fits.held_bytes(lambda: parse(data))
+    known = new_targets(replicas)
+    return _Found(
+        list_bytes=len(data),
+        parse_ms=fits.cpu_ms(lambda: parse(data)),
+        peak=peak,
+        replace_ms=fits.cpu_ms(lambda: asyncio.run(_replace(known, replicas))),
+    )
+
+
+def _state() -> fits.Series:
+    """Measure the targets' state by the replicas in the subsets."""
+    points = []
+    for count in GROUP_COUNTS:
+        listed = items(MOST_REPLICAS, groups=count)
+        data = json.dumps({'version': 1, 'items': listed}).encode()
+        known = new_targets(parse(data))
+        in_use = sum(len(group) for group in known.groups.values())
+        held, _ = fits.held_bytes(lambda: new_targets(parse(data)))  # noqa: B023
+        points.append(fits.Point(in_use, held))
+    return fits.Series(
+        name='targets.state',
+        size_unit='replicas in use',
+        value_unit='bytes',
+        points=tuple(points),
+    )
+
+
+def _limits() -> fits.Series:
+    points = tuple(
+        fits.Point(
+            count,
+            fits.held_bytes(lambda: asyncio.run(_admit(count)))[0],  # noqa: B023
+        )
+        for count in TEAMS
+    )
+    return fits.Series(
+        name='limits.state',
+        size_unit='teams seen',
+        value_unit='bytes',
+        points=points,
+    )
+
+
+async def _admit(teams: int) -> limits.LimitsController:
+    controller = limits.LimitsController(CLOCK, 65_536)
+    bounds = catalogue.Limits(requests_per_s=10.0, concurrency=16)
+    for number in range(teams):
+        controller.admit(
+            f'team-{number:05}', bounds, catalogue.ServiceClass.NORMAL, 410
+        )
+    return controller
+
+
+def _scan() -> fits.Series:
+    """Measure what an admission pays for the number of live instances."""
+    points = []
+    for count in INSTANCES:
+        page = instances._page({'version': 1, 'items': items(0, count)})
+        assert isinstance(page, instances.InstancePage)
+        known = new_targets(list(page.replicas))
+        work = _repeat(lambda: known.live_instances)  # noqa: B023
+        points.append(fits.Point(count, fits.cpu_ms(work) / DECISIONS))
+    return fits.Series(
+        name='limits.live_instances',
+        size_unit='instances',
+        value_unit='ms',
+        points=tuple(points),
+    )
+
+
+def _repeat(work: Callable[[], object]) -> Callable[[], None]:
+    def run() -> None:
+        for _ in range(DECISIONS):
+            work()
+
+    return run
+
+
+class TargetThread:
+    """One stand-in replica on a thread of its own."""
+
+    def __init__(self, kind: catalogue.TargetKind) -> None:
+        self._kind = kind
+        self._loop = asyncio.new_event_loop()
+        self._stop = asyncio.Event()
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self.address = ''
+
+    def __enter__(self) -> 'TargetThread':
+        self._thread.start()
+        self._started.wait()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._loop.call_soon_threadsafe(self._stop.set)
+        self._thread.join()
+
+    def _run(self) -> None:
+        with asyncio.Runner(loop_factory=lambda: self._loop) as runner:
+            runner.run(self._serve())
+
+    async def _serve(self) -> None:
+        server = await target_standin.start_target(self._kind)
+        self.address = server.address
+        self._started.set()
+        await self._stop.wait()
+        await server.close()
+
+
+def _polls() -> list[fits.Series]:
+    """Measure load polls over loopback; the CPU is this thread's own."""
+    sizes, times = [], []
+    with TargetThread(catalogue.TargetKind.ENGINE) as server:
+        for count in POLLS:
+            moved, taken_ms = asyncio.run(_poll(server.address, count))
+            sizes.append(fits.Point(count, moved))
+            times.append(fits.Point(count, taken_ms))
+    return [
+        fits.Series(
+            name='polls.bytes',
+            size_unit='polls',
+            value_unit='bytes',
+            points=tuple(sizes),
+        ),
+        fits.Series(
+            name='polls.cpu',
+            size_unit='polls',
+            value_unit='ms',
+            points=tuple(times),
+        ),
+    ]
+
+
+async def _poll(address: str, count: int) -> tuple[int, float]:
+    moved = []
+    client = target_clients.new_targets(
+        CLOCK, on_bytes=lambda _, sent, received: moved.append(sent + received)
+    )
+    replica = results.Replica('e', 'engines', address, 'zone-0', 'region-0')
+    assert await client.load(replica) is not None
+    moved.clear()
+    start = time.thread_time()
+    for _ in range(count):
+        assert await client.load(replica) is not None
+    taken_ms = (time.thread_time() - start) * 1000
+    await client.close()
+    return sum(moved), taken_ms
--- /dev/null
+++ b/tools/capacity_path.py
@@ -0,0 +1,386 @@
+"""Measures the request path: one instance between callers and targets.
+
+The instance runs in this process; platform, targets and callers run in
+two others, so that CPU and memory of this one are the instance's own.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import contextlib
+import multiprocessing
+from multiprocessing import connection
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+import loguru
+import psutil
+import uvloop
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_records
+from sycamorebeam import catalogue_store
+from sycamorebeam import entries
+from sycamorebeam import instance as instances
+from sycamorebeam import records
+from sycamorebeam import settings
+from sycamorebeam.clients import log as log_client
+from sycamorebeam.clients import results
+from sycamorebeam.standins import platform
+from sycamorebeam.standins import replica
+from sycamorebeam.standins import target
+from tools import capacity_catalogue
+from tools import capacity_fit as fits
+
+STAGES = (1, 2, 4, 8, 32)
+REQUESTS = (10, 30, 100, 300, 1_000)
+TOKENS = (2, 8, 32, 128, 256)
+IN_FLIGHT = (5, 15, 50, 150, 500)
+TEAMS = (270, 900, 2_700, 9_000, 27_000)
+TOKEN_REQUESTS = 24
+CONCURRENCY = 8
+SLOW_MS = 4_000
+HOLD_S = 2.5
+START_S = 1.5
+READY_TRIES = 200
+QUICK = 'quick'
+SLOW = 'slow'
+ENGINE = 'engine'
+CATALOGUE_TEAMS = 100
+
+
+@attrs.frozen
+class Load:
+    """What the callers send."""
+
+    pipeline: str
+    requests: int
+    concurrency: int
+    stream: bool = False
+
+
+def _serve_site(pipe: connection.Connection) -> None:
+    """Serve platform and targets until the pipe says stop."""
+    uvloop.run(_site(pipe))
+
+
+async def _site(pipe: connection.Connection) -> None:
+    loguru.logger.remove()
+    running = await platform.start_platform()
+    kinds = {
+        QUICK: (catalogue.TargetKind.POOL, replica.TargetOptions(work_ms=0)),
+        SLOW: (
+            catalogue.TargetKind.POOL,
+            replica.TargetOptions(work_ms=SLOW_MS, capacity=2_000),
+        ),
+        ENGINE: (
+            catalogue.TargetKind.ENGINE,
+            replica.TargetOptions(token_ms=1, prefill_ms=0),
+        ),
+    }
+    items = []
+    servers = []
+    for name, (kind, options) in kinds.items():
+        server = await target.start_target(kind, name, options)
+        servers.append(server)
+        items.append(
+            {
+                'id': f'{name}-1',
+                'group': name,
+                'address': server.address,
+                'zone': 'a1',
+                'region': 'a',
+                'state': 'live',
+            }
+        )
+    running.instances.put(items)
+    pipe.send(running.address)
+    await asyncio.to_thread(pipe.recv)
+    for server in servers:
+        await server.close()
+    await running.close()
+
+
+def _serve_callers(pipe: connection.Connection, address: str) -> None:
+    """Send each load that the pipe brings, and answer when it is done."""
+    uvloop.run(_callers(pipe, address))
+
+
+async def _callers(pipe: connection.Connection, address: str) -> None:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        while True:
+            load = await asyncio.to_thread(pipe.recv)
+            if load is None:
+                return
+            slots = asyncio.Semaphore(load.concurrency)
+            url = f'http://{address}/v1/pipelines/{load.pipeline}/requests'
+            statuses = await asyncio.gather(
+                *(
+                    _call(session, slots, url, load.stream)
+                    for _ in range(load.requests)
+                )
+            )
+            pipe.send(statuses.count(200))
+
+
+async def _call(
+    session: aiohttp.ClientSession,
+    slots: asyncio.Semaphore,
+    url: str,
+    stream: bool,
+) -> int:
+    headers = {'Authorization': 'Bearer t0'}
+    if stream:
+        headers['Accept'] = 'text/event-stream'
+    text = {'input': {'text': 'why did the level fall at station 7?'}}
+    async with slots, session.post(url, json=text, headers=headers) as found:
+        await found.read()
+        return found.status
+
+
+def _values() -> dict[str, dict[str, Any]]:
+    """Return the catalogue: pipelines by stages and by tokens, and teams."""
+    plain = {'owner': 'ops', 'class': 'normal', 'limits': {}}
+    found: dict[str, dict[str, Any]] = {
+        f'target/{QUICK}': {**plain, 'kind': 'pool'},
+        f'target/{SLOW}': {**plain, 'kind': 'pool'},
+        f'target/{ENGINE}': {**plain, 'kind': 'engine'},
+        'model/m': {**plain, 'target': ENGINE, 'version': '1'},
+        'team/first': {
+            **plain,
+            'token_sha256': capacity_catalogue.team(0)['token_sha256'],
+        },
+    }
+    for count in STAGES:
+        stages = [_stage(f's{number}', QUICK) for number in range(count)]
+        found[f'pipeline/stages-{count}'] = _pipeline(stages)
+    for count in TOKENS:
+        stage = _stage('g', ENGINE, 'generate', model='m', max_tokens=count)
+        found[f'pipeline/tokens-{count}'] = _pipeline([stage])
+    found['pipeline/slow'] = _pipeline([_stage('s', SLOW)])
+    return found
+
+
+def _stage(
+    name: str, group: str, operation: str = 'encode', **fields: Any
+) -> dict[str, Any]:
+    return {'name': name, 'target': group, 'operation': operation, **fields}
+
+
+def _pipeline(stages: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        'owner': 'ops',
+        'class': 'normal',
+        'limits': {},
+        'deadline_ms': 60_000,
+        'stages': stages,
+    }
+
+
+def _change(number: int, values: dict[str, dict[str, Any]]) -> bytes:
+    """Return the append that creates the entries."""
+    edits = []
+    for key, value in values.items():
+        entry = entries.from_plain(key.partition('/')[0], value)
+        plain = entries.to_plain(entry)
+        edits.append(
+            catalogue_records.Edit(key, catalogue_store.ABSENT, plain)
+        )
+    item = catalogue_records.Change(
+        id=f'change-{number}',
+        author='ops',
+        time_ms=number,
+        reason='capacity',
+        edits=tuple(edits),
+    )
+    return records.pack_envelope([catalogue_records.to_record(item)])
+
+
+@attrs.define
+class Bench:
+    """One instance and the processes around it."""
+
+    instance: instances.Instance
+    callers: connection.Connection
+    log: log_client.LogClient
+    teams: int = 1
+
+    async def run(self, load: Load) -> float:
+        """Return the CPU of the instance for a load, in milliseconds."""
+        start = time.process_time()
+        await self.send(load)
+        await self.wait(load)
+        return (time.process_time() - start) * 1000
+
+    async def send(self, load: Load) -> None:
+        """Start a load."""
+        self.callers.send(load)
+
+    async def wait(self, load: Load) -> None:
+        """Wait until every request of the load was answered."""
+        complete = await asyncio.to_thread(self.callers.recv)
+        assert complete == load.requests, (complete, load)
+
+    async def grow(self, teams: int) -> None:
+        """Add teams to the catalogue until it has so many."""
+        while self.teams < teams:
+            last = min(teams, self.teams + CATALOGUE_TEAMS)
+            data = capacity_catalogue.change(
+                self.teams,
+                capacity_catalogue.edits(
+                    self.teams, last, catalogue_store.ABSENT
+                ),
+            )
+            found = await self.log.append(catalogue_records.STREAM, data)
+            self.teams = last
+            assert isinstance(found, results.Appended), found
+            await self._in_force(found.offset)
+
+    async def _in_force(self, offset: int) -> None:
+        for _ in range(READY_TRIES):
+            if self.instance._catalogue.offset >= offset:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError('the catalogue does not follow')
+
+
+@contextlib.asynccontextmanager
+async def _bench() -> AsyncIterator[Bench]:
+    loguru.logger.remove()
+    context = multiprocessing.get_context('spawn')
+    site_pipe, far_site = context.Pipe()
+    site = context.Process(target=_serve_site, args=(far_site,))
+    site.start()
+    address = await asyncio.to_thread(site_pipe.recv)
+    log = log_client.new_log_client(address, 2_000)
+    await log.append(catalogue_records.STREAM, _change(0, _values()))
+    instance = instances.Instance(_settings(address), b'0' * 32)
+    await instance.start()
+    for _ in range(READY_TRIES):
+        await asyncio.sleep(0.02)
+        if instance._catalogue.offset >= 0 and instance._targets.groups:
+            break
+    host, port = instance._runners[0].addresses[0][:2]
+    near, far = context.Pipe()
+    callers = context.Process(
+        target=_serve_callers, args=(far, f'{host}:{port}')
+    )
+    callers.start()
+    try:
+        yield Bench(instance, near, log)
+    finally:
+        near.send(None)
+        site_pipe.send(None)
+        await instance.stop()
+        await log.close()
+        for process in (site, callers):
+            process.join(5)
+            process.kill()
+
+
+def _settings(address: str) -> settings.Settings:
+    return settings.Settings(
+        instance_id='entry-1',
+        placement=settings.Placement(zone='a1', region='a'),
+        addresses=settings.Addresses(
+            callers='127.0.0.1:0', peers='127.0.0.1:0'
+        ),
+        platform=settings.Platform(
+            log=f'http://{address}', instances=f'http://{address}'
+        ),
+        peer_secret_file='',
+        bounds=settings.Bounds(max_in_flight=2_000),
+    )
+
+
+def measure() -> list[fits.Series]:
+    """Return the series of the request path."""
+    return uvloop.run(_measure())
+
+
+async def _measure() -> list[fits.Series]:
+    async with _bench() as bench:
+        await bench.run(Load('stages-4', 200, CONCURRENCY))
+        return [
+            await _by_requests(bench),
+            await _by_stages(bench),
+            await _by_tokens(bench),
+            await _memory(bench),
+            await _idle(bench),
+            await _by_teams(bench),
+        ]
+
+
+def _series(
+    name: str, sizes: Sequence[int], unit: str, of: str, found: list[float]
+) -> fits.Series:
+    points = tuple(
+        fits.Point(size, value)
+        for size, value in zip(sizes, found, strict=True)
+    )
+    return fits.Series(name=name, size_unit=unit, value_unit=of, points=points)
+
+
+async def _by_requests(bench: Bench) -> fits.Series:
+    found = [
+        await bench.run(Load('stages-4', count, CONCURRENCY))
+        for count in REQUESTS
+    ]
+    return _series('path.requests', REQUESTS, 'requests', 'ms', found)
+
+
+async def _by_stages(bench: Bench) -> fits.Series:
+    found = [
+        await bench.run(Load(f'stages-{count}', 100, CONCURRENCY)) / 100
+        for count in STAGES
+    ]
+    return _series('path.stages', STAGES, 'stages', 'ms a request', found)
+
+
+async def _by_tokens(bench: Bench) -> fits.Series:
+    found = []
+    for count in TOKENS:
+        load = Load(f'tokens-{count}', TOKEN_REQUESTS, CONCURRENCY, True)
+        found.append(await bench.run(load) / TOKEN_REQUESTS)
+    return _series('path.tokens', TOKENS, 'tokens', 'ms a request', found)
+
+
+async def _memory(bench: Bench) -> fits.Series:
+    """Measure the growth of resident memory while requests are held."""
+    process = psutil.Process()
+    found = []
+    for count in IN_FLIGHT:
+        before = process.memory_info().rss
+        load = Load('slow', count, count)
+        await bench.send(load)
+        await asyncio.sleep(HOLD_S)
+        found.append(float(process.memory_info().rss - before))
+        await bench.wait(load)
+    return _series('path.memory', IN_FLIGHT, 'in flight', 'bytes', found)
+
+
+async def _idle(bench: Bench) -> fits.Series:
+    """Measure the resident memory and CPU of an instance without load."""
+    start = time.process_time()
+    await asyncio.sleep(START_S * 4)
+    taken_ms = (time.process_time() - start) * 1000
+    rss = float(psutil.Process().memory_info().rss)
+    return fits.Series(
+        name='path.idle',
+        size_unit='CPU ms/s',
+        value_unit='bytes resident',
+        points=(fits.Point(taken_ms / START_S / 4, rss),),
+    )
+
+
+async def _by_teams(bench: Bench) -> fits.Series:
+    """Measure what a request costs by the size of the catalogue."""
+    found = []
+    for teams in TEAMS:
+        await bench.grow(teams)
+        load = Load('stages-4', 40, CONCURRENCY)
+        found.append(await bench.run(load) / 40)
+    return _series('path.teams', TEAMS, 'teams', 'ms a request', found)
--- /dev/null
+++ b/tools/capacity_regions.py
@@ -0,0 +1,162 @@
+"""Measures the bytes of each stage of the sample pipelines."""
+
+import asyncio
+import pathlib
+from typing import Any
+
+import attrs
+
+from sycamorebeam import catalogue
+from sycamorebeam import catalogue_file
+from sycamorebeam import clock as clocks
+from sycamorebeam.clients import ports
+from sycamorebeam.clients import results
+from sycamorebeam.clients import targets as target_clients
+from sycamorebeam.pipeline import inputs
+from sycamorebeam.standins import target as target_standin
+from tools import capacity_fit as fits
+
+SAMPLES = pathlib.Path(__file__).parents[1] / 'samples'
+USERS = ('cedarline', 'kovacik')
+TOKENS = (4, 16, 64, 256, 512)
+TEXT = 'Why did the level at station 7 fall between two and four at night?'
+CLOCK = clocks.Clock()
+
+
+@attrs.frozen(kw_only=True)
+class StageBytes:
+    """What one stage of a sample pipeline moves, headers included."""
+
+    user: str
+    pipeline: str
+    stage: str
+    kind: str
+    tokens: int
+    sent: int
+    received: int
+
+
+@attrs.define
+class _Site:
+    """One stand-in replica of each kind, and a client that counts."""
+
+    replicas: dict[catalogue.TargetKind, results.Replica]
+    client: target_clients.HttpTargets
+    moved: list[tuple[int, int]]
+    calls: int = 0
+
+    async def call(
+        self,
+        kind: catalogue.TargetKind,
+        stage: catalogue.Stage,
+        stage_input: dict[str, Any],
+    ) -> tuple[dict[str, Any], int, int]:
+        """Return output, sent and received bytes of a stage."""
+        self.moved.clear()
+        self.calls += 1
+        answer = await self.client.call(
+            kind,
+            self.replicas[kind],
+            ports.Attempt(
+                id=f'request-0123456789abcdef.{self.calls:03}',
+                operation=stage.operation,
+                input=stage_input,
+                deadline=clocks.deadline_in(CLOCK, 60_000),
+                model=stage.model,
+                max_tokens=stage.max_tokens,
+                fresh_connection=not stage.idempotent,
+            ),
+        )
+        assert isinstance(answer, results.TargetAnswer), answer
+        sent = sum(item[0] for item in self.moved)
+        received = sum(item[1] for item in self.moved)
+        return answer.output, sent, received
+
+
+def measure() -> tuple[list[StageBytes], fits.Series]:
+    """Return the bytes by stage, and those of a stream by tokens."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> tuple[list[StageBytes], fits.Series]:
+    servers = {
+        kind: await target_standin.start_target(kind)
+        for kind in catalogue.TargetKind
+    }
+    moved: list[tuple[int, int]] = []
+    client = target_clients.new_targets(
+        CLOCK,
+        on_bytes=lambda _, sent, received: moved.append((sent, received)),
+    )
+    replicas = {
+        kind: results.Replica(kind.value, kind.value, server.address, 'a', 'a')
+        for kind, server in servers.items()
+    }
+    site = _Site(replicas, client, moved)
+    rows = []
+    for user in USERS:
+        rows += await _user(site, user)
+    series = await _tokens(site)
+    await client.close()
+    for server in servers.values():
+        await server.close()
+    return rows, series
+
+
+async def _user(site: _Site, user: str) -> list[StageBytes]:
+    found = catalogue_file.load_catalogue_file(
+        SAMPLES / user / 'catalogue.jsonc'
+    )
+    rows: list[StageBytes] = []
+    for key, entry in found.items():
+        if not isinstance(entry, catalogue.Pipeline):
+            continue
+        outputs: dict[str, dict[str, Any]] = {}
+        for index, stage in enumerate(entry.stages):
+            group = found[f'target/{stage.target}']
+            assert isinstance(group, catalogue.Target)
+            needed = inputs.needed_stages(entry, index)
+            stage_input = inputs.stage_input(
+                group.kind,
+                {'text': TEXT},
+                {name: outputs[name] for name in needed},
+            )
+            output, sent, received = await site.call(
+                group.kind, stage, stage_input
+            )
+            outputs[stage.name] = output
+            generates = group.kind is catalogue.TargetKind.ENGINE
+            rows.append(
+                StageBytes(
+                    user=user,
+                    pipeline=key.removeprefix('pipeline/'),
+                    stage=stage.name,
+                    kind=group.kind.value,
+                    tokens=stage.max_tokens if generates else 0,
+                    sent=sent,
+                    received=received,
+                )
+            )
+    return rows
+
+
+async def _tokens(site: _Site) -> fits.Series:
+    points = []
+    for count in TOKENS:
+        stage = catalogue.Stage(
+            name='g',
+            target='engine',
+            operation='generate',
+            model='m',
+            max_tokens=count,
+        )
+        _, _, received = await site.call(
+            catalogue.TargetKind.ENGINE, stage, {'prompt': TEXT}
+        )
+        points.append(fits.Point(count, received))
+    return fits.Series(
+        name='regions.tokens',
+        size_unit='tokens',
+        value_unit='bytes',
+        points=tuple(points),
+    )
