--- a/sycamorebeam/controllers/claims.py
+++ b/sycamorebeam/controllers/claims.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import random
 from typing import Any
@@ -37,6 +38,8 @@
 MIN_PROGRESS_RETRY_MS = 200
 MAX_PROGRESS_RETRY_MS = 2_000
 TICKS_PER_WINDOW = 4
+# More instances than these share their ticks.
+TICKING_INSTANCES = 9
 OUTPUT_READ_TIMEOUT_MS = 500
 SETTLE_TIMEOUT_MS = 5_000
 
@@ -75,6 +78,7 @@
     _window_ms: int
     _views: claim_views.ClaimViews
     _settler: claim_settling.ClaimSettler
+    _live_instances: Callable[[], int]
     _senders: set[asyncio.Task[None]] = attrs.field(init=False, factory=set)
     _periodic: tuple[asyncio.Task[None], ...] = attrs.field(
         init=False, default=()
@@ -476,7 +480,8 @@
         interval_ms = self._window_ms / (TICKS_PER_WINDOW * self._partitions)
         while True:
             spread = self._random.uniform(0.5, 1.5)
-            await self._clock.sleep_ms(interval_ms * spread)
+            sharing = max(1.0, self._live_instances() / TICKING_INSTANCES)
+            await self._clock.sleep_ms(interval_ms * spread * sharing)
             partition = self._random.randrange(self._partitions)
             await self._appender.submit(
                 claim_records.stream_of(partition),
@@ -499,6 +504,7 @@
     configured: settings.Settings,
     random_: random.Random | None = None,
     max_keys: int = claim_partition.MAX_KEYS,
+    live_instances: Callable[[], int] = lambda: 1,
 ) -> Claims:
     """Return the claims of one instance.
 
@@ -525,4 +531,5 @@
         window_ms,
         claim_views.ClaimViews(log, clock_, random_, window_ms, max_keys),
         claim_settling.ClaimSettler(appender, clock_, random_, window_ms),
+        live_instances,
     )
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -77,6 +77,7 @@
         self._instances: dict[str, results.Replica] = {}
         self._far_addresses: frozenset[str] = frozenset()
         self._listed: list[results.Replica] = []
+        self._live_instances = 1
         self._leaving_until_ms: dict[str, int] = {}
         self._on_leaving: list[Callable[[str], None]] = []
 
@@ -110,8 +111,7 @@
     @property
     def live_instances(self) -> int:
         """How many of our instances are live, at least this one."""
-        live = [i for i in self._instances.values() if not i.leaving]
-        return max(1, len(live))
+        return self._live_instances
 
     def on_leaving(self, callback: Callable[[str], None]) -> None:
         """Call ``callback`` with the id of each replica observed leaving."""
@@ -125,6 +125,8 @@
             by_group.setdefault(replica.group, []).append(replica)
         entries = by_group.pop(ENTRY_GROUP, [])
         self._instances = {replica.id: replica for replica in entries}
+        live = sum(not replica.leaving for replica in entries)
+        self._live_instances = max(1, live)
         self._groups = {
             group: self._merge(group, by_group[group]) for group in by_group
         }
--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -127,6 +127,7 @@
             self._clock,
             platform.log_appends_per_s,
             platform.batch_linger_ms,
+            share_per_s=self._log_share_per_s,
         )
 
     def _build_state(self) -> None:
@@ -168,7 +169,11 @@
         self._peers.follow(lambda: self._targets.instances)
         self._targets.on_leaving(self._peers.tell_leaving)
         self._claims = claims_controller.new_claims(
-            self._log, self._appender, self._clock, settings
+            self._log,
+            self._appender,
+            self._clock,
+            settings,
+            live_instances=lambda: self._targets.live_instances,
         )
         self._limits = limits.LimitsController(
             self._clock, settings.bounds.max_in_flight
@@ -306,6 +311,10 @@
         self._link.charge(sent_bytes + received_bytes)
         self._metrics.count('region.bytes', sent_bytes + received_bytes)
 
+    def _log_share_per_s(self) -> float:
+        limit = self._settings.platform.log_limit_appends_per_s
+        return limit / self._targets.live_instances
+
     def _hear_of_leaving(self, target_id: str) -> None:
         self._targets.mark_leaving(target_id, observed=False)
 
