--- a/sycamorebeam/controllers/orders.py
+++ b/sycamorebeam/controllers/orders.py
@@ -338,18 +338,20 @@
             case orders.OrderDone(state=state):
                 duty.seen = state
                 outcome = 'done'
+                self._metrics.count('orders.done')
             case orders.OrderFenced(fence=fence):
                 self._leases.refused(name, fence)
                 outcome = f'fenced by {fence}'
+                self._metrics.count('orders.fenced')
             case results.TargetNotRun(reason=reason):
                 outcome = f'not run: {reason}'
+                self._metrics.count('orders.not_run')
             case results.TargetMaybeRun(reason=reason):
                 outcome = f'outcome unknown: {reason}'
+                self._metrics.count('orders.maybe_run')
         duty.last_order = str(action)
         duty.last_result = outcome
         duty.note = outcome
-        kind = type(result).__name__
-        self._metrics.count(f'orders.{kind}')
         telemetry.log_event(
             'order',
             engine=name,
--- a/tests/order_bench.py
+++ b/tests/order_bench.py
@@ -151,6 +151,7 @@
     orders: orders.Orders
     appender: batching.Appender
     instances: set
+    metrics: telemetry.Metrics
     task: asyncio.Task = None
     old_catalogue: catalogue.Catalogue = None
 
@@ -179,6 +180,7 @@
         chance = random.Random(f'{self.seed}/{name}')
         appender = batching.new_appender(self.log, clock, 40, 5, chance)
         client = FakeOrderClient(self.engines)
+        metrics = telemetry.Metrics()
         live = instances if instances is not None else {name}
         around = orders.Surroundings(
             catalogue=lambda: self._seen_by(member),
@@ -192,10 +194,10 @@
             clock,
             client,
             around,
-            telemetry.Metrics(),
+            metrics,
             chance,
         )
-        member = Member(name, client, controller, appender, live)
+        member = Member(name, client, controller, appender, live, metrics)
         member.task = asyncio.create_task(controller.run())
         self.members.append(member)
         return member
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -124,6 +124,8 @@
         await asyncio.sleep(40)
         self.assertTrue(bench.as_wanted())
         self.assertEqual(2, member.client.sent)
+        expected = {'orders.maybe_run': 1, 'orders.done': 1}
+        self.assertEqual(expected, member.metrics.totals)
         await bench.stop()
 
     async def test_a_restarted_engine_is_filled_again(self):
