Test that an unload makes room for a load that failed

An engine without room fails each load; the order after it in the list is tried next. With the first order always tried the new test fails.

--- a/tests/order_bench.py
+++ b/tests/order_bench.py
@@ -45,8 +45,8 @@
     """Carries orders out and counts them; checks fences if told to.
 
     ``carried`` holds (time, fence, kind, name, version) of each. With
-    ``lose`` the next orders are carried out without an answer; ``carry``
-    lets an order in at any time, as a delayed packet does.
+    ``lose`` the next orders are carried out without an answer. Loads fail
+    while models and adapters fill the ``room``.
     """
 
     def __init__(self, name, checks=True, load_ms=0):
@@ -54,6 +54,7 @@
         self.checks = checks
         self.load_ms = load_ms
         self.lose = 0
+        self.room = 100
         self.starts_ms = []
         self.carried = []
         self.state_reads = 0
@@ -124,6 +125,8 @@
             loop = asyncio.get_running_loop()
             engine.starts_ms.append(int(loop.time() * 1000))
             await asyncio.sleep(engine.load_ms / 1000)
+            if len(engine.models) + len(engine.adapters) >= engine.room:
+                return results.TargetMaybeRun('no room')
         found = engine.carry(order)
         if engine.lose:
             engine.lose -= 1
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -158,6 +158,16 @@
         self.assertTrue(bench.as_wanted())
         await bench.stop()
 
+    async def test_an_unload_makes_room_for_a_load(self):
+        bench = self.bench()
+        bench.engines[0].models['old'] = '7'
+        bench.engines[0].room = 1
+        bench.publish('1', adapters=())
+        bench.member('a')
+        await asyncio.sleep(60)
+        self.assertTrue(bench.as_wanted(adapters=()))
+        await bench.stop()
+
     async def test_a_change_of_role(self):
         bench = self.bench()
         bench.member('a')
