Ask a replica in doubt before a call goes to it

Cause: after the loss of a zone each replica that came back from an ejection took three requests before it was ejected again, each of which waited 1.6 s or more for it; one request met several and ended late (lose_zone failed once: two tries unanswered, then the deadline). Change: a replica that failed and has not answered since gets a call only after it answered a question for its load; the first failure after an ejection ejects again.

--- a/sycamorebeam/pipeline/attempt.py
+++ b/sycamorebeam/pipeline/attempt.py
@@ -55,8 +55,8 @@
     async def is_answering(self, state: targets.ReplicaState) -> bool:
         """Whether the replica answers a question right now.
 
-        Asked before an action is sent: what is sent to a silent replica
-        may have run, and cannot be sent to another.
+        A silent replica shows much sooner so than by a call. And what is
+        sent to one may have run: an action cannot be sent to another then.
         """
         if await self._client.load(state.replica) is not None:
             return True
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -146,8 +146,12 @@
         chosen: targets.ReplicaState,
         stage_input: dict[str, Any],
     ) -> results.TargetResult:
-        """Send to a replica; an action only to one that answers now."""
-        if stage.idempotent or await self._attempts.is_answering(chosen):
+        """Send to a replica, where in doubt only if it answers now.
+
+        In doubt are replicas that failed, and any that an action goes to.
+        """
+        in_doubt = chosen.health.is_suspect or not stage.idempotent
+        if not in_doubt or await self._attempts.is_answering(chosen):
             return await self._send(run, stage, target, chosen, stage_input)
         return results.TargetNotRun('the replica answered no probe')
 
--- a/sycamorebeam/policy/ejection.py
+++ b/sycamorebeam/policy/ejection.py
@@ -17,17 +17,26 @@
     period_ms: int = 0
     ejected_until_ms: int = 0
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the replica failed and has not answered since."""
+        return self.failures > 0 or self.period_ms > 0
+
     def succeeded(self) -> None:
         """Count a whole answer."""
         self.failures = 0
         self.period_ms = 0
 
     def failed(self, now_ms: int) -> None:
-        """Count a failure, and eject after several in a row."""
+        """Count a failure, and eject after several in a row.
+
+        A replica that comes back from an ejection is ejected again by its
+        next failure.
+        """
         self.failures += 1
         if self.failures < FAILURES_TO_EJECT:
             return
-        self.failures = 0
+        self.failures = FAILURES_TO_EJECT - 1
         doubled_ms = self.period_ms * 2 or FIRST_PERIOD_MS
         self.period_ms = min(doubled_ms, LONGEST_PERIOD_MS)
         self.ejected_until_ms = now_ms + self.period_ms
