--- a/tools/capacity_budget.py
+++ b/tools/capacity_budget.py
@@ -335,7 +335,7 @@
     sent = rate * slopes.slope('polls.bytes')
     yield Line(
         what='load polls, bytes',
-        sum=f'{rate:.0f} polls/s x `polls.bytes`',
+        sum=f'{rate:.1f} polls/s x `polls.bytes`',
         value=sent,
         budget=BYTES_PER_S,
         unit='bytes/s',
@@ -346,7 +346,7 @@
     work = rate * slopes.slope('polls.cpu')
     yield Line(
         what='load polls, CPU',
-        sum=f'{rate:.0f} polls/s x `polls.cpu`',
+        sum=f'{rate:.1f} polls/s x `polls.cpu`',
         value=work,
         budget=CPU_MS_PER_S,
         unit='ms/s',
