Hold requests to the limits of pipelines, targets and tokens

Cause: the catalogue took limits on pipelines and targets and a team's tokens a second, but only a team's requests and concurrency steered anything. Change: a request is admitted under the limits of its team and its pipeline, tokens are charged when they are known, and a target gets no more calls than this instance's share of its concurrency.

--- a/sycamorebeam/controllers/limits.py
+++ b/sycamorebeam/controllers/limits.py
@@ -1,9 +1,12 @@
-"""Limits of teams and of this instance.
+"""Limits of catalogue entries and of this instance.
 
-A team's limits are divided evenly between the live instances, so that
+An entry's limits are divided evenly between the live instances, so that
 their sum stays at the limit whichever instance the balancer picks.
 """
 
+from collections.abc import Iterable
+from collections.abc import Mapping
+
 import attrs
 
 from sycamorebeam import catalogue
@@ -20,9 +23,11 @@
 CLASS_FLOOR = 0.05
 # How much of a second's rate may come at once.
 BURST_S = 1.0
-MAX_TEAMS_KEPT = 4_096
+MAX_ENTRIES_KEPT = 4_096
 SHED_RETRY_MS = 500
 
+Bounds = Mapping[str, catalogue.Limits]
+
 
 @attrs.frozen
 class Admitted:
@@ -30,9 +35,10 @@
 
 
 @attrs.frozen
-class OverTeamLimit:
-    """The team is over one of its limits."""
+class OverLimit:
+    """The catalogue entry ``key`` is over one of its limits."""
 
+    key: str
     limit: str
     retry_after_ms: int
 
@@ -44,24 +50,46 @@
     retry_after_ms: int
 
 
-AdmitResult = Admitted | OverTeamLimit | Overloaded
+AdmitResult = Admitted | OverLimit | Overloaded
 
 
 @attrs.define
-class _TeamState:
-    requests: bucket.Bucket | None
+class _Use:
+    """What this instance uses of its share of one entry's limits."""
+
+    limits: catalogue.Limits
     shares: int
-    rate_per_s: float | None
+    requests: bucket.Bucket | None
+    tokens: bucket.Bucket | None
     in_flight: int = 0
 
+    def obstacle(self, key: str, now_ms: int) -> OverLimit | None:
+        """Return the limit that keeps one more request out, if any."""
+        most = self.limits.concurrency
+        if most is not None and self.in_flight >= max(1, most // self.shares):
+            return OverLimit(key, 'concurrency', SHED_RETRY_MS)
+        if self.tokens is not None and not self.tokens.has_room(now_ms):
+            wait_ms = self.tokens.wait_ms(now_ms)
+            return OverLimit(key, 'tokens_per_s', wait_ms)
+        if self.requests is None:
+            return None
+        wait_ms = self.requests.wait_ms(now_ms)
+        return OverLimit(key, 'requests_per_s', wait_ms) if wait_ms else None
+
+    def take(self, now_ms: int) -> None:
+        """Count one request."""
+        self.in_flight += 1
+        if self.requests is not None:
+            self.requests.take(now_ms)
+
 
 class LimitsController:
-    """Counts what runs, per team, class and in all."""
+    """Counts what runs, per catalogue entry, per class and in all."""
 
     def __init__(self, clock: clocks.Clock, capacity: int) -> None:
         self._clock = clock
         self._capacity = capacity
-        self._teams: dict[str, _TeamState] = {}
+        self._uses: dict[str, _Use] = {}
         self._by_class = dict.fromkeys(catalogue.ServiceClass, 0)
 
     @property
@@ -70,47 +98,57 @@
         return sum(self._by_class.values())
 
     @property
-    def teams_kept(self) -> int:
-        """How many teams have a state in memory."""
-        return len(self._teams)
+    def entries_kept(self) -> int:
+        """How many catalogue entries have a state in memory."""
+        return len(self._uses)
 
-    def in_flight_by_team(self) -> dict[str, int]:
-        """Return how many requests each busy team has in progress."""
+    def in_flight_by_entry(self) -> dict[str, int]:
+        """Return how many requests each busy entry has in progress."""
         return {
-            name: state.in_flight
-            for name, state in self._teams.items()
-            if state.in_flight
+            key: use.in_flight
+            for key, use in sorted(self._uses.items())
+            if use.in_flight
         }
 
     def admit(
         self,
-        team_name: str,
-        limits: catalogue.Limits,
+        bounds: Bounds,
         service_class: catalogue.ServiceClass,
         live_instances: int,
     ) -> AdmitResult:
-        """Take a slot for one request, or say why there is none."""
+        """Take a slot under all ``bounds``, by entry key, or say why not."""
         if not self._has_room(service_class):
             return Overloaded(SHED_RETRY_MS)
-        state = self._team(team_name, limits, live_instances)
-        most = _share(limits.concurrency, live_instances)
-        if most is not None and state.in_flight >= max(1, int(most)):
-            return OverTeamLimit('concurrency', SHED_RETRY_MS)
+        self._forget_idle()
         now_ms = self._clock.monotonic_ms()
-        if state.requests and not state.requests.take(now_ms):
-            wait_ms = state.requests.wait_ms(now_ms)
-            return OverTeamLimit('requests_per_s', wait_ms)
-        state.in_flight += 1
+        uses = {
+            key: self._use(key, bounds[key], live_instances) for key in bounds
+        }
+        for key, use in uses.items():
+            obstacle = use.obstacle(key, now_ms)
+            if obstacle is not None:
+                return obstacle
+        for use in uses.values():
+            use.take(now_ms)
         self._by_class[service_class] += 1
         return Admitted()
 
     def release(
-        self, team_name: str, service_class: catalogue.ServiceClass
+        self, keys: Iterable[str], service_class: catalogue.ServiceClass
     ) -> None:
         """Give back the slot of a request that ended."""
-        self._teams[team_name].in_flight -= 1
+        for key in keys:
+            self._uses[key].in_flight -= 1
         self._by_class[service_class] -= 1
 
+    def charge_tokens(self, keys: Iterable[str], tokens: int) -> None:
+        """Count generated tokens, which are known only afterwards."""
+        now_ms = self._clock.monotonic_ms()
+        for key in keys:
+            limit = self._uses[key].tokens
+            if limit is not None:
+                limit.charge(now_ms, tokens)
+
     def _has_room(self, service_class: catalogue.ServiceClass) -> bool:
         floor = max(1, int(self._capacity * CLASS_FLOOR))
         if self._by_class[service_class] < floor:
@@ -118,33 +156,28 @@
         ceiling = int(self._capacity * CLASS_CEILING[service_class])
         return self.in_flight < ceiling
 
-    def _team(
-        self, name: str, limits: catalogue.Limits, shares: int
-    ) -> _TeamState:
-        state = self._teams.get(name)
-        rate = limits.requests_per_s
-        if state and (state.shares, state.rate_per_s) == (shares, rate):
-            return state
-        in_flight = state.in_flight if state else 0
-        self._forget_idle_teams()
-        state = _TeamState(_bucket(rate, shares), shares, rate, in_flight)
-        self._teams[name] = state
-        return state
-
-    def _forget_idle_teams(self) -> None:
-        if len(self._teams) < MAX_TEAMS_KEPT:
+    def _use(self, key: str, limits: catalogue.Limits, shares: int) -> _Use:
+        use = self._uses.get(key)
+        if use and use.shares == shares and use.limits == limits:
+            return use
+        in_flight = use.in_flight if use else 0
+        use = self._uses[key] = _Use(
+            limits,
+            shares,
+            _bucket(limits.requests_per_s, shares),
+            _bucket(limits.tokens_per_s, shares),
+            in_flight,
+        )
+        return use
+
+    def _forget_idle(self) -> None:
+        if len(self._uses) < MAX_ENTRIES_KEPT:
             return
-        self._teams = {
-            name: state
-            for name, state in self._teams.items()
-            if state.in_flight
+        self._uses = {
+            key: use for key, use in self._uses.items() if use.in_flight
         }
 
 
-def _share(limit: float | None, shares: int) -> float | None:
-    return None if limit is None else limit / shares
-
-
 def _bucket(rate_per_s: float | None, shares: int) -> bucket.Bucket | None:
     if rate_per_s is None:
         return None
--- a/sycamorebeam/controllers/targets.py
+++ b/sycamorebeam/controllers/targets.py
@@ -151,6 +151,11 @@
         in_use = ejection.usable(healths, self._clock.monotonic_ms())
         return [states[name] for name in in_use if name not in excluded]
 
+    def in_flight(self, group: str) -> int:
+        """How many calls of this instance a group has in progress."""
+        states = self._groups.get(group, {}).values()
+        return sum(state.in_flight for state in states)
+
     def is_far(self, address: str) -> bool:
         """Whether a replica in use at ``address`` is in another region."""
         return address in self._far_addresses
--- a/sycamorebeam/filters/admission.py
+++ b/sycamorebeam/filters/admission.py
@@ -20,29 +20,34 @@
     ) -> answers.Answer:
         """Hold a slot while the request runs."""
         assert request.team is not None
+        assert request.pipeline is not None
+        bounds = {
+            f'team/{request.team_name}': request.team.limits,
+            f'pipeline/{request.pipeline_name}': request.pipeline.limits,
+        }
         service_class = request.team.service_class
         admitted = self._limits.admit(
-            request.team_name,
-            request.team.limits,
-            service_class,
-            self._targets.live_instances,
+            bounds, service_class, self._targets.live_instances
         )
         match admitted:
-            case limits.OverTeamLimit(limit, retry_after_ms):
-                return _limited(request.team_name, limit, retry_after_ms)
+            case limits.OverLimit(key, limit, retry_after_ms):
+                return _limited(key, limit, retry_after_ms)
             case limits.Overloaded(retry_after_ms):
                 return _overloaded(service_class.value, retry_after_ms)
         try:
-            return await proceed(request)
+            answer = await proceed(request)
+            if isinstance(answer, answers.Completed):
+                self._limits.charge_tokens(bounds, answer.usage.tokens)
+            return answer
         finally:
-            self._limits.release(request.team_name, service_class)
+            self._limits.release(bounds, service_class)
 
 
-def _limited(team: str, limit: str, retry_after_ms: int) -> answers.Problem:
+def _limited(key: str, limit: str, retry_after_ms: int) -> answers.Problem:
     return answers.Problem(
         answers.ProblemKind.LIMITED,
         answers.Outcome.NOT_RUN,
-        f'team {team!r} is over its limit {limit}',
+        f'{key} is over its limit {limit}',
         'wait as long as Retry-After says, or ask for a higher limit',
         retry_after_ms,
     )
--- a/sycamorebeam/pipeline/problems.py
+++ b/sycamorebeam/pipeline/problems.py
@@ -18,6 +18,17 @@
     )
 
 
+def target_busy(run: progress.Run, stage: catalogue.Stage) -> answers.Problem:
+    """Return the problem of a stage whose target is at its limit."""
+    return answers.Problem(
+        answers.ProblemKind.OVERLOADED,
+        run.interrupted_outcome,
+        f'target {stage.target!r} has as many calls as its limit allows',
+        'send the request again later, or ask for a higher limit',
+        RETRY_AFTER_MS,
+    )
+
+
 def no_replica(
     run: progress.Run, stage: catalogue.Stage, reason: str
 ) -> answers.Problem:
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -102,6 +102,8 @@
         target = self._view.catalogue.target(stage.target)
         if target is None:
             raise StageError(problems.no_target(run, stage))
+        if self._is_busy(stage.target, target):
+            raise StageError(problems.target_busy(run, stage))
         self._check_budget(run, index)
         started_ms = self._clock.monotonic_ms()
         stage_input = inputs.stage_input(
@@ -114,6 +116,14 @@
         self._account(run, stage, target, answer, duration_ms)
         done[stage.name].set()
 
+    def _is_busy(self, group: str, target: catalogue.Target) -> bool:
+        """Whether the group has this instance's share of its calls."""
+        most = target.limits.concurrency
+        if most is None:
+            return False
+        share = max(1, most // self._targets.live_instances)
+        return self._targets.in_flight(group) >= share
+
     async def _try_stage(
         self,
         run: progress.Run,
--- a/sycamorebeam/status.py
+++ b/sycamorebeam/status.py
@@ -45,7 +45,7 @@
         },
         'limits': {
             'in_flight': counted.in_flight,
-            'teams': counted.in_flight_by_team(),
+            'entries': counted.in_flight_by_entry(),
         },
         'claims': {'unsettled': claimed.unsettled},
         'orders': ordered.status,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -24,14 +24,14 @@
 def admitted(subject, count, service_class, instances=1, **bounds):
     bound = catalogue.Limits(**bounds)
     results = [
-        subject.admit('crew', bound, service_class, instances)
+        subject.admit({'team/crew': bound}, service_class, instances)
         for _ in range(count)
     ]
     return sum(isinstance(item, limits.Admitted) for item in results)
 
 
 @ddt.ddt
-class TeamLimitTest(base.TestCase):
+class EntryLimitTest(base.TestCase):
     @ddt.data(1, 3, 9)
     async def test_shares_of_a_rate_sum_to_the_limit(self, instances):
         """A burst at every instance at once, then a steady overload."""
@@ -62,34 +62,66 @@
     async def test_a_released_slot_is_free_again(self):
         subject = controller()
         self.assertEqual(2, admitted(subject, 5, NORMAL, concurrency=2))
-        subject.release('crew', NORMAL)
+        subject.release(['team/crew'], NORMAL)
         self.assertEqual(1, admitted(subject, 5, NORMAL, concurrency=2))
 
     async def test_says_when_to_come_back(self):
         subject = controller()
         bound = catalogue.Limits(requests_per_s=2)
-        subject.admit('crew', bound, NORMAL, 1)
-        subject.admit('crew', bound, NORMAL, 1)
-        refused = subject.admit('crew', bound, NORMAL, 1)
-        self.assertIsInstance(refused, limits.OverTeamLimit)
+        subject.admit({'team/crew': bound}, NORMAL, 1)
+        subject.admit({'team/crew': bound}, NORMAL, 1)
+        refused = subject.admit({'team/crew': bound}, NORMAL, 1)
+        self.assertIsInstance(refused, limits.OverLimit)
         await asyncio.sleep(refused.retry_after_ms / 1000)
-        again = subject.admit('crew', bound, NORMAL, 1)
+        again = subject.admit({'team/crew': bound}, NORMAL, 1)
         self.assertIsInstance(again, limits.Admitted)
 
+    async def test_a_request_is_held_to_all_its_entries(self):
+        subject = controller()
+        bounds = {
+            'team/crew': catalogue.Limits(concurrency=5),
+            'pipeline/answer': catalogue.Limits(concurrency=3),
+        }
+        for _ in range(3):
+            subject.admit(bounds, NORMAL, 1)
+        refused = subject.admit(bounds, NORMAL, 1)
+        self.assertEqual('pipeline/answer', refused.key)
+        subject.release(bounds, NORMAL)
+        self.assertIsInstance(
+            subject.admit(bounds, NORMAL, 1), limits.Admitted
+        )
+
+    @ddt.data(1, 4)
+    async def test_tokens_keep_to_their_rate(self, instances):
+        """Each request makes 50 tokens; the limit is 100 a second."""
+        bound = {'team/crew': catalogue.Limits(tokens_per_s=100)}
+        fleet = [controller() for _ in range(instances)]
+        made = 0
+        for _ in range(200):
+            for subject in fleet:
+                result = subject.admit(bound, NORMAL, instances)
+                if isinstance(result, limits.Admitted):
+                    subject.charge_tokens(bound, 50)
+                    subject.release(bound, NORMAL)
+                    made += 50
+            await asyncio.sleep(0.1)
+        self.assertLessEqual(made, 100 * 20 + 100 + 50 * instances)
+        self.assertGreaterEqual(made, 100 * 20)
+
     async def test_a_burst_of_one_team_leaves_others_alone(self):
         subject = controller()
         bound = catalogue.Limits(concurrency=10)
         for _ in range(1_000):
-            subject.admit('loud', bound, NORMAL, 1)
-        other = subject.admit('quiet', bound, NORMAL, 1)
+            subject.admit({'team/loud': bound}, NORMAL, 1)
+        other = subject.admit({'team/quiet': bound}, NORMAL, 1)
         self.assertIsInstance(other, limits.Admitted)
 
-    async def test_the_number_of_teams_kept_is_bounded(self):
+    async def test_the_number_of_entries_kept_is_bounded(self):
         subject = controller()
-        for number in range(3 * limits.MAX_TEAMS_KEPT):
-            subject.admit(f'team-{number}', build.FREE, NORMAL, 1)
-            subject.release(f'team-{number}', NORMAL)
-        self.assertLessEqual(subject.teams_kept, limits.MAX_TEAMS_KEPT + 1)
+        for number in range(3 * limits.MAX_ENTRIES_KEPT):
+            subject.admit({f'team/{number}': build.FREE}, NORMAL, 1)
+            subject.release([f'team/{number}'], NORMAL)
+        self.assertLessEqual(subject.entries_kept, limits.MAX_ENTRIES_KEPT + 1)
 
 
 @ddt.ddt
@@ -118,6 +150,25 @@
         self.assertEqual(answers.Outcome.NOT_RUN, answer.outcome)
         self.assertIsNotNone(answer.retry_after_ms)
 
+    async def test_tokens_of_an_answer_count(self):
+        subject = controller()
+        filter_ = admission.Admission(subject, build.known_targets())
+        request = build.request()
+        request.team = build.team(
+            'crew', limits=catalogue.Limits(tokens_per_s=10)
+        )
+
+        async def proceed(request):
+            return answers.Completed({}, answers.Usage(tokens=100))
+
+        first = await filter_(request, proceed)
+        second = await filter_(request, proceed)
+        self.assertIsInstance(first, answers.Completed)
+        self.assertEqual(answers.ProblemKind.LIMITED, second.kind)
+        await asyncio.sleep(second.retry_after_ms / 1000)
+        third = await filter_(request, proceed)
+        self.assertIsInstance(third, answers.Completed)
+
     async def test_a_slot_is_given_back_when_the_request_fails(self):
         subject = controller()
         filter_ = admission.Admission(subject, build.known_targets())
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import attrs
 import ddt
 
 from sycamorebeam import answers
+from sycamorebeam import catalogue
 from sycamorebeam import claims
 from sycamorebeam.clients import results
 from sycamorebeam.policy import bucket
@@ -140,6 +142,23 @@
         self.assertEqual([('token', 0)], events)
         self.assertEqual(1, len(client.runs['generate']))
 
+    async def test_a_target_gets_no_more_calls_than_its_limit(self):
+        entries = dict(build.ENTRIES)
+        entries['target/pool'] = attrs.evolve(
+            build.POOL, limits=catalogue.Limits(concurrency=2)
+        )
+        client = fake_targets.FakeTargets({'encode': [200] * 9})
+        runner = build.new_runner(client, entries)
+        ended = await asyncio.gather(
+            *(runner.run(build.request('answer', entries)) for _ in range(5))
+        )
+        refused = [
+            answer for answer in ended if isinstance(answer, answers.Problem)
+        ]
+        self.assertEqual(3, len(refused))
+        self.assertEqual(answers.ProblemKind.OVERLOADED, refused[0].kind)
+        self.assertEqual(answers.Outcome.NOT_RUN, refused[0].outcome)
+
     async def test_cancel_reaches_the_target(self):
         client = fake_targets.FakeTargets({'encode': [LATE_MS]})
         runner = build.new_runner(client)
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -177,7 +177,9 @@
     bounds = catalogue.Limits(requests_per_s=10.0, concurrency=16)
     for number in range(teams):
         controller.admit(
-            f'team-{number:05}', bounds, catalogue.ServiceClass.NORMAL, 410
+            {f'team/{number:05}': bounds},
+            catalogue.ServiceClass.NORMAL,
+            410,
         )
     return controller
 
