--- a/tests/build.py
+++ b/tests/build.py
@@ -41,13 +41,9 @@
 
 
 def pipeline(*stages, deadline_ms=1000, **fields):
+    fields = {'service_class': NORMAL, 'limits': FREE} | fields
     return catalogue.Pipeline(
-        owner='ops',
-        service_class=NORMAL,
-        limits=FREE,
-        deadline_ms=deadline_ms,
-        stages=stages,
-        **fields,
+        owner='ops', deadline_ms=deadline_ms, stages=stages, **fields
     )
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -169,6 +169,23 @@
         third = await filter_(request, proceed)
         self.assertIsInstance(third, answers.Completed)
 
+    async def test_the_limit_of_the_pipeline_counts(self):
+        subject = controller()
+        filter_ = admission.Admission(subject, build.known_targets())
+        request = build.request()
+        request.pipeline = build.pipeline(
+            build.stage('encode', 'pool'),
+            limits=catalogue.Limits(requests_per_s=1),
+        )
+
+        async def proceed(request):
+            return answers.Completed({})
+
+        await filter_(request, proceed)
+        second = await filter_(request, proceed)
+        self.assertEqual(answers.ProblemKind.LIMITED, second.kind)
+        self.assertIn('pipeline/answer', second.detail)
+
     async def test_a_slot_is_given_back_when_the_request_fails(self):
         subject = controller()
         filter_ = admission.Admission(subject, build.known_targets())
