Give the demo free ranges of ports too

Cause: the demo used the samples' own ports, which a test's shifted range could meet. Change: shifts are even thousands, so that the two samples never meet; the demo reserves its shifts as the tests do. Conclusion: runs side by side do not meet.

--- a/demo/run.py
+++ b/demo/run.py
@@ -20,14 +20,15 @@
 RATE_PER_S = 15.0
 DURATION_S = 16.0
 SEED = 7
-PORT_SHIFTS = {'kovacik': 0, 'cedarline': 0}
+USERS = ('kovacik', 'cedarline')
 
 
 async def run_site(
     user: str, folder: pathlib.Path
 ) -> tuple[list[ledger.Row], list[str]]:
     """Return the requests sent to a user's site, and broken promises."""
-    site = sites.Site(user, folder / user, PORT_SHIFTS[user])
+    shift, guard = sites.reserve_port_shift(user)
+    site = sites.Site(user, folder / user, shift)
     generator = random.Random(SEED)
     try:
         await site.start(INSTANCES)
@@ -47,6 +48,7 @@
         return sent, broken
     finally:
         await site.stop()
+        guard.close()
 
 
 async def disturb(site: sites.Site) -> int:
@@ -97,12 +99,11 @@
     """Run the demonstration and return the exit code."""
     with tempfile.TemporaryDirectory(prefix='sycamorebeam-') as folder:
         path = pathlib.Path(folder)
-        users = list(PORT_SHIFTS)
         results = await asyncio.gather(
-            *(run_site(user, path) for user in users)
+            *(run_site(user, path) for user in USERS)
         )
     broken = []
-    for user, (rows, faults) in zip(users, results, strict=True):
+    for user, (rows, faults) in zip(USERS, results, strict=True):
         print('\n'.join(report(user, rows)), end='\n\n')
         broken.extend(faults)
     print(f'instance {KILLED} killed and started again, {DRAINED} drained')
--- a/demo/site.py
+++ b/demo/site.py
@@ -29,8 +29,9 @@
 SAMPLES = processes.ROOT / 'samples'
 PORT_PATTERN = re.compile(r'127\.0\.0\.1:(\d+)')
 LOG_TIMEOUT_MS = 2_000
-PORT_SHIFT = 1_000
-MAX_PORT_SHIFTS = 10
+# Even, so that the ranges of the two samples never meet.
+PORT_SHIFT = 2_000
+MAX_PORT_SHIFTS = 5
 # Held by whoever uses a shift; below all ports of the samples.
 GUARD_PORT = 20_000
 
