Send tokens to callers by one way

Cause: tokens went out one by one or several at a time, by two callbacks from runner to server; only the second was used since tokens of one read go in one write. Change: the request carries emit_tokens alone. Conclusion: one way less.

--- a/sycamorebeam/filters/chain.py
+++ b/sycamorebeam/filters/chain.py
@@ -13,7 +13,6 @@
 from sycamorebeam import claims
 from sycamorebeam import clock
 
-Emit = Callable[[str, dict[str, Any]], Awaitable[None]]
 EmitTokens = Callable[[Sequence[tuple[int, str]]], Awaitable[None]]
 
 
@@ -21,11 +20,10 @@
 class Request:
     """A caller's request on its way through the filters.
 
-    ``emit`` sends one server-sent event to a streaming caller (name and
-    data) and ``emit_tokens`` the events of several tokens; both are None
-    for a plain request. Filters fill in ``team`` and
-    ``pipeline``; ``permit`` is the dispatch permit of a request that runs
-    at most once.
+    ``emit_tokens`` sends tokens (index and text) to a streaming caller and
+    is None for a plain request; ``emitted`` counts what was sent. Filters
+    fill in ``team`` and ``pipeline``; ``permit`` is the dispatch permit of
+    a request that runs at most once.
     """
 
     request_id: str
@@ -36,7 +34,6 @@
     token: str | None = None
     idempotency_key: str | None = None
     first_attempt: bool = False
-    emit: Emit | None = None
     emit_tokens: EmitTokens | None = None
     team_name: str = ''
     team: catalogue.Team | None = None
--- a/sycamorebeam/pipeline/runner.py
+++ b/sycamorebeam/pipeline/runner.py
@@ -181,8 +181,7 @@
             model=stage.model,
             max_tokens=stage.max_tokens,
             priority=PRIORITIES[run.pipeline.service_class],
-            on_token=self._emitter(run, stage),
-            on_tokens=self._emitter_of_many(run, stage),
+            on_tokens=self._emitter(run, stage),
             fresh_connection=not stage.idempotent,
             before_send=None if stage.idempotent else _dispatcher(run),
         )
@@ -215,19 +214,6 @@
 
     def _emitter(
         self, run: progress.Run, stage: catalogue.Stage
-    ) -> ports.OnToken | None:
-        emit = run.request.emit
-        if emit is None or stage is not run.pipeline.stages[-1]:
-            return None
-
-        async def on_token(index: int, text: str) -> None:
-            run.request.emitted += 1
-            await emit('token', {'i': index, 'text': text})
-
-        return on_token
-
-    def _emitter_of_many(
-        self, run: progress.Run, stage: catalogue.Stage
     ) -> ports.OnTokens | None:
         emit_tokens = run.request.emit_tokens
         if emit_tokens is None or stage is not run.pipeline.stages[-1]:
--- a/sycamorebeam/server.py
+++ b/sycamorebeam/server.py
@@ -128,7 +128,6 @@
         stream = None
         if caller_requests.wants_stream(http):
             stream = EventStream(http, request_id)
-            request.emit = stream.emit
             request.emit_tokens = stream.emit_tokens
         answer = await self._run(request)
         if stream is not None:
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -53,8 +53,8 @@
             await asyncio.sleep(step / 1000)
         elif step is not None:
             return step
-        if attempt.on_token is not None:
-            await attempt.on_token(0, 'whole')
+        if attempt.on_tokens is not None:
+            await attempt.on_tokens([(0, 'whole')])
         if self._on_bytes is not None:
             self._on_bytes(replica.address, 100, 200)
         return results.TargetAnswer(
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -126,20 +126,20 @@
         self.assertLessEqual(len(client.attempts), 200 * 1.1 + 1)
 
     async def test_does_not_repeat_a_stage_whose_tokens_were_sent(self):
-        events = []
+        sent = []
 
-        async def emit(name, data):
-            events.append((name, data['i']))
+        async def emit(tokens):
+            sent.extend(tokens)
 
         async def break_off(replica, attempt):
-            await attempt.on_token(0, 'half')
+            await attempt.on_tokens([(0, 'half')])
             return MAYBE_RUN
 
         answer, client = await run(
-            'answer', {'generate': [break_off]}, emit=emit
+            'answer', {'generate': [break_off]}, emit_tokens=emit
         )
         self.assertEqual(answers.Outcome.PARTIAL, answer.outcome)
-        self.assertEqual([('token', 0)], events)
+        self.assertEqual([(0, 'half')], sent)
         self.assertEqual(1, len(client.runs['generate']))
 
     async def test_a_target_gets_no_more_calls_than_its_limit(self):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -210,7 +210,7 @@
 
     async def test_a_broken_stream_ends_with_an_error_event(self):
         async def break_off(replica, attempt):
-            await attempt.on_token(0, 'half')
+            await attempt.on_tokens([(0, 'half')])
             raise RuntimeError('a fault of ours')
 
         script = {'generate': [break_off]}
