--- /dev/null
+++ b/tests/test_order_trace.py
@@ -0,0 +1,124 @@
+"""Holds random histories of orders to engines against the model's rules."""
+
+import asyncio
+import random
+
+import ddt
+
+from sycamorebeam.clients import orders as order_client
+from tests import base
+from tests import model_rules
+from tests import order_bench
+
+SEEDS = 30
+STEPS = 12
+ENGINES = 2
+LONGEST_STEP_S = 20
+LONGEST_PAUSE_MS = 60_000
+SETTLE_S = 180
+
+
+class History:
+    """Two instances that both believe to have the duty, under faults.
+
+    ``trace`` gets an event for each order that an engine carried out; an
+    engine that restarts has forgotten its fence and counts as another.
+    """
+
+    def __init__(self, seed, checks):
+        self.trace = []
+        self._random = random.Random(seed)
+        self._holders = {}
+        self._lives = {}
+        engines = [
+            order_bench.FakeEngine(f'e{number}', checks, load_ms=300)
+            for number in range(ENGINES)
+        ]
+        self.bench = order_bench.Bench(engines, seed=seed)
+        for engine in engines:
+            self._tap_engine(engine)
+
+    async def run(self):
+        members = [self.bench.member(name) for name in ('a', 'b')]
+        for member in members:
+            self._tap_member(member)
+        version = '1'
+        for step in range(STEPS):
+            version = str(1 + step // 3)
+            self.bench.publish(version)
+            self._disturb(self._random.choice(members))
+            await asyncio.sleep(self._random.uniform(1, LONGEST_STEP_S))
+        await asyncio.sleep(SETTLE_S)
+        wanted = self.bench.as_wanted(version)
+        await self.bench.stop()
+        return wanted
+
+    def _disturb(self, member):
+        log = self.bench.log
+        pause_ms = self._random.uniform(0, LONGEST_PAUSE_MS)
+        match self._random.randrange(6):
+            case 0:
+                member.client.pause_ms = pause_ms
+            case 1:
+                member.client.pause_after_ms = pause_ms
+            case 2:
+                log.lose_answers = self._random.randrange(1, 4)
+            case 3:
+                log.late_appends = self._random.randrange(1, 4)
+                log.late_by_ms = 5_000
+            case 4:
+                engine = self._random.choice(self.bench.engines)
+                engine.restart()
+                self._lives[engine.replica.id] = self._life(engine) + 1
+            case 5:
+                self._random.choice(self.bench.engines).lose = 1
+
+    def _life(self, engine):
+        return self._lives.get(engine.replica.id, 0)
+
+    def _tap_member(self, member):
+        send = member.client.order
+
+        async def order(replica, sent, deadline, before_send=None):
+            self._holders[sent.id] = member.name
+            return await send(replica, sent, deadline, before_send)
+
+        member.client.order = order
+
+    def _tap_engine(self, engine):
+        carry = engine.carry
+
+        def tapped(order):
+            result = carry(order)
+            if isinstance(result, order_client.OrderDone):
+                name = f'{engine.replica.id}.{self._life(engine)}'
+                holder = self._holders[order.id]
+                event = model_rules.OrderTaken(name, order.fence, holder)
+                self.trace.append(event)
+            return result
+
+        engine.carry = tapped
+
+
+@ddt.ddt
+class OrderTraceTest(base.TestCase):
+    @ddt.data(*range(SEEDS))
+    async def test_an_engine_that_checks_takes_no_stale_order(self, seed):
+        history = History(seed, checks=True)
+        wanted = await history.run()
+        self.assertEqual([], list(model_rules.broken_rules(history.trace)))
+        self.assertGreater(len(history.trace), 2 * ENGINES)
+        self.assertTrue(wanted, f'seed {seed} did not settle')
+
+    @ddt.data(*range(SEEDS))
+    async def test_an_engine_that_ignores_fences_ends_as_wanted(self, seed):
+        history = History(seed, checks=False)
+        self.assertTrue(await history.run(), f'seed {seed} did not settle')
+
+    async def test_the_rules_see_what_an_ignoring_engine_takes(self):
+        broken = set()
+        for seed in range(SEEDS):
+            history = History(seed, checks=False)
+            await history.run()
+            broken.update(model_rules.broken_rules(history.trace))
+        self.assertIn('fence_never_lower', broken)
