Start background tasks again that failed

Cause: an unexpected error in a follower (instance list, peers, load questions, orders) ended it for good; nothing would have told. Change: each background task of the instance is kept running, with an event for each failure.

--- a/sycamorebeam/instance.py
+++ b/sycamorebeam/instance.py
@@ -1,7 +1,6 @@
 """One entry instance: its parts joined, its start and its planned stop."""
 
 import asyncio
-from collections.abc import Coroutine
 import contextlib
 import random
 import signal
@@ -18,6 +17,7 @@
 from sycamorebeam import server
 from sycamorebeam import settings as settings_module
 from sycamorebeam import status
+from sycamorebeam import supervision
 from sycamorebeam import telemetry
 from sycamorebeam.clients import instances
 from sycamorebeam.clients import log
@@ -249,17 +249,22 @@
 
     def _follow(self) -> None:
         self._catalogue.start()
-        for work in (
-            self._claims.start(),
-            self._snapshots.run(),
-            self._list.follow(),
-            self._orders.run(),
-            self._targets.poll_loads(self._target_client),
-            self._peers.dial_forever(),
-            self._peers.ping_forever(),
-            self._flush_metrics(),
-        ):
-            self._spawn(work)
+        works: dict[str, supervision.Work] = {
+            'claims': self._claims.start,
+            'snapshots': self._snapshots.run,
+            'instance_list': self._list.follow,
+            'orders': self._orders.run,
+            'loads': self._poll_loads,
+            'peers_dial': self._peers.dial_forever,
+            'peers_ping': self._peers.ping_forever,
+            'metrics': self._flush_metrics,
+        }
+        for name, work in works.items():
+            kept = supervision.keep_running(name, work, self._clock)
+            self._tasks.append(asyncio.create_task(kept))
+
+    async def _poll_loads(self) -> None:
+        await self._targets.poll_loads(self._target_client)
 
     async def _listen(self) -> None:
         addresses = self._settings.addresses
@@ -342,9 +347,6 @@
             self._metrics,
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
-
 
 def run(settings: settings_module.Settings) -> int:
     """Run an instance until it is stopped; return the exit code."""
