--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -18,9 +18,7 @@
                 raise RuntimeError('a fault of ours')
 
         await supervision.keep_running('work', work, build.CLOCK)
-        pauses = [
-            later - start for start, later in itertools.pairwise(starts)
-        ]
+        pauses = [later - start for start, later in itertools.pairwise(starts)]
         self.assertEqual(3, len(starts))
         self.assertTrue(all(pause >= 1 for pause in pauses), pauses)
 
