Read claim and lease records by one function

Cause: both streams turned a record into its class by the same twenty lines. Change: records.from_fields serves both; each names its stream in its errors as before. Conclusion: one way to read a versioned record.

--- a/sycamorebeam/claim_records.py
+++ b/sycamorebeam/claim_records.py
@@ -6,7 +6,6 @@
 import attrs
 
 from sycamorebeam import claims
-from sycamorebeam import errors
 from sycamorebeam import hashing
 from sycamorebeam import records
 
@@ -89,24 +88,9 @@
     Raises VersionError for an unknown type or version: a reader that
     skipped a record could take a key for free that is owned.
     """
-    kind = _TYPES.get(record.type)
-    if kind is None or record.version != RECORD_VERSION:
-        raise errors.VersionError(
-            f'a claim stream has a record {record.type!r} of version '
-            f'{record.version}',
-            'run a newer version of this program',
-        )
-    names = {field.name for field in attrs.fields(kind)}
-    known = {
-        name: value for name, value in record.fields.items() if name in names
-    }
-    try:
-        return kind(**known)
-    except TypeError as error:
-        raise errors.VersionError(
-            f'a claim stream has a malformed {record.type!r} ({error})',
-            'check what else writes to this stream',
-        ) from error
+    return records.from_fields(
+        record, _TYPES, RECORD_VERSION, 'a claim stream'
+    )
 
 
 def stream_of(partition: int) -> str:
--- a/sycamorebeam/lease_records.py
+++ b/sycamorebeam/lease_records.py
@@ -1,10 +1,7 @@
 """The records of the lease streams, and the streams that hold them."""
 
-from typing import Any
-
 import attrs
 
-from sycamorebeam import errors
 from sycamorebeam import hashing
 from sycamorebeam import records
 
@@ -64,24 +61,9 @@
     Raises VersionError for an unknown type or version: a reader that
     skipped a lease could believe that an older one still holds.
     """
-    kind = _TYPES.get(record.type)
-    if kind is None or record.version != RECORD_VERSION:
-        raise errors.VersionError(
-            f'a lease stream has a record {record.type!r} of version '
-            f'{record.version}',
-            'run a newer version of this program',
-        )
-    names = {field.name for field in attrs.fields(kind)}
-    known: dict[str, Any] = {
-        name: value for name, value in record.fields.items() if name in names
-    }
-    try:
-        return kind(**known)
-    except TypeError as error:
-        raise errors.VersionError(
-            f'a lease stream has a malformed {record.type!r} ({error})',
-            'check what else writes to this stream',
-        ) from error
+    return records.from_fields(
+        record, _TYPES, RECORD_VERSION, 'a lease stream'
+    )
 
 
 def stream_of(engine: str) -> str:
--- a/sycamorebeam/records.py
+++ b/sycamorebeam/records.py
@@ -5,8 +5,10 @@
 stream is the pair of its envelope's offset and its index in the envelope.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
+from typing import TypeVar
 
 import attrs
 import msgpack
@@ -15,6 +17,8 @@
 
 ENVELOPE_FORMAT = 1
 
+T = TypeVar('T', bound='attrs.AttrsInstance')
+
 
 @attrs.frozen
 class Record:
@@ -51,3 +55,32 @@
             'run a newer version of this program',
         )
     return records
+
+
+def from_fields(
+    record: Record, types: Mapping[str, type[T]], version: int, stream: str
+) -> T:
+    """Return the attrs object that ``record`` carries in its fields.
+
+    Fields that its class does not know are ignored. Raises VersionError,
+    which names ``stream``, for an unknown type or version or for fields
+    that are missing: a reader must not skip what it cannot read.
+    """
+    kind = types.get(record.type)
+    if kind is None or record.version != version:
+        raise errors.VersionError(
+            f'{stream} has a record {record.type!r} of version '
+            f'{record.version}',
+            'run a newer version of this program',
+        )
+    names = {field.name for field in attrs.fields(kind)}
+    known = {
+        name: value for name, value in record.fields.items() if name in names
+    }
+    try:
+        return kind(**known)
+    except TypeError as error:
+        raise errors.VersionError(
+            f'{stream} has a malformed {record.type!r} ({error})',
+            'check what else writes to this stream',
+        ) from error
