Bound the length of a key by one constant

Cause: validation refused keys above 200 characters, and the idempotency filter behind it had its own bound of 255, which no request could reach. Change: the filter uses validation's bound. Figures: tests of idempotency, interface and limits pass unchanged. Conclusion: one bound.

--- a/sycamorebeam/filters/idempotency.py
+++ b/sycamorebeam/filters/idempotency.py
@@ -12,8 +12,7 @@
 from sycamorebeam.controllers import claims as claims_controller
 from sycamorebeam.filters import chain
 from sycamorebeam.filters import not_run
-
-MAX_KEY_CHARS = 255
+from sycamorebeam.filters import validation
 
 _SAME_KEY = 'send the request again with the same key'
 
@@ -110,12 +109,12 @@
             'request, and the request has no key',
             'send an Idempotency-Key, best a UUID version 7',
         )
-    if len(key) > MAX_KEY_CHARS:
+    if len(key) > validation.MAX_KEY_CHARS:
         return answers.Problem(
             answers.ProblemKind.BAD_REQUEST,
             answers.Outcome.NOT_RUN,
             f'the Idempotency-Key has {len(key)} characters',
-            f'send a key of at most {MAX_KEY_CHARS} characters',
+            f'send a key of at most {validation.MAX_KEY_CHARS} characters',
         )
     return None
 
