--- a/sycamorebeam/clients/oneshot.py
+++ b/sycamorebeam/clients/oneshot.py
@@ -1,21 +1,48 @@
 """Connections of which each exchange gets one at most."""
 
 import contextvars
+import functools
 from typing import Any
+from typing import Protocol
 
 import aiohttp
+from aiohttp import client_proto
 
-from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import ports
 
 # Spaces, version and line end of a request line, and the empty line after
 # the headers.
 LINE_BYTES = 14
 
+
+class Sending(Protocol):
+    """An exchange as far as its connection is concerned."""
+
+    body: bytes | None
+    before_send: ports.BeforeSend | None
+    connected: bool
+    method: str
+    transport: Any
+    sent_bytes: int
+
+
 # The exchange that the running task is about to send.
-current: contextvars.ContextVar[exchanges.Exchange] = contextvars.ContextVar(
-    'exchange'
-)
+current: contextvars.ContextVar[Sending] = contextvars.ContextVar('exchange')
+
+
+class ConnectionProtocol(client_proto.ResponseHandler):
+    """Remembers why its connection was lost.
+
+    The library takes the end of a connection as the end of an answer that
+    has no length, also when the connection was reset.
+    """
+
+    lost_by: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the cause and go on as the library does."""
+        self.lost_by = exc
+        super().connection_lost(exc)
 
 
 class HiddenRetryError(aiohttp.ClientConnectionError):
@@ -29,6 +56,12 @@
     drops; here the second try ends with HiddenRetryError.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory: Any = functools.partial(
+            ConnectionProtocol, loop=self._loop
+        )
+
     async def connect(
         self, req: Any, traces: Any, timeout: Any
     ) -> aiohttp.connector.Connection:
--- a/sycamorebeam/clock.py
+++ b/sycamorebeam/clock.py
@@ -18,6 +18,10 @@
         """Return a time that never goes back; its zero is arbitrary."""
         return int(asyncio.get_running_loop().time() * 1000)
 
+    def boottime_ms(self) -> int:
+        """Return a monotonic time that counts suspension of the machine."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
     def wall_ms(self) -> int:
         """Return Unix time, for people and records, never for ordering."""
         return int(time.time() * 1000)
--- /dev/null
+++ b/sycamorebeam/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of callers' requests to targets, and the decisions behind it."""
--- /dev/null
+++ b/sycamorebeam/forwarding/directory.py
@@ -0,0 +1,123 @@
+"""Which targets there are, from what they report to the platform's store."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from sycamorebeam.forwarding import model
+
+# A target whose entry lapsed while the store was away reports itself again
+# within two seconds of the store's return (protocol).
+LAPSE_GRACE_MS = 2_000
+
+
+@attrs.frozen
+class Entry:
+    """What the store holds of one target: a record, or that it is gone."""
+
+    target_id: str
+    target: model.Target | None
+
+
+class Directory:
+    """The targets that may be used.
+
+    While the store is away all known targets stay. Entries that are missing
+    at its return stay for a grace period, since they may only have lapsed.
+    """
+
+    def __init__(self) -> None:
+        self._targets: dict[str, model.Target] = {}
+        self._lapsed_until_ms: dict[str, int] = {}
+        self._returned_ms: int | None = None
+        self._by_service: dict[str, list[model.Target]] | None = None
+
+    @property
+    def targets(self) -> dict[str, model.Target]:
+        """All known targets by id, those that drain included."""
+        return self._targets
+
+    def get(self, target_id: str) -> model.Target | None:
+        """Return a usable target, None when it is gone or drains."""
+        target = self._targets.get(target_id)
+        return None if target is None or target.is_draining else target
+
+    def usable(self, service: str) -> list[model.Target]:
+        """Return the targets of a service that may get new work."""
+        if self._by_service is None:
+            self._by_service = {}
+            for target in self._targets.values():
+                if not target.is_draining:
+                    found = self._by_service.setdefault(target.service, [])
+                    found.append(target)
+        return self._by_service.get(service, [])
+
+    def store_returned(self, now_ms: int) -> None:
+        """Note the first successful read after failed ones."""
+        self._returned_ms = now_ms
+
+    def replace(self, entries: Iterable[Entry], now_ms: int) -> list[str]:
+        """Take a whole listing; return what changed, for the log."""
+        listed = {entry.target_id: entry for entry in entries}
+        missing = [
+            Entry(target_id, None)
+            for target_id in self._targets
+            if target_id not in listed
+        ]
+        return self.update([*listed.values(), *missing], now_ms)
+
+    def update(self, entries: Iterable[Entry], now_ms: int) -> list[str]:
+        """Take changed entries in order; return what changed."""
+        changes = []
+        for entry in entries:
+            change = self._take(entry, now_ms)
+            if change:
+                changes.append(f'{entry.target_id}:{change}')
+        return changes
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Drop targets whose lapsed entries did not come back."""
+        gone = [
+            target_id
+            for target_id, until_ms in self._lapsed_until_ms.items()
+            if now_ms >= until_ms
+        ]
+        for target_id in gone:
+            del self._lapsed_until_ms[target_id]
+            self._remove(target_id)
+        return [f'{target_id}:lapsed' for target_id in gone]
+
+    def _take(self, entry: Entry, now_ms: int) -> str | None:
+        if entry.target is not None:
+            return self._put(entry.target)
+        if entry.target_id not in self._targets:
+            return None
+        if self._may_have_lapsed(now_ms):
+            assert self._returned_ms is not None
+            until_ms = self._returned_ms + LAPSE_GRACE_MS
+            self._lapsed_until_ms.setdefault(entry.target_id, until_ms)
+            return 'missing'
+        self._remove(entry.target_id)
+        return 'gone'
+
+    def _put(self, target: model.Target) -> str | None:
+        known = self._targets.get(target.target_id)
+        self._lapsed_until_ms.pop(target.target_id, None)
+        if known == target:
+            return None
+        if known is not None and target.incarnation < known.incarnation:
+            return None
+        self._targets[target.target_id] = target
+        self._by_service = None
+        if target.is_draining and (known is None or not known.is_draining):
+            return 'draining'
+        return 'ready' if known is None else None
+
+    def _remove(self, target_id: str) -> None:
+        self._targets.pop(target_id, None)
+        self._by_service = None
+
+    def _may_have_lapsed(self, now_ms: int) -> bool:
+        if self._returned_ms is None:
+            return False
+        return now_ms < self._returned_ms + LAPSE_GRACE_MS
--- /dev/null
+++ b/sycamorebeam/forwarding/followers.py
@@ -0,0 +1,263 @@
+"""Keeps what this instance knows up to date with the platform's store."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+import attrs
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import forwarder
+from sycamorebeam.forwarding import freshness
+from sycamorebeam.forwarding import instances as instances_module
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import placement
+
+# A read of the desired state renews the freshness lease, so that several
+# fit into the shortest lease; each call to the store is billed.
+STATE_WAIT_MS = 1_500
+# A target that leaves must get nothing more within two and a half seconds.
+TARGETS_INTERVAL_MS = 800
+INSTANCES_INTERVAL_MS = 2_500
+RETRY_MS = 150  # after a failed read; the store answers in a few ms
+LONGEST_RETRY_MS = 600
+
+
+class ReadError(Exception):
+    """The store could not be read."""
+
+
+class HistoryGoneError(ReadError):
+    """Changes were missed; the whole must be read again."""
+
+
+@attrs.frozen
+class StateRead:
+    """A read of the desired state; None where nothing is new."""
+
+    state: model.DesiredState | None
+    position: int
+
+
+@attrs.frozen
+class TargetsRead:
+    """A read of targets' entries."""
+
+    entries: tuple[directories.Entry, ...]
+    position: int
+
+
+class Platform(Protocol):
+    """What the platform's store holds, in the product's types."""
+
+    async def read_state(self) -> StateRead:
+        """Return the newest desired state."""
+        ...
+
+    async def wait_state(self, position: int, wait_ms: int) -> StateRead:
+        """Return what came after a position, waiting for it."""
+        ...
+
+    async def read_targets(self) -> TargetsRead:
+        """Return all targets' entries."""
+        ...
+
+    async def read_target_changes(self, position: int) -> TargetsRead:
+        """Return the entries that changed after a position."""
+        ...
+
+    async def read_instances(
+        self,
+    ) -> Iterable[instances_module.InstanceEntry]:
+        """Return the entries of the system's instances."""
+        ...
+
+    async def renew_instance(
+        self, entry: instances_module.InstanceEntry
+    ) -> None:
+        """Write this instance's entry."""
+        ...
+
+    async def remove_instance(self, instance_id: str) -> None:
+        """Remove this instance's entry."""
+        ...
+
+
+@attrs.define
+class _Contact:
+    """Logs when a part of the store is lost and regained."""
+
+    clock: clocks.Clock
+    part: str
+    failures: int = 0
+    lost_ms: int | None = None
+
+    def failed(self, error: Exception) -> float:
+        """Note a failed read and return the pause before the next one."""
+        if self.lost_ms is None:
+            self.lost_ms = self.clock.monotonic_ms()
+            telemetry.log_event(
+                'store_lost', 'WARNING', part=self.part, error=str(error)
+            )
+        self.failures += 1
+        return min(LONGEST_RETRY_MS, RETRY_MS * self.failures)
+
+    def succeeded(self) -> bool:
+        """Note a read; return whether the store was away before it."""
+        if self.lost_ms is None:
+            return False
+        away_ms = self.clock.monotonic_ms() - self.lost_ms
+        telemetry.log_event('store_regained', part=self.part, away_ms=away_ms)
+        self.lost_ms = None
+        self.failures = 0
+        return True
+
+
+class StateFollower:
+    """Follows the desired state and renews the freshness lease."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: clocks.Clock,
+        state: forwarder.State,
+        lease: freshness.FreshnessLease,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._state = state
+        self._lease = lease
+
+    async def follow(self) -> None:
+        """Follow until cancelled."""
+        contact = _Contact(self._clock, 'desired_state')
+        position: int | None = None
+        while True:
+            began_ms = self._clock.boottime_ms()
+            try:
+                if position is None:
+                    read = await self._platform.read_state()
+                else:
+                    read = await self._platform.wait_state(
+                        position, STATE_WAIT_MS
+                    )
+            except HistoryGoneError:
+                position = None
+            except ReadError as error:
+                await self._clock.sleep_ms(contact.failed(error))
+            else:
+                contact.succeeded()
+                position = read.position
+                self._take(read.state)
+                if self._state.desired is not None:
+                    self._lease.renew(began_ms)
+
+    def _take(self, desired: model.DesiredState | None) -> None:
+        if desired is None or not self._state.take(desired):
+            return
+        telemetry.log_event(
+            'state_in_force',
+            version=desired.version,
+            routes=len(desired.routes),
+            services=len(desired.services),
+            keys=len(desired.team_of_key),
+        )
+
+
+class TargetsFollower:
+    """Follows the targets' entries."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: clocks.Clock,
+        directory: directories.Directory,
+        places: placement.Placement,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._directory = directory
+        self._places = places
+
+    async def follow(self) -> None:
+        """Follow until cancelled."""
+        contact = _Contact(self._clock, 'targets')
+        position: int | None = None
+        while True:
+            try:
+                if position is None:
+                    read = await self._platform.read_targets()
+                else:
+                    read = await self._platform.read_target_changes(position)
+            except HistoryGoneError:
+                position = None
+                continue
+            except ReadError as error:
+                await self._clock.sleep_ms(contact.failed(error))
+                continue
+            now_ms = self._clock.monotonic_ms()
+            if contact.succeeded():
+                self._directory.store_returned(now_ms)
+            if position is None:
+                changes = self._directory.replace(read.entries, now_ms)
+            else:
+                changes = self._directory.update(read.entries, now_ms)
+            changes.extend(self._directory.expire(now_ms))
+            position = read.position
+            self._places.keep_only(self._directory.targets.values())
+            if changes:
+                telemetry.log_event(
+                    'targets_changed', changes=' '.join(changes)
+                )
+            await self._clock.sleep_ms(TARGETS_INTERVAL_MS)
+
+
+class InstancesFollower:
+    """Follows the instances' entries and renews this one's."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: clocks.Clock,
+        instances: instances_module.Instances,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._instances = instances
+
+    async def follow(self) -> None:
+        """Follow until cancelled."""
+        contact = _Contact(self._clock, 'instances')
+        renewed_ms: int | None = None
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            try:
+                if renewed_ms is None or (
+                    now_ms - renewed_ms >= instances_module.RENEWAL_MS
+                ):
+                    await self._renew(now_ms)
+                    renewed_ms = now_ms
+                entries = await self._platform.read_instances()
+            except ReadError as error:
+                self._instances.refresh(self._clock.monotonic_ms())
+                await self._clock.sleep_ms(contact.failed(error))
+                continue
+            now_ms = self._clock.monotonic_ms()
+            contact.succeeded()
+            self._instances.update(entries, now_ms)
+            self._instances.expire(now_ms)
+            await self._clock.sleep_ms(INSTANCES_INTERVAL_MS)
+
+    async def leave(self) -> None:
+        """Remove this instance's entry."""
+        own = self._instances.own
+        try:
+            await self._platform.remove_instance(own.instance_id)
+        except ReadError as error:
+            # The entry expires by itself.
+            telemetry.log_event('entry_not_removed', error=str(error))
+
+    async def _renew(self, now_ms: int) -> None:
+        own = self._instances.own
+        await self._platform.renew_instance(attrs.evolve(own, renewal=now_ms))
--- /dev/null
+++ b/sycamorebeam/forwarding/frontend.py
@@ -0,0 +1,167 @@
+"""The callers' side: HTTP in, forwarder, HTTP out."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Protocol
+
+from aiohttp import web
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import forwarder
+from sycamorebeam.forwarding import requests
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class Decoder(Protocol):
+    """Decodes callers' requests."""
+
+    def __call__(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        arrived_ms: int,
+    ) -> requests.CallerRequest:
+        """Return a request. Raises ValueError when it is malformed."""
+        ...
+
+
+class HttpReply:
+    """The way back to one caller over HTTP."""
+
+    def __init__(
+        self, http: web.BaseRequest, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._http = http
+        self._is_stopping = is_stopping
+        self.response: web.StreamResponse | None = None
+
+    async def begin(self, head: requests.AnswerHead) -> None:
+        """Begin a streamed answer."""
+        response = web.StreamResponse(status=head.status)
+        _copy_headers(response, head)
+        response.enable_chunked_encoding()
+        await self._prepare(response)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """End a streamed answer as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    async def whole(self, head: requests.AnswerHead, body: bytes) -> None:
+        """Send a whole answer of a target."""
+        response = web.Response(status=head.status, body=body)
+        _copy_headers(response, head)
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def refuse(self, refusal: requests.Refusal) -> None:
+        """Send an answer of this instance's own."""
+        response = web.Response(
+            status=refusal.status, text=f'{refusal.reason}\n'
+        )
+        if refusal.retry_after_ms is not None:
+            seconds = max(0.0, refusal.retry_after_ms) / 1000
+            response.headers['Retry-After'] = f'{seconds:.3f}'
+        await self._prepare(response)
+        await response.write_eof()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it cannot look complete."""
+        if self._http.transport is not None:
+            self._http.transport.abort()
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self._is_stopping():
+            response.force_close()
+        self.response = response
+        await response.prepare(self._http)
+
+
+class Frontend:
+    """Serves callers and counts what is in progress."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        forward: forwarder.Forwarder,
+        decode: Decoder,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._forward = forward
+        self._decode = decode
+        self._metrics = metrics
+        self._in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._is_stopping = False
+
+    @property
+    def in_progress(self) -> int:
+        """How many requests are in progress."""
+        return self._in_progress
+
+    def stop(self) -> None:
+        """Ask callers to leave: each answer closes its connection."""
+        self._is_stopping = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        await self._idle.wait()
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            return await self._handle(http)
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        reply = HttpReply(http, lambda: self._is_stopping)
+        arrived_ms = self._clock.monotonic_ms()
+        if 'Expect' in http.headers and http.transport is not None:
+            http.transport.write(CONTINUE)
+        body = await http.read()
+        try:
+            request = self._decode(
+                method=http.method,
+                path=http.raw_path,
+                headers=[
+                    (name.decode('latin-1'), value.decode('latin-1'))
+                    for name, value in http.raw_headers
+                ],
+                body=body,
+                arrived_ms=arrived_ms,
+            )
+        except ValueError as error:
+            refusal = requests.Refusal(status=400, reason=str(error))
+            await reply.refuse(refusal)
+        else:
+            await self._forward.handle(request, reply)
+        if reply.response is None:
+            # The caller is gone, or the process stops.
+            reply.abort()
+            return web.Response(status=500)
+        return reply.response
+
+
+def _copy_headers(
+    response: web.StreamResponse, head: requests.AnswerHead
+) -> None:
+    for name, value in head.headers:
+        response.headers.add(name, value)
--- /dev/null
+++ b/sycamorebeam/forwarding/instance.py
@@ -0,0 +1,202 @@
+"""One forwarding instance: its parts joined, its start and planned stop."""
+
+import asyncio
+import contextlib
+import signal
+
+from aiohttp import web
+import attrs
+
+from sycamorebeam import checking
+from sycamorebeam import clock as clocks
+from sycamorebeam import garbage
+from sycamorebeam import supervision
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import forwarder
+from sycamorebeam.forwarding import freshness
+from sycamorebeam.forwarding import frontend
+from sycamorebeam.forwarding import instances as instances_module
+from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import settings as settings_module
+from sycamorebeam.forwarding import stage_owner
+from sycamorebeam.forwarding import stage_streams
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+
+MAX_CONNECTIONS = 1_500  # to targets; below the descriptors of an instance
+# The balancer asks each second and takes an instance out after two misses.
+BALANCER_LAG_MS = 2_500
+EXIT_MARGIN_MS = 700  # of the grace period, to flush and exit
+KEEPALIVE_MARGIN_S = 1.0  # callers may use a connection up to the limit
+
+
+@attrs.frozen(kw_only=True)
+class Adapter:
+    """The platform, as the parts of an instance see it."""
+
+    platform: followers.Platform
+    decode: frontend.Decoder
+    codec: forwarder.Codec
+    stage_calls: stages.StageCalls
+    client: upstream.Upstream
+
+
+class Instance:
+    """All parts of one instance."""
+
+    def __init__(
+        self, settings: settings_module.Settings, adapter: Adapter
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._clock = clocks.Clock()
+        self._metrics = telemetry.Metrics()
+        self._state = forwarder.State()
+        self._lease = freshness.FreshnessLease(
+            settings.bounds.revocation_ms, settings.bounds.strict_revocation
+        )
+        self._directory = directories.Directory()
+        self._places = placement.Placement(
+            settings.availability_zone, settings.region_of_zone
+        )
+        self._instances = instances_module.Instances(
+            instances_module.InstanceEntry(
+                settings.instance_id, settings.addresses.peers, 0
+            )
+        )
+        bounds = settings.bounds
+        self._budgets = retry_budget.RetryBudgets(
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_extra,
+            bounds.budget_window_s * 1000,
+            self._instances.count,
+        )
+        self._owner = stage_owner.StageOwner(
+            self._clock,
+            self._directory,
+            self._state.service,
+            adapter.stage_calls,
+            self._budgets,
+            self._metrics,
+        )
+        self._streams = stage_streams.StageStreams(
+            self._clock, self._instances, self._owner
+        )
+        self._frontend = frontend.Frontend(
+            self._clock,
+            forwarder.Forwarder(
+                clock=self._clock,
+                state=self._state,
+                lease=self._lease,
+                directory=self._directory,
+                places=self._places,
+                budgets=self._budgets,
+                producer=self._streams,
+                client=adapter.client,
+                codec=adapter.codec,
+                metrics=self._metrics,
+            ),
+            adapter.decode,
+            self._metrics,
+        )
+        self._instances_follower = followers.InstancesFollower(
+            adapter.platform, self._clock, self._instances
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._asked_to_stop = asyncio.Event()
+        self._runners: list[web.ServerRunner] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' requests can be served."""
+        if self._asked_to_stop.is_set() or self._state.desired is None:
+            return False
+        return self._lease.is_valid(self._clock.boottime_ms())
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._asked_to_stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        self._start_tasks()
+        garbage.tune()
+        telemetry.log_event(
+            'started', callers=self._settings.addresses.callers
+        )
+        await self._asked_to_stop.wait()
+        await self._stop()
+
+    def _start_tasks(self) -> None:
+        platform = self._adapter.platform
+        works: dict[str, supervision.Work] = {
+            'state': followers.StateFollower(
+                platform, self._clock, self._state, self._lease
+            ).follow,
+            'targets': followers.TargetsFollower(
+                platform, self._clock, self._directory, self._places
+            ).follow,
+            'instances': self._instances_follower.follow,
+            'stages': self._owner.run_forever,
+        }
+        for name, work in works.items():
+            kept = supervision.keep_running(name, work, self._clock)
+            self._tasks.append(asyncio.create_task(kept))
+
+    async def _listen(self) -> None:
+        limits = self._settings.caller_limits
+        callers = web.Server(
+            self._frontend.handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=limits.idle_timeout_ms / 1000
+            + KEEPALIVE_MARGIN_S,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+        )
+        addresses = self._settings.addresses
+        await self._serve(callers, addresses.callers)
+        ready = web.Server(self._answer_ready, access_log=None)
+        await self._serve(ready, addresses.readiness)
+        host, port = checking.split_address(addresses.peers)
+        await asyncio.start_server(self._streams.accept, host, port)
+
+    async def _serve(self, server: web.Server, address: str) -> None:
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        host, port = checking.split_address(address)
+        await web.TCPSite(runner, host, port, backlog=1024).start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, http: web.BaseRequest) -> web.Response:
+        if self.is_ready:
+            return web.Response(text='ready\n')
+        return web.Response(status=503, text='not ready\n')
+
+    async def _stop(self) -> None:
+        """Serve on until the balancer has noticed, then finish and exit."""
+        telemetry.log_event('stopping', in_progress=self._frontend.in_progress)
+        loop = asyncio.get_running_loop()
+        grace_ms = self._settings.bounds.grace_period_s * 1000
+        end_s = loop.time() + (grace_ms - EXIT_MARGIN_MS) / 1000
+        self._frontend.stop()
+        self._streams.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end_s):
+                await self._instances_follower.leave()
+                await self._clock.sleep_ms(BALANCER_LAG_MS)
+                await self._frontend.wait_idle()
+                while self._owner.waiting:
+                    await self._clock.sleep_ms(stage_owner.TICK_MS)
+        telemetry.log_event('stopped', left=self._frontend.in_progress)
+        for task in self._tasks:
+            task.cancel()
+
+    def _reload(self) -> None:
+        # Addresses and bounds hold for the life of a process.
+        telemetry.log_event('reload_ignored', reason='nothing can be reloaded')
--- /dev/null
+++ b/sycamorebeam/forwarding/preparation.py
@@ -0,0 +1,191 @@
+"""Runs the stages that a request needs before it can run."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import stages
+
+# What an engine needs from the request to its first event, at a usual load.
+ENGINE_START_MS = 150
+# Waiting for a call that is under way, on average, for each stage to come.
+STAGE_WAIT_SHARE = 0.5
+
+ServiceOf = Callable[[str], model.Service | None]
+
+
+class Producer(Protocol):
+    """Gets results of stages."""
+
+    async def produce(self, request: stages.StageRequest) -> stages.Outcome:
+        """Return the results of a request, or why there are none."""
+        ...
+
+    def free(self, service: str, results: list[str]) -> None:
+        """Give up results."""
+        ...
+
+
+@attrs.frozen(kw_only=True)
+class Times:
+    """Until when results serve their purpose, on the monotonic clock."""
+
+    objective_ms: int
+    useless_ms: int
+
+
+class Preparation:
+    """The stages of one request: what is produced and what is held."""
+
+    def __init__(
+        self,
+        producer: Producer,
+        request: requests.CallerRequest,
+        route_stages: Sequence[model.Stage],
+        service_of: ServiceOf,
+        rank: int,
+    ) -> None:
+        self._producer = producer
+        self._request = request
+        self._stages = route_stages
+        self._service_of = service_of
+        self._rank = rank
+        self._held: dict[int, tuple[str, ...]] = {}
+
+    async def run(
+        self, zone: str, times: Times, now_ms: int
+    ) -> tuple[str, ...] | stages.Failure:
+        """Return the results that the request itself needs.
+
+        The first failure ends the other stages and frees what is held.
+        """
+        failure: stages.Failure | None = None
+        try:
+            async with asyncio.TaskGroup() as group:
+                running: list[asyncio.Task[tuple[str, ...]]] = []
+                for position in range(len(self._stages)):
+                    work = self._stage(position, running, zone, times, now_ms)
+                    running.append(group.create_task(work))
+        except* _StageError as errors:
+            first = errors.exceptions[0]
+            assert isinstance(first, _StageError)
+            failure = first.failure
+        if failure is not None:
+            self.free()
+            return failure
+        return self._needed()
+
+    def free(self) -> None:
+        """Give up all results that are held."""
+        held, self._held = self._held, {}
+        for position, results in held.items():
+            if results:
+                service = self._stages[position].service
+                self._producer.free(service, list(results))
+
+    def _stage(
+        self,
+        position: int,
+        running: list[asyncio.Task[tuple[str, ...]]],
+        zone: str,
+        times: Times,
+        now_ms: int,
+    ) -> Coroutine[Any, Any, tuple[str, ...]]:
+        stage = self._stages[position]
+        before = [running[index] for index in stage.after]
+        return self._run_stage(position, before, zone, times, now_ms)
+
+    async def _run_stage(
+        self,
+        position: int,
+        before: list[asyncio.Task[tuple[str, ...]]],
+        zone: str,
+        times: Times,
+        began_ms: int,
+    ) -> tuple[str, ...]:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        inputs: list[str] = []
+        for task in before:
+            inputs.extend(await task)
+        count = self._count(position)
+        if not count:
+            return ()
+        now_ms = began_ms + int((loop.time() - began_s) * 1000)
+        later_ms = self._later_ms(position)
+        stage = self._stages[position]
+        outcome = await self._producer.produce(
+            stages.StageRequest(
+                service=stage.service,
+                attempt_id=self._request.attempt_id,
+                rank=self._rank,
+                objective_in_ms=times.objective_ms - later_ms - now_ms,
+                useless_in_ms=times.useless_ms - later_ms - now_ms,
+                zone=zone,
+                result_bytes=stage.result_bytes,
+                items=tuple(
+                    stages.Item(
+                        self._request.attempt_id,
+                        position,
+                        index,
+                        self._request.item_key,
+                        bool(stage.after),
+                        tuple(inputs),
+                    )
+                    for index in range(count)
+                ),
+            )
+        )
+        match outcome:
+            case stages.Failure():
+                raise _StageError(outcome)
+            case stages.Results(results):
+                self._held[position] = results
+                return results
+
+    def _count(self, position: int) -> int:
+        counts = self._request.item_counts
+        return counts[position] if position < len(counts) else 0
+
+    def _later_ms(self, position: int) -> int:
+        """Return what the longest chain of stages after one needs."""
+        longest = 0
+        for index, stage in enumerate(self._stages):
+            if position in stage.after:
+                later_ms = self._later_ms(index) - ENGINE_START_MS
+                longest = max(longest, later_ms + self._stage_ms(index))
+        return longest + ENGINE_START_MS
+
+    def _stage_ms(self, position: int) -> int:
+        service = self._service_of(self._stages[position].service)
+        count = self._count(position)
+        if service is None or service.batching is None or not count:
+            return 0
+        batching = service.batching
+        call_ms = batching.call_ms + min(count, batching.items) * (
+            batching.item_ms
+        )
+        return int(call_ms * (1 + STAGE_WAIT_SHARE))
+
+    def _needed(self) -> tuple[str, ...]:
+        """Return the results of the stages that no other stage follows."""
+        followed = {index for stage in self._stages for index in stage.after}
+        return tuple(
+            result
+            for position in sorted(self._held)
+            if position not in followed
+            for result in self._held[position]
+        )
+
+
+class _StageError(Exception):
+    def __init__(self, failure: stages.Failure) -> None:
+        super().__init__(failure.reason.value)
+        self.failure = failure
--- /dev/null
+++ b/sycamorebeam/forwarding/requests.py
@@ -0,0 +1,102 @@
+"""A caller's request and what may come of it, in the product's terms."""
+
+import attrs
+
+from sycamorebeam import clock as clocks
+
+
+@attrs.frozen
+class PromptPart:
+    """One part of a prompt; requests with the same id share its text."""
+
+    part_id: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """One attempt of a caller, decoded.
+
+    ``headers`` are those to pass on; ``item_counts`` has the number of
+    items of each stage, and ``item_key`` names the request's data there.
+    """
+
+    attempt_id: str
+    method: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_ms: int
+    deadline_ms: float | None
+    key: str | None
+    prompt: tuple[PromptPart, ...] = ()
+    item_counts: tuple[int, ...] = ()
+    item_key: str = ''
+    last_event_id: str | None = None
+
+    @property
+    def session_part(self) -> PromptPart | None:
+        """The last part that other requests may share."""
+        return self.prompt[-2] if len(self.prompt) > 1 else None
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """How one request goes to one target."""
+
+    remaining_ms: int
+    team: str | None
+    rank: int
+    results: tuple[str, ...] | None = None
+    last_event_id: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """The head of a target's answer.
+
+    ``is_executed`` is False only where the target says that the request
+    has not run; ``load`` has running and waiting requests and slots.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    attempt_id: str | None
+    is_signed: bool
+    is_executed: bool
+    is_other_target: bool
+    load: tuple[int, int, int] | None
+    has_encoding: bool
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """An answer of this instance's own.
+
+    ``has_not_run`` promises that no target ran the request or will.
+    """
+
+    status: int
+    reason: str
+    retry_after_ms: float | None = None
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the status promises that the request has not run."""
+        return self.status == 503
+
+
+def unavailable(reason: str, retry_after_ms: float) -> Refusal:
+    """Return the refusal of a request that has not run."""
+    return Refusal(status=503, reason=reason, retry_after_ms=retry_after_ms)
+
+
+def deadline_of(
+    request: CallerRequest, timeout_ms: float, clock: clocks.Clock
+) -> clocks.Deadline:
+    """Return when the final answer is due."""
+    allowed_ms = timeout_ms
+    if request.deadline_ms is not None:
+        allowed_ms = min(allowed_ms, request.deadline_ms)
+    return clocks.Deadline(at_ms=request.arrived_ms + int(allowed_ms))
--- /dev/null
+++ b/sycamorebeam/forwarding/settings.py
@@ -0,0 +1,124 @@
+"""Settings of an instance that forwards requests on a platform."""
+
+import json
+import pathlib
+
+import attrs
+
+from sycamorebeam import checking
+from sycamorebeam import errors
+
+
+@attrs.frozen(kw_only=True)
+class Addresses:
+    """Where the instance listens."""
+
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+
+
+@attrs.frozen(kw_only=True)
+class Zone:
+    """An availability zone and the region that it belongs to."""
+
+    name: str
+    region: str
+
+
+@attrs.frozen(kw_only=True)
+class Store:
+    """The platform's store, and how often targets report to it."""
+
+    address: str
+    heartbeat_interval_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """The bounds that the operator of the platform sets."""
+
+    grace_period_s: float
+    strict_revocation: bool
+    revocation_ms: int
+    retry_budget_ratio: float
+    retry_budget_extra: float
+    budget_window_s: float
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """How large a request's head may be, and how long a caller may idle."""
+
+    header_bytes: int
+    idle_timeout_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one instance."""
+
+    instance_id: str
+    availability_zone: str
+    region: str
+    zones: tuple[Zone, ...]
+    addresses: Addresses
+    store: Store
+    bounds: Bounds
+    caller_limits: CallerLimits
+
+    @property
+    def region_of_zone(self) -> dict[str, str]:
+        """The region of each availability zone."""
+        return {zone.name: zone.region for zone in self.zones}
+
+
+_ADDRESS = checking.Address()
+SCHEMA = checking.Schema(
+    rules={
+        Addresses: {
+            'callers': _ADDRESS,
+            'readiness': _ADDRESS,
+            'peers': _ADDRESS,
+            'metrics': _ADDRESS,
+        },
+        Store: {
+            'address': _ADDRESS,
+            'heartbeat_interval_ms': checking.Positive(),
+        },
+        Bounds: {
+            'grace_period_s': checking.Positive(),
+            'revocation_ms': checking.Positive(),
+            'retry_budget_ratio': checking.Range(0, 10),
+            'retry_budget_extra': checking.Range(0, 1_000_000),
+            'budget_window_s': checking.Positive(),
+        },
+        CallerLimits: {
+            'header_bytes': checking.Positive(),
+            'idle_timeout_ms': checking.Positive(),
+        },
+    }
+)
+
+
+def load(path: str) -> Settings:
+    """Read and check the settings file.
+
+    Raises SettingsError that names every fault and its remedy.
+    """
+    try:
+        value = json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(
+            f'{path} cannot be read: {error}',
+            'render deploy/settings.json.template again and look at it',
+        ) from error
+    built, faults = checking.build(Settings, value, SCHEMA)
+    if faults:
+        raise errors.SettingsError(
+            f'{path} has {len(faults)} problems',
+            'correct the settings file',
+            tuple(str(fault) for fault in faults),
+        )
+    return built
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -0,0 +1,435 @@
+"""Runs the calls of the stage services whose queues this instance owns.
+
+Any instance can own any queue; the more instances agree on one owner, the
+fuller the calls. Two owners of one queue do no harm: a replica declines the
+calls that it has no place for, and items may be produced again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+
+import attrs
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+
+# A call may take this many times its stated length before it is given up;
+# replicas are known to turn some times slower.
+CALL_PATIENCE = 8
+MIN_CALL_TIMEOUT_MS = 2_000
+PACE_WEIGHT = 0.4  # of the newest call in the average of a replica's pace
+DECLINED_PAUSE_MS = 60  # a declined call is tried again after this
+BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
+LONGEST_PAUSE_MS = 4_000
+MEMORY_PAUSE_MS = 150  # results are freed several times a second
+FREE_INTERVAL_MS = 300  # between calls that free results
+FREE_AT_SHARE = 0.5  # of a replica's memory: above, results are freed at once
+TICK_MS = 50  # the shortest pause after which queues are looked at again
+
+
+@attrs.define
+class _Waiting:
+    group: stage_queue.Group
+    future: asyncio.Future[stages.Outcome]
+    results: dict[int, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Held:
+    target_id: str
+    result_bytes: float
+    until_ms: int
+
+
+@attrs.define
+class _Service:
+    name: str
+    queue: stage_queue.StageQueue
+    replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
+    pauses: dict[str, int] = attrs.field(factory=dict)
+    held: dict[str, _Held] = attrs.field(factory=dict)
+    to_free: dict[str, list[str]] = attrs.field(factory=dict)
+
+
+class StageOwner:
+    """Owns queues of stage services and runs their calls."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        directory: directories.Directory,
+        service_of: Callable[[str], model.Service | None],
+        calls: stages.StageCalls,
+        budgets: retry_budget.RetryBudgets,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._service_of = service_of
+        self._calls = calls
+        self._budgets = budgets
+        self._metrics = metrics
+        self._services: dict[str, _Service] = {}
+        self._waiting: dict[int, _Waiting] = {}
+        self._ids = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def waiting(self) -> int:
+        """How many groups wait for results."""
+        return len(self._waiting)
+
+    def submit(
+        self, request: stages.StageRequest
+    ) -> asyncio.Future[stages.Outcome]:
+        """Queue items and return the future of their results.
+
+        Cancelling the future drops the items that no call has taken.
+        """
+        future: asyncio.Future[stages.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        service = self._service(request.service)
+        if service is None:
+            future.set_result(
+                stages.Failure(stages.Reason.NO_TARGET, DECLINED_PAUSE_MS)
+            )
+            return future
+        now_ms = self._clock.monotonic_ms()
+        group = stage_queue.Group(
+            group_id=next(self._ids),
+            rank=request.rank,
+            objective_ms=now_ms + request.objective_in_ms,
+            useless_ms=now_ms + request.useless_in_ms,
+            zone=request.zone,
+            result_bytes=request.result_bytes,
+            items=request.items,
+        )
+        replicas = self._refresh(service)
+        match service.queue.submit(group, replicas, now_ms):
+            case stage_queue.Rejected(retry_after_ms):
+                future.set_result(
+                    stages.Failure(stages.Reason.OVERLOADED, retry_after_ms)
+                )
+            case stage_queue.Accepted():
+                self._budgets.count_request(service.name, now_ms)
+                self._waiting[group.group_id] = _Waiting(group, future)
+                future.add_done_callback(
+                    lambda done: self._forget(service, group, done)
+                )
+                self._pump(service)
+        return future
+
+    def free(self, service_name: str, results: list[str]) -> None:
+        """Give up results that were used or are not wanted any more."""
+        service = self._service(service_name)
+        if service is None:
+            return
+        for result in results:
+            address = self._calls.maker_address(result)
+            service.to_free.setdefault(address, []).append(result)
+            held = service.held.pop(result, None)
+            if held is not None:
+                self._release(service, held)
+        self._pump(service)
+
+    async def run_forever(self) -> None:
+        """Free results and look at the queues again and again."""
+        elapsed_ms = 0
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            elapsed_ms += TICK_MS
+            for service in list(self._services.values()):
+                if elapsed_ms >= FREE_INTERVAL_MS:
+                    self._flush_freed(service)
+                self._expire_held(service)
+                self._pump(service)
+            if elapsed_ms >= FREE_INTERVAL_MS:
+                elapsed_ms = 0
+
+    def _service(self, name: str) -> _Service | None:
+        described = self._service_of(name)
+        if described is None or described.batching is None:
+            return None
+        found = self._services.get(name)
+        if found is None:
+            queue = stage_queue.StageQueue(described.batching)
+            found = self._services[name] = _Service(name, queue)
+        found.queue.batching = described.batching
+        return found
+
+    def _refresh(self, service: _Service) -> list[stage_queue.Replica]:
+        targets = {
+            target.target_id: target
+            for target in self._directory.usable(service.name)
+        }
+        for target_id in service.replicas.keys() - targets.keys():
+            if not service.replicas[target_id].calls:
+                del service.replicas[target_id]
+        for target_id, target in targets.items():
+            if target_id not in service.replicas:
+                service.replicas[target_id] = stage_queue.Replica(
+                    target_id, target.availability_zone
+                )
+        return [service.replicas[target_id] for target_id in targets]
+
+    def _pump(self, service: _Service) -> None:
+        """Start a call on each free replica that has items to run."""
+        if not service.queue.items:
+            return
+        now_ms = self._clock.monotonic_ms()
+        for group in service.queue.drop_useless(now_ms):
+            self._fail(group, stages.Reason.TOO_LATE, 0)
+        replicas = self._refresh(service)
+        slots = service.queue.batching.slots
+        for replica in sorted(replicas, key=lambda item: item.slowness):
+            if not replica.is_free(slots, now_ms):
+                continue
+            entries = service.queue.next_call(replica, replicas, now_ms)
+            if entries:
+                self._start(self._call(service, replica, entries))
+
+    async def _call(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        entries: list[stage_queue.Entry],
+    ) -> None:
+        target = self._directory.get(replica.target_id)
+        if target is None:
+            self._put_back(service, entries)
+            return
+        replica.calls += 1
+        held = [entry.group.result_bytes for entry in entries]
+        replica.held_bytes += sum(held)
+        began_ms = self._clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(
+                self._timeout_ms(service, entries, began_ms) / 1000
+            ):
+                result = await self._calls.run(
+                    target.address,
+                    target.target_id,
+                    [_timed(entry, began_ms) for entry in entries],
+                )
+        except upstream.NotSentError as error:
+            replica.calls -= 1
+            replica.held_bytes -= sum(held)
+            self._pause_broken(service, replica, error)
+            self._put_back(service, entries)
+        except (upstream.BrokenError, TimeoutError) as error:
+            replica.calls -= 1
+            replica.held_bytes -= sum(held)
+            self._pause_broken(service, replica, error)
+            self._repeat(service, entries)
+        else:
+            replica.calls -= 1
+            self._take_call(service, replica, entries, result, began_ms)
+        self._pump(service)
+
+    def _take_call(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        entries: list[stage_queue.Entry],
+        result: stages.CallResult,
+        began_ms: int,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match result:
+            case stages.Declined(is_gone):
+                for entry in entries:
+                    replica.held_bytes -= entry.group.result_bytes
+                pause_ms = BROKEN_PAUSE_MS if is_gone else DECLINED_PAUSE_MS
+                replica.paused_until_ms = now_ms + pause_ms
+                self._metrics.count('stage.declined')
+                self._put_back(service, entries)
+            case stages.Ran(results):
+                service.pauses.pop(replica.target_id, None)
+                self._learn_pace(service, replica, len(entries), began_ms)
+                self._metrics.count('stage.calls')
+                self._metrics.count('stage.items', len(entries))
+                for entry, item in zip(entries, results, strict=True):
+                    self._take_result(service, replica, entry, item)
+
+    def _take_result(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        entry: stage_queue.Entry,
+        result: stages.ItemResult,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match result:
+            case stages.Produced(name):
+                held = _Held(
+                    replica.target_id,
+                    entry.group.result_bytes,
+                    now_ms + int(service.queue.batching.result_ttl_ms),
+                )
+                service.held[name] = held
+                self._take_product(service, entry, name)
+                return
+            case stages.NotProduced(reason):
+                pass
+        replica.held_bytes -= entry.group.result_bytes
+        match reason:
+            case stages.Reason.NO_MEMORY:
+                replica.paused_until_ms = now_ms + MEMORY_PAUSE_MS
+                self._put_back(service, [entry])
+            case stages.Reason.FAILED:
+                self._repeat(service, [entry])
+            case _:
+                self._fail(entry.group, reason, 0)
+
+    def _take_product(
+        self, service: _Service, entry: stage_queue.Entry, result: str
+    ) -> None:
+        waiting = self._waiting.get(entry.group.group_id)
+        if waiting is None or waiting.future.done():
+            self.free(service.name, [result])
+            return
+        waiting.results[entry.index] = result
+        if len(waiting.results) == len(entry.group.items):
+            ordered = [
+                waiting.results[index] for index in range(len(waiting.results))
+            ]
+            waiting.future.set_result(stages.Results(tuple(ordered)))
+
+    def _repeat(
+        self, service: _Service, entries: list[stage_queue.Entry]
+    ) -> None:
+        """Run items again that may have run, as far as the budget allows."""
+        now_ms = self._clock.monotonic_ms()
+        for entry in entries:
+            if self._budgets.spend(service.name, now_ms):
+                self._put_back(service, [entry])
+            else:
+                self._fail(entry.group, stages.Reason.FAILED, BROKEN_PAUSE_MS)
+
+    def _put_back(
+        self, service: _Service, entries: list[stage_queue.Entry]
+    ) -> None:
+        for entry in entries:
+            waiting = self._waiting.get(entry.group.group_id)
+            if waiting is not None and not waiting.future.done():
+                service.queue.put_back(entry)
+
+    def _fail(
+        self,
+        group: stage_queue.Group,
+        reason: stages.Reason,
+        retry_after_ms: float,
+    ) -> None:
+        waiting = self._waiting.get(group.group_id)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(stages.Failure(reason, retry_after_ms))
+
+    def _forget(
+        self,
+        service: _Service,
+        group: stage_queue.Group,
+        future: asyncio.Future[stages.Outcome],
+    ) -> None:
+        service.queue.cancel(group.group_id)
+        waiting = self._waiting.pop(group.group_id, None)
+        if waiting is None:
+            return
+        if future.cancelled() or isinstance(future.result(), stages.Failure):
+            self.free(service.name, list(waiting.results.values()))
+
+    def _learn_pace(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        items: int,
+        began_ms: int,
+    ) -> None:
+        took_ms = self._clock.monotonic_ms() - began_ms
+        # A waiting call, or one of cheap items, says little about pace.
+        sample = max(1.0, took_ms / service.queue.call_ms(items))
+        replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
+
+    def _pause_broken(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        error: BaseException,
+    ) -> None:
+        pause_ms = service.pauses.get(replica.target_id, BROKEN_PAUSE_MS)
+        service.pauses[replica.target_id] = min(LONGEST_PAUSE_MS, pause_ms * 2)
+        now_ms = self._clock.monotonic_ms()
+        replica.paused_until_ms = now_ms + pause_ms
+        telemetry.log_event(
+            'stage_call_broken',
+            'WARNING',
+            service=service.name,
+            target=replica.target_id,
+            error=repr(error),
+            pause_ms=pause_ms,
+        )
+
+    def _timeout_ms(
+        self,
+        service: _Service,
+        entries: list[stage_queue.Entry],
+        now_ms: int,
+    ) -> float:
+        stated_ms = service.queue.call_ms(len(entries))
+        return max(MIN_CALL_TIMEOUT_MS, CALL_PATIENCE * stated_ms)
+
+    def _release(self, service: _Service, held: _Held) -> None:
+        replica = service.replicas.get(held.target_id)
+        if replica is not None:
+            replica.held_bytes = max(
+                0.0, replica.held_bytes - held.result_bytes
+            )
+
+    def _expire_held(self, service: _Service) -> None:
+        now_ms = self._clock.monotonic_ms()
+        while service.held:
+            result, held = next(iter(service.held.items()))
+            if held.until_ms > now_ms:
+                return
+            del service.held[result]
+            self._release(service, held)
+
+    def _flush_freed(self, service: _Service) -> None:
+        to_free, service.to_free = service.to_free, {}
+        for address, results in to_free.items():
+            self._start(self._free(address, results))
+
+    async def _free(self, address: str, results: list[str]) -> None:
+        try:
+            async with asyncio.timeout(MIN_CALL_TIMEOUT_MS / 1000):
+                await self._calls.free(address, results)
+        except (
+            upstream.NotSentError,
+            upstream.BrokenError,
+            TimeoutError,
+        ) as error:
+            # The replica is gone or drops the results by itself in time.
+            telemetry.log_event(
+                'results_not_freed',
+                'DEBUG',
+                address=address,
+                results=len(results),
+                error=repr(error),
+            )
+
+    def _start(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _timed(entry: stage_queue.Entry, now_ms: int) -> stages.TimedItem:
+    remaining_ms = max(1, entry.group.useless_ms - now_ms)
+    return stages.TimedItem(entry.item, remaining_ms)
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -0,0 +1,264 @@
+"""The queue of one stage service: which items go into the next call.
+
+The load answered here is items that arrive from many requests at once, for
+replicas whose calls cost much before their first item, so that only full
+calls carry the peak. State and time in, decision out.
+"""
+
+from collections import Counter
+import enum
+import math
+
+import attrs
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import stages
+
+# Items in calls already running take about half of a call longer.
+RESIDUAL_SHARE = 0.5
+# A replica slower than this many times its stated pace gets work only when
+# the others are busy for a round.
+SLOW_FACTOR = 1.8
+SHORTEST_RETURN_MS = 200.0  # below, a caller's way to and fro dominates
+
+
+@attrs.frozen(kw_only=True)
+class Group:
+    """All items of one request's stage.
+
+    The results serve their latency objective until ``objective_ms``, and
+    are of no use after ``useless_ms``. ``zone`` is where they are wanted.
+    """
+
+    group_id: int
+    rank: int
+    objective_ms: int
+    useless_ms: int
+    zone: str
+    result_bytes: float
+    items: tuple[stages.Item, ...]
+
+
+@attrs.frozen
+class Accepted:
+    """The items were queued; the last result is due at ``expected_ms``."""
+
+    expected_ms: float
+
+
+@attrs.frozen
+class Rejected:
+    """The results would come too late; come back after some time."""
+
+    retry_after_ms: float
+
+
+@attrs.define
+class Replica:
+    """What the owner of the queue knows of one replica."""
+
+    target_id: str
+    zone: str
+    calls: int = 0
+    slowness: float = 1.0
+    held_bytes: float = 0.0
+    paused_until_ms: int = 0
+
+    def is_free(self, slots: int, now_ms: int) -> bool:
+        """Whether the replica can take a call now."""
+        return self.calls < slots and now_ms >= self.paused_until_ms
+
+
+@attrs.define
+class _Pending:
+    group: Group
+    left: list[int]
+
+
+@attrs.frozen
+class Entry:
+    """An item of a group in a call."""
+
+    group: Group
+    index: int
+
+    @property
+    def item(self) -> stages.Item:
+        """The item."""
+        return self.group.items[self.index]
+
+
+class Lateness(enum.IntEnum):
+    """Whether a group can still meet its latency objective."""
+
+    IN_TIME = 0
+    LATE = 1
+
+
+class StageQueue:
+    """Groups of items that wait for calls."""
+
+    def __init__(self, batching: model.Batching) -> None:
+        self._batching = batching
+        self._pending: dict[int, _Pending] = {}
+
+    @property
+    def batching(self) -> model.Batching:
+        """How the replicas work through calls."""
+        return self._batching
+
+    @batching.setter
+    def batching(self, batching: model.Batching) -> None:
+        self._batching = batching
+
+    @property
+    def items(self) -> int:
+        """How many items wait."""
+        return sum(len(pending.left) for pending in self._pending.values())
+
+    def call_ms(self, items: int) -> float:
+        """Return how long a call with some items takes."""
+        return self._batching.call_ms + items * self._batching.item_ms
+
+    def submit(
+        self, group: Group, replicas: list[Replica], now_ms: int
+    ) -> Accepted | Rejected:
+        """Queue a group unless its results would come too late."""
+        expected_ms = self._expected_ms(group, replicas, now_ms)
+        if expected_ms > group.useless_ms:
+            excess_ms = expected_ms - group.useless_ms
+            return Rejected(max(SHORTEST_RETURN_MS, excess_ms))
+        self._pending[group.group_id] = _Pending(
+            group, list(range(len(group.items)))
+        )
+        return Accepted(expected_ms)
+
+    def put_back(self, entry: Entry) -> None:
+        """Queue an item again whose call did not produce it."""
+        pending = self._pending.setdefault(
+            entry.group.group_id, _Pending(entry.group, [])
+        )
+        pending.left.append(entry.index)
+
+    def cancel(self, group_id: int) -> None:
+        """Drop the waiting items of a group."""
+        self._pending.pop(group_id, None)
+
+    def drop_useless(self, now_ms: int) -> list[Group]:
+        """Drop and return the groups that no call could serve any more."""
+        soonest_ms = now_ms + self.call_ms(1)
+        useless = [
+            pending.group
+            for pending in self._pending.values()
+            if pending.group.useless_ms < soonest_ms
+        ]
+        for group in useless:
+            del self._pending[group.group_id]
+        return useless
+
+    def next_call(
+        self, replica: Replica, replicas: list[Replica], now_ms: int
+    ) -> list[Entry]:
+        """Take the items of the next call of a free replica."""
+        ordered = self._ordered(now_ms)
+        allowed = self._allowed(ordered, replica, replicas)
+        taken: list[Entry] = []
+        held_bytes = replica.held_bytes
+        for entry in allowed:
+            if len(taken) == self._batching.items:
+                break
+            held_bytes += entry.group.result_bytes
+            if held_bytes > self._batching.memory_bytes:
+                break
+            taken.append(entry)
+        for entry in taken:
+            self._take(entry)
+        return taken
+
+    def _allowed(
+        self, ordered: list[Entry], replica: Replica, replicas: list[Replica]
+    ) -> list[Entry]:
+        """Return the items that a replica may take, most urgent first.
+
+        Items go where their results are wanted, unless the replicas there
+        are busy beyond their next call. A slow replica takes only what the
+        next calls of the others have no place for.
+        """
+        if replica.slowness > SLOW_FACTOR:
+            others = sum(
+                other.slowness <= SLOW_FACTOR
+                for other in replicas
+                if other is not replica
+            )
+            return ordered[others * self._batching.items :]
+        places: Counter[str] = Counter()
+        for other in replicas:
+            places[other.zone] += self._batching.items
+        near, far = [], []
+        for entry in ordered:
+            zone = entry.group.zone
+            if zone == replica.zone or zone not in places:
+                near.append(entry)
+            elif places[zone] > 0:
+                places[zone] -= 1
+            else:
+                far.append(entry)
+        return near + far
+
+    def _ordered(self, now_ms: int) -> list[Entry]:
+        keyed = [
+            (self._urgency(pending.group, now_ms), pending)
+            for pending in self._pending.values()
+        ]
+        keyed.sort(key=lambda item: item[0])
+        return [
+            Entry(pending.group, index)
+            for _, pending in keyed
+            for index in pending.left
+        ]
+
+    def _urgency(
+        self, group: Group, now_ms: int
+    ) -> tuple[Lateness, int, int, int]:
+        """Return the order of a group: those in time first, then by rank.
+
+        What misses its objective anyway earns little, and must not make
+        others miss theirs.
+        """
+        due_ms = now_ms + self.call_ms(len(group.items))
+        late = (
+            Lateness.LATE
+            if due_ms > group.objective_ms
+            else (Lateness.IN_TIME)
+        )
+        return late, group.rank, group.objective_ms, group.group_id
+
+    def _take(self, entry: Entry) -> None:
+        pending = self._pending[entry.group.group_id]
+        pending.left.remove(entry.index)
+        if not pending.left:
+            del self._pending[entry.group.group_id]
+
+    def _expected_ms(
+        self, group: Group, replicas: list[Replica], now_ms: int
+    ) -> float:
+        if not replicas:
+            return now_ms + self._batching.call_ms * 2
+        own = self._urgency(group, now_ms)
+        ahead = sum(
+            len(pending.left)
+            for pending in self._pending.values()
+            if self._urgency(pending.group, now_ms) <= own
+        )
+        full_ms = self.call_ms(self._batching.items)
+        pace = sum(1 / replica.slowness for replica in replicas)
+        rounds = math.floor(
+            (ahead + len(group.items) - 1) / (self._batching.items * pace)
+        )
+        busy = all(
+            not replica.is_free(self._batching.slots, now_ms)
+            for replica in replicas
+        )
+        residual_ms = full_ms * RESIDUAL_SHARE if busy else 0.0
+        own_ms = self.call_ms(min(len(group.items), self._batching.items))
+        return now_ms + residual_ms + rounds * full_ms + own_ms
--- /dev/null
+++ b/sycamorebeam/forwarding/stages.py
@@ -0,0 +1,122 @@
+"""Items of stages, calls that run them, and what came of them."""
+
+import enum
+from typing import Protocol
+
+import attrs
+
+
+@attrs.frozen
+class Item:
+    """One piece of one request's stage; ``inputs`` are results it takes."""
+
+    attempt_id: str
+    stage: int
+    position: int
+    key: str
+    takes_inputs: bool
+    inputs: tuple[str, ...]
+
+
+@attrs.frozen
+class TimedItem:
+    """An item in a call and how much longer its result is of use."""
+
+    item: Item
+    remaining_ms: int
+
+
+class Reason(enum.Enum):
+    """Why there is no result."""
+
+    TOO_LATE = 'too_late'
+    INPUT_GONE = 'input_gone'
+    NO_MEMORY = 'no_memory'
+    FAILED = 'failed'
+    OVERLOADED = 'overloaded'
+    NO_TARGET = 'no_target'
+    OWNER_LOST = 'owner_lost'
+
+
+@attrs.frozen
+class Produced:
+    """An item's result."""
+
+    result: str
+
+
+@attrs.frozen
+class NotProduced:
+    """An item without a result."""
+
+    reason: Reason
+
+
+ItemResult = Produced | NotProduced
+
+
+@attrs.frozen
+class Ran:
+    """A call's results, in the order of its items."""
+
+    results: tuple[ItemResult, ...]
+
+
+@attrs.frozen
+class Declined:
+    """The replica did not run the call: it is full, or it ``is_gone``."""
+
+    is_gone: bool
+
+
+CallResult = Ran | Declined
+
+
+class StageCalls(Protocol):
+    """Calls to replicas that run stages."""
+
+    async def run(
+        self, address: str, target_id: str, items: list[TimedItem]
+    ) -> CallResult:
+        """Run some items in one call."""
+        ...
+
+    async def free(self, address: str, results: list[str]) -> None:
+        """Give up results."""
+        ...
+
+    def maker_address(self, result: str) -> str:
+        """Return the address of the replica that holds a result."""
+        ...
+
+
+@attrs.frozen(kw_only=True)
+class StageRequest:
+    """All items of one request's stage, with times left from now."""
+
+    service: str
+    attempt_id: str
+    rank: int
+    objective_in_ms: int
+    useless_in_ms: int
+    zone: str
+    result_bytes: float
+    items: tuple[Item, ...]
+
+
+@attrs.frozen
+class Results:
+    """The results of all items, in order."""
+
+    results: tuple[str, ...]
+
+
+@attrs.frozen
+class Failure:
+    """There will be no results; come back after some time."""
+
+    reason: Reason
+    retry_after_ms: float
+
+
+Outcome = Results | Failure
--- /dev/null
+++ b/sycamorebeam/forwarding/upstream.py
@@ -0,0 +1,191 @@
+"""HTTP exchanges with targets, each on a connection of its own.
+
+A connection that serves one exchange can neither go silent while idle nor
+carry an answer that belongs to an earlier exchange.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import socket
+from typing import Any
+
+import aiohttp
+import attrs
+import yarl
+
+from sycamorebeam.clients import oneshot
+
+# A few round trips between regions; a lost opening packet is repeated only
+# after a second, and another target answers sooner.
+CONNECT_TIMEOUT_MS = 300
+# A target that is gone without a word is noticed after idle + 2 probes.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 2_500
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_NO_CEILING_S = float('inf')
+_AUTOMATIC_HEADERS = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
+)
+
+
+class NotSentError(Exception):
+    """Nothing of the request reached the target."""
+
+
+class BrokenError(Exception):
+    """The exchange broke after the request was sent; it may have run."""
+
+
+@attrs.define
+class _Sending:
+    method: str
+    body: bytes | None
+    before_send: Callable[[], None] | None
+    connected: bool = False
+    transport: Any = None
+    sent_bytes: int = 0
+
+
+class Answer:
+    """A target's answer, whose body is read as it arrives."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, protocol: Any
+    ) -> None:
+        self._response = response
+        self._protocol = protocol
+
+    @property
+    def status(self) -> int:
+        """The status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """The headers as the target sent them, in order."""
+        return tuple(
+            (name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in self._response.raw_headers
+        )
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises BrokenError when the body is not whole.
+        """
+        try:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as error:
+            raise BrokenError(f'the answer broke off: {error!r}') from error
+        if self._is_delimited_by_close and self._protocol.lost_by is not None:
+            raise BrokenError(f'reset: {self._protocol.lost_by!r}')
+
+    async def whole_body(self) -> bytes:
+        """Return the whole body. Raises BrokenError when it is not whole."""
+        parts = []
+        size = 0
+        async for chunk in self.chunks():
+            parts.append(chunk)
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise BrokenError('the answer is too large')
+        return b''.join(parts)
+
+    def close(self) -> None:
+        """Close the connection, whatever was read of the answer."""
+        self._response.close()
+
+    @property
+    def _is_delimited_by_close(self) -> bool:
+        headers = self._response.headers
+        return (
+            'Content-Length' not in headers
+            and 'Transfer-Encoding' not in headers
+        )
+
+
+class Upstream:
+    """Sends requests to targets; never sends one twice."""
+
+    def __init__(self, max_connections: int) -> None:
+        self._max_connections = max_connections
+        self._session: aiohttp.ClientSession | None = None
+        self._timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_MS / 1000,
+            ceil_threshold=_NO_CEILING_S,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def open(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes | None,
+        before_send: Callable[[], None] | None = None,
+    ) -> Answer:
+        """Send a request and return the answer's head.
+
+        ``before_send`` is called with the connection open and may raise, in
+        which case nothing is sent. Raises NotSentError and BrokenError.
+        """
+        sending = _Sending(method, body, before_send)
+        token = oneshot.current.set(sending)
+        try:
+            response = await self._open_session().request(
+                method,
+                yarl.URL(f'http://{address}{path}', encoded=True),
+                data=body,
+                headers=headers,
+                timeout=self._timeout,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            kind = BrokenError if sending.connected else NotSentError
+            raise kind(f'{address}: {error!r}') from error
+        finally:
+            oneshot.current.reset(token)
+        protocol = sending.transport and sending.transport.get_protocol()
+        if {'Content-Length', 'Transfer-Encoding'} <= response.headers.keys():
+            response.close()
+            raise BrokenError(f'{address}: the answer has two lengths')
+        return Answer(response, protocol)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=oneshot.OneShotConnector(
+                    limit=self._max_connections,
+                    force_close=True,
+                    timeout_ceil_threshold=_NO_CEILING_S,
+                    socket_factory=_new_socket,
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                skip_auto_headers=_AUTOMATIC_HEADERS,
+            )
+        return self._session
+
+
+def _new_socket(address_info: Any) -> socket.socket:
+    family, kind, protocol, _, _ = address_info
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return opened
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -63,7 +63,84 @@
     state: bytes
 
 
-Message = Hello | Proof | Ping | Leaving | FetchCatalogue | CatalogueState
+@attrs.frozen
+class SubmitItems:
+    """Asks the owner of a stage service's queue for results.
+
+    Times are left from now, since instances share no clock. Each item is
+    an array of stage, position, key and input results.
+    """
+
+    call_id: int
+    service: str
+    attempt_id: str
+    rank: int
+    objective_in_ms: int
+    useless_in_ms: int
+    zone: str
+    result_bytes: float
+    items: list[list[Any]]
+
+
+@attrs.frozen
+class ItemsQueued:
+    """The items of ``SubmitItems`` wait for their calls."""
+
+    call_id: int
+
+
+@attrs.frozen
+class ItemsDone:
+    """The results of ``SubmitItems``, in order."""
+
+    call_id: int
+    results: list[str]
+
+
+@attrs.frozen
+class ItemsFailed:
+    """There will be no results."""
+
+    call_id: int
+    reason: str
+    retry_after_ms: float
+
+
+@attrs.frozen
+class CancelItems:
+    """The results of ``SubmitItems`` are not wanted any more."""
+
+    call_id: int
+
+
+@attrs.frozen
+class FreeResults:
+    """Some results were used and need not be kept."""
+
+    service: str
+    results: list[str]
+
+
+@attrs.frozen
+class Stopping:
+    """The sender stops and takes no new items."""
+
+
+Message = (
+    Hello
+    | Proof
+    | Ping
+    | Leaving
+    | FetchCatalogue
+    | CatalogueState
+    | SubmitItems
+    | ItemsQueued
+    | ItemsDone
+    | ItemsFailed
+    | CancelItems
+    | FreeResults
+    | Stopping
+)
 
 _TYPES: dict[str, type[Any]] = {
     'hello': Hello,
@@ -72,6 +149,13 @@
     'leaving': Leaving,
     'fetch': FetchCatalogue,
     'state': CatalogueState,
+    'submit': SubmitItems,
+    'queued': ItemsQueued,
+    'done': ItemsDone,
+    'failed': ItemsFailed,
+    'cancel': CancelItems,
+    'free': FreeResults,
+    'stopping': Stopping,
 }
 _NAMES = {kind: name for name, kind in _TYPES.items()}
 
--- a/sycamorebeam/peering/stream.py
+++ b/sycamorebeam/peering/stream.py
@@ -30,8 +30,12 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ) -> None:
+        self._idle_timeout_s = idle_timeout_s
         self._reader = reader
         self._writer = writer
         self._unpacker = msgpack.Unpacker(
@@ -80,7 +84,7 @@
         """Yield messages until the stream ends or falls silent."""
         with contextlib.suppress(TimeoutError, OSError, ValueError):
             while True:
-                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                async with asyncio.timeout(self._idle_timeout_s):
                     message = await self._next()
                 if message is None:
                     return
--- /dev/null
+++ b/sycamorebeam/platform/desired_state.py
@@ -0,0 +1,111 @@
+"""Decodes the operator's desired state."""
+
+import json
+from typing import Any
+
+from sycamorebeam.forwarding import model
+
+MB = 1_000_000
+_KINDS = {
+    'idempotent': model.Kind.IDEMPOTENT,
+    'non_idempotent': model.Kind.NON_IDEMPOTENT,
+    'streaming': model.Kind.STREAM,
+}
+
+
+class UndecodableError(ValueError):
+    """A record is not what the platform's pages say it is."""
+
+
+def decode(data: bytes) -> model.DesiredState:
+    """Return the desired state in ``data``.
+
+    Raises UndecodableError; the remedy is to publish a valid version.
+    """
+    try:
+        body = json.loads(data)
+        tenants = body.get('tenants')
+        return model.DesiredState(
+            version=int(body['version']),
+            routes=tuple(_route(item) for item in body['routes']),
+            services={
+                item['name']: _service(item) for item in body['services']
+            },
+            team_of_key=_teams(tenants or []),
+            has_teams=tenants is not None,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UndecodableError(
+            f'the desired state cannot be decoded ({error!r}); '
+            'publish a valid version'
+        ) from error
+
+
+def _route(item: dict[str, Any]) -> model.Route:
+    return model.Route(
+        name=item['name'],
+        host=item['hostname'].lower(),
+        path_prefix=item['path_prefix'],
+        kind=_KINDS[item['route_kind']],
+        timeout_ms=float(item['timeout_ms']),
+        latency_objective_ms=float(item['target_latency_ms']),
+        longest_pause_ms=float(item.get('gap_aim_ms') or 0),
+        rank=int(item.get('priority', 0)),
+        split=_split(item),
+        max_attempts=int(item.get('max_attempts', 1)),
+        stages=tuple(_stage(stage) for stage in item.get('stages') or ()),
+        is_public=bool(item.get('public', False)),
+        is_resumable=bool(item.get('stream_resumption', False)),
+    )
+
+
+def _split(item: dict[str, Any]) -> tuple[model.Weighted, ...]:
+    shares = item.get('traffic_split')
+    if not shares:
+        return (model.Weighted(service=item['service'], weight=1.0),)
+    return tuple(
+        model.Weighted(service=share['service'], weight=float(share['weight']))
+        for share in shares
+    )
+
+
+def _stage(item: dict[str, Any]) -> model.Stage:
+    return model.Stage(
+        service=item['service'],
+        after=tuple(int(position) for position in item.get('after') or ()),
+        result_bytes=float(item.get('size_bytes', 0)),
+    )
+
+
+def _service(item: dict[str, Any]) -> model.Service:
+    return model.Service(
+        name=item['name'],
+        connection_limit=int(item.get('connection_limit', 0)),
+        # 'segments' describes batch processing, not parts of anything.
+        batching=_batching(item.get('segments')),
+        has_engine='inference_engine' in item,
+    )
+
+
+def _batching(item: dict[str, Any] | None) -> model.Batching | None:
+    if item is None:
+        return None
+    return model.Batching(
+        slots=int(item['slots']),
+        queue=int(item['queue']),
+        items=int(item['batch']),
+        call_ms=float(item['call_duration_ms']),
+        item_ms=float(item['item_duration_ms']),
+        memory_bytes=float(item['headroom_mb']) * MB,
+        # 'handle' is a stored result.
+        result_ttl_ms=float(item['handle_ttl_s']) * 1000,
+    )
+
+
+def _teams(tenants: list[dict[str, Any]]) -> dict[str, model.Team]:
+    teams = {}
+    for item in tenants:
+        team = model.Team(name=item['name'], rank=item.get('priority'))
+        for key in item.get('api_keys') or ():
+            teams[key] = team
+    return teams
--- /dev/null
+++ b/sycamorebeam/platform/exchange.py
@@ -0,0 +1,253 @@
+"""Requests and answers of callers and targets, and calls to stages."""
+
+from collections.abc import Iterable
+import json
+
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+
+READY_PATH = '/sycamorebeam/readyz'
+STAGE_RUN_PATH = '/sycamorebeam/stage-run'
+STAGE_FREE_PATH = '/sycamorebeam/stage-free'
+
+# Headers that concern one connection only.
+_CONNECTION_HEADERS = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    }
+)
+# Headers that only the system may set, whatever a caller sent.
+_OWN_HEADERS = frozenset(
+    {
+        'x-cache-retention',
+        'x-credential',
+        'x-deadline-ms',
+        'x-expected-instance',
+        'x-expected-version',
+        'x-input-items',
+        'x-kv-backup',
+        'x-pin-ms',
+        'x-request-priority',
+        'x-tenant',
+        'kv-fetch',
+        'kv-from',
+        'last-event-id',
+    }
+)
+_LOWEST_PRIORITY = 9
+
+
+def decode_request(
+    *,
+    method: str,
+    path: str,
+    headers: Iterable[tuple[str, str]],
+    body: bytes,
+    arrived_ms: int,
+) -> requests.CallerRequest:
+    """Return a caller's request. Raises ValueError when it is malformed."""
+    pairs = list(headers)
+    found = {name.lower(): value for name, value in pairs}
+    dropped = _named_by_connection(found) | _CONNECTION_HEADERS | _OWN_HEADERS
+    return requests.CallerRequest(
+        attempt_id=found.get('x-attempt-id', ''),
+        method=method,
+        host=found.get('host', ''),
+        path=path,
+        headers=tuple(
+            (name, value)
+            for name, value in pairs
+            if name.lower() not in dropped
+        ),
+        body=body,
+        arrived_ms=arrived_ms,
+        deadline_ms=_number(found.get('x-deadline-ms')),
+        key=found.get('x-credential'),
+        prompt=_prompt(found.get('x-prompt-prefix')),
+        item_counts=_counts(found.get('x-chunks')),
+        item_key=found.get('x-chunk-key', ''),
+        last_event_id=found.get('last-event-id'),
+    )
+
+
+def target_headers(
+    request: requests.CallerRequest, target_id: str, send: requests.Send
+) -> list[tuple[str, str]]:
+    """Return the headers of a request as a target gets it."""
+    headers = list(request.headers)
+    headers.append(('X-Deadline-Ms', str(send.remaining_ms)))
+    headers.append(('X-Expected-Instance', target_id))
+    priority = max(0, min(send.rank, _LOWEST_PRIORITY))
+    headers.append(('X-Request-Priority', str(priority)))
+    if send.team is not None:
+        headers.append(('X-Tenant', send.team))
+    if send.results is not None:
+        headers.append(('X-Input-Items', ','.join(send.results)))
+    if send.last_event_id is not None:
+        headers.append(('Last-Event-Id', send.last_event_id))
+    return headers
+
+
+def decode_answer_head(answer: upstream.Answer) -> requests.AnswerHead:
+    """Return the head of a target's answer."""
+    found = {name.lower(): value for name, value in answer.headers}
+    dropped = _named_by_connection(found) | _CONNECTION_HEADERS
+    is_other_target = answer.status == 421
+    return requests.AnswerHead(
+        status=answer.status,
+        headers=tuple(
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in dropped
+        ),
+        attempt_id=found.get('x-attempt-id'),
+        is_signed='x-server-signature' in found,
+        is_executed=not (is_other_target or 'x-not-executed' in found),
+        is_other_target=is_other_target,
+        load=_load(found.get('x-instance-load')),
+        has_encoding=found.get('content-encoding', 'identity') != 'identity',
+    )
+
+
+class StageTargets:
+    """Calls to replicas that run stages."""
+
+    def __init__(self, client: upstream.Upstream) -> None:
+        self._client = client
+
+    async def run(
+        self,
+        address: str,
+        target_id: str,
+        items: list[stages.TimedItem],
+    ) -> stages.CallResult:
+        """Run some items in one call.
+
+        Raises upstream.NotSentError and upstream.BrokenError.
+        """
+        body = json.dumps({'entries': [_entry(item) for item in items]})
+        answer = await self._client.open(
+            address,
+            'POST',
+            STAGE_RUN_PATH,
+            [
+                ('Content-Type', 'application/json'),
+                ('X-Expected-Instance', target_id),
+            ],
+            body.encode(),
+        )
+        try:
+            head = decode_answer_head(answer)
+            data = await answer.whole_body()
+        finally:
+            answer.close()
+        if not head.is_executed:
+            return stages.Declined(is_gone=head.is_other_target)
+        if head.status != 200:
+            raise upstream.BrokenError(f'{address}: status {head.status}')
+        try:
+            return stages.Ran(_decode_results(data, len(items)))
+        except (ValueError, KeyError, TypeError) as error:
+            raise upstream.BrokenError(f'{address}: {error!r}') from error
+
+    async def free(self, address: str, results: list[str]) -> None:
+        """Give up results.
+
+        Raises upstream.NotSentError and upstream.BrokenError.
+        """
+        answer = await self._client.open(
+            address,
+            'POST',
+            STAGE_FREE_PATH,
+            [('Content-Type', 'application/json')],
+            json.dumps({'handles': results}).encode(),
+        )
+        try:
+            await answer.whole_body()
+        finally:
+            answer.close()
+
+    def maker_address(self, result: str) -> str:
+        """Return the address of the replica that holds a result."""
+        return result.partition('/')[0]
+
+
+def _entry(timed: stages.TimedItem) -> dict[str, object]:
+    item = timed.item
+    # 'phase' is the stage, 'segment' the item's position in it.
+    entry: dict[str, object] = {
+        'id': item.attempt_id,
+        'phase': item.stage,
+        'segment': item.position,
+        'remaining_ms': timed.remaining_ms,
+    }
+    if item.takes_inputs:
+        entry['input_handles'] = list(item.inputs)
+    else:
+        entry['key'] = item.key
+    return entry
+
+
+def _decode_results(data: bytes, count: int) -> tuple[stages.ItemResult, ...]:
+    entries = json.loads(data)['entries']
+    if len(entries) != count:
+        raise ValueError(f'{len(entries)} results for {count} items')
+    return tuple(_decode_result(entry) for entry in entries)
+
+
+def _decode_result(entry: dict[str, str]) -> stages.ItemResult:
+    if 'handle' in entry:
+        return stages.Produced(entry['handle'])
+    return stages.NotProduced(_REASONS[entry['reason']])
+
+
+_REASONS = {
+    'late': stages.Reason.TOO_LATE,
+    'gone': stages.Reason.INPUT_GONE,
+    'room': stages.Reason.NO_MEMORY,
+    'error': stages.Reason.FAILED,
+}
+
+
+def _named_by_connection(found: dict[str, str]) -> frozenset[str]:
+    names = found.get('connection', '').split(',')
+    return frozenset(name.strip().lower() for name in names)
+
+
+def _number(text: str | None) -> float | None:
+    return None if text is None else float(text)
+
+
+def _prompt(text: str | None) -> tuple[requests.PromptPart, ...]:
+    if not text:
+        return ()
+    parts = []
+    for entry in text.split(','):
+        part_id, _, tokens = entry.strip().partition(':')
+        parts.append(requests.PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _counts(text: str | None) -> tuple[int, ...]:
+    return tuple(int(count) for count in text.split(',')) if text else ()
+
+
+def _load(text: str | None) -> tuple[int, int, int] | None:
+    if not text:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in text.split(','))
+    except ValueError:
+        return None
+    return running, waiting, slots
--- /dev/null
+++ b/sycamorebeam/platform/followed.py
@@ -0,0 +1,127 @@
+"""The store's records as the product's types."""
+
+from collections.abc import Iterable
+import json
+
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import instances as instances_module
+from sycamorebeam.forwarding import model
+from sycamorebeam.platform import desired_state
+from sycamorebeam.platform import store as stores
+from sycamorebeam.platform import target_records
+
+STATE_KEY = 'config'
+
+
+class StorePlatform:
+    """Reads and writes the store for the followers."""
+
+    def __init__(self, store: stores.Store) -> None:
+        self._store = store
+
+    async def read_state(self) -> followers.StateRead:
+        """Return the newest desired state."""
+        return _state(await self._newest(stores.OPERATOR_TOPIC))
+
+    async def wait_state(
+        self, position: int, wait_ms: int
+    ) -> followers.StateRead:
+        """Return what came after a position, waiting for it."""
+        topic = stores.OPERATOR_TOPIC
+        return _state(await self._read(topic, position, wait_ms))
+
+    async def read_targets(self) -> followers.TargetsRead:
+        """Return all targets' entries."""
+        return _targets(await self._newest(stores.TARGETS_TOPIC))
+
+    async def read_target_changes(
+        self, position: int
+    ) -> followers.TargetsRead:
+        """Return the entries that changed after a position."""
+        return _targets(await self._read(stores.TARGETS_TOPIC, position, 0))
+
+    async def read_instances(
+        self,
+    ) -> Iterable[instances_module.InstanceEntry]:
+        """Return the entries of the system's instances."""
+        records = await self._newest(stores.INSTANCES_TOPIC)
+        found = [_instance(record) for record in records.items]
+        return [entry for entry in found if entry is not None]
+
+    async def renew_instance(
+        self, entry: instances_module.InstanceEntry
+    ) -> None:
+        """Write this instance's entry."""
+        value = {'address': entry.address, 'renewal': entry.renewal}
+        await self._put(entry.instance_id, json.dumps(value).encode())
+
+    async def remove_instance(self, instance_id: str) -> None:
+        """Remove this instance's entry."""
+        await self._put(instance_id, b'')
+
+    async def _put(self, key: str, value: bytes) -> None:
+        try:
+            await self._store.put(stores.INSTANCES_TOPIC, key, value)
+        except stores.StoreError as error:
+            raise followers.ReadError(str(error)) from error
+
+    async def _newest(self, topic: str) -> stores.Records:
+        try:
+            return await self._store.newest(topic)
+        except stores.StoreError as error:
+            raise followers.ReadError(str(error)) from error
+
+    async def _read(
+        self, topic: str, position: int, wait_ms: int
+    ) -> stores.Records:
+        try:
+            return await self._store.read(topic, position, wait_ms)
+        except stores.HistoryGoneError as error:
+            raise followers.HistoryGoneError(str(error)) from error
+        except stores.StoreError as error:
+            raise followers.ReadError(str(error)) from error
+
+
+def _state(records: stores.Records) -> followers.StateRead:
+    newest: model.DesiredState | None = None
+    for record in records.items:
+        if record.key != STATE_KEY or not record.value:
+            continue
+        try:
+            newest = desired_state.decode(record.value)
+        except desired_state.UndecodableError as error:
+            # The last good state stays in force.
+            telemetry.log_event('state_undecodable', 'ERROR', error=str(error))
+    return followers.StateRead(newest, records.next_offset)
+
+
+def _targets(records: stores.Records) -> followers.TargetsRead:
+    entries = tuple(
+        directories.Entry(
+            record.key, target_records.decode(record.key, record.value)
+        )
+        for record in records.items
+    )
+    return followers.TargetsRead(entries, records.next_offset)
+
+
+def _instance(
+    record: stores.Record,
+) -> instances_module.InstanceEntry | None:
+    if not record.value:
+        return None
+    try:
+        value = json.loads(record.value)
+        return instances_module.InstanceEntry(
+            record.key, str(value['address']), int(value['renewal'])
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        telemetry.log_event(
+            'instance_undecodable',
+            'WARNING',
+            instance_entry=record.key,
+            error=repr(error),
+        )
+        return None
--- /dev/null
+++ b/sycamorebeam/platform/store.py
@@ -0,0 +1,175 @@
+"""Calls to the platform's store, a log with keyed topics."""
+
+import base64
+import json
+import struct
+from typing import Any
+
+import aiohttp
+import attrs
+
+CALL_TIMEOUT_S = 1.5  # well below the shortest bound that a read serves
+CONNECT_TIMEOUT_S = 0.6  # a few round trips between regions
+MAX_READ_BYTES = 4 * 1024 * 1024  # above the store's largest record
+OPERATOR_TOPIC = 'keyed.op'
+TARGETS_TOPIC = 'keyed.servers'
+INSTANCES_TOPIC = 'keyed.instances'
+_LENGTH = struct.Struct('>I')
+_OFFSETS = struct.Struct('>QQ')
+
+
+class StoreError(Exception):
+    """A call to the store failed; it may or may not have had its effect."""
+
+
+class HistoryGoneError(StoreError):
+    """The wanted records were deleted; read the newest of each key instead."""
+
+
+@attrs.frozen
+class Record:
+    """One record of a keyed topic; no value means that the key was dropped."""
+
+    key: str
+    value: bytes
+
+
+@attrs.frozen
+class Records:
+    """Records and the offset at which to read on."""
+
+    items: tuple[Record, ...]
+    next_offset: int
+
+
+class Store:
+    """A client of the store."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}/sycamorebeam'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def reset(self) -> None:
+        """Use new connections from now on: an old one may be silent."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    async def newest(self, topic: str) -> Records:
+        """Return the newest record of each key, and where to read on.
+
+        The offset is that of the first page, since pages are no snapshot.
+        """
+        items: list[Record] = []
+        params: dict[str, str | int] = {'topic': topic, 'part': 0}
+        next_offset: int | None = None
+        while True:
+            body = json.loads(await self._get('/log-newest', params))
+            items.extend(
+                Record(_key(entry['key']), base64.b64decode(entry['value']))
+                for entry in body['entries']
+            )
+            if next_offset is None:
+                next_offset = int(body['end_offset'])
+            if not body.get('has_more'):
+                return Records(tuple(items), next_offset)
+            params['after'] = body['entries'][-1]['key']
+
+    async def read(self, topic: str, offset: int, wait_ms: int = 0) -> Records:
+        """Return the records from ``offset``, waiting for the first."""
+        params: dict[str, str | int] = {
+            'topic': topic,
+            'part': 0,
+            'source': offset,
+            'max_size': MAX_READ_BYTES,
+        }
+        if wait_ms:
+            params['wait_ms'] = wait_ms
+        data = await self._get('/log-read', params, wait_ms)
+        items = _decode_records(data)
+        return Records(items, offset + len(items))
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append the newest record of ``key``."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        await self._call(
+            'POST',
+            '/log-append',
+            {'topic': topic, 'part': 0},
+            0,
+            _LENGTH.pack(len(content)) + content,
+        )
+
+    async def _get(
+        self, path: str, params: dict[str, Any], wait_ms: int = 0
+    ) -> bytes:
+        return await self._call('GET', path, params, wait_ms)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, Any],
+        wait_ms: int,
+        body: bytes | None = None,
+    ) -> bytes:
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S + wait_ms / 1000,
+            sock_connect=CONNECT_TIMEOUT_S,
+        )
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar()
+            )
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=params,
+                data=body,
+                timeout=timeout,
+                headers={'Content-Type': 'application/octet-stream'},
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            await self.reset()
+            raise StoreError(f'{path} failed: {error!r}') from error
+        if status == 410:
+            raise HistoryGoneError(f'{path}: the history is gone')
+        if status != 200:
+            raise StoreError(f'{path} was answered by status {status}')
+        return data
+
+
+def _key(key: object) -> str:
+    return key if isinstance(key, str) else str(key)
+
+
+def _decode_records(data: bytes) -> tuple[Record, ...]:
+    """Return the records after the two offsets that begin an answer."""
+    items = []
+    position = _OFFSETS.size
+    while position + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        content = data[position : position + length]
+        if len(content) < length:
+            break
+        position += length
+        items.append(_decode_record(content))
+    return tuple(items)
+
+
+def _decode_record(content: bytes) -> Record:
+    if not content:
+        return Record('', b'')
+    end = 1 + content[0]
+    key = content[1:end].decode(errors='replace')
+    return Record(key, content[end:])
