--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -58,6 +58,7 @@
         self._service_of = service_of
         self._rank = rank
         self._held: dict[int, tuple[str, ...]] = {}
+        self._done: set[int] = set()
 
     async def run(
         self, zone: str, times: Times, now_ms: int
@@ -84,11 +85,8 @@
 
     def free(self) -> None:
         """Give up all results that are held."""
-        held, self._held = self._held, {}
-        for position, results in held.items():
-            if results:
-                service = self._stages[position].service
-                self._producer.free(service, list(results))
+        for position in list(self._held):
+            self._free_stage(position)
 
     def _stage(
         self,
@@ -148,8 +146,27 @@
                 raise _StageError(outcome)
             case stages.Results(results):
                 self._held[position] = results
+                self._done.add(position)
+                self._free_used()
                 return results
 
+    def _free_used(self) -> None:
+        """Give up the results that all stages after them have taken."""
+        for position in list(self._held):
+            followers = [
+                index
+                for index, stage in enumerate(self._stages)
+                if position in stage.after and self._count(index)
+            ]
+            if followers and all(index in self._done for index in followers):
+                self._free_stage(position)
+
+    def _free_stage(self, position: int) -> None:
+        results = self._held.pop(position)
+        if results:
+            service = self._stages[position].service
+            self._producer.free(service, list(results))
+
     def _count(self, position: int) -> int:
         counts = self._request.item_counts
         return counts[position] if position < len(counts) else 0
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -29,9 +29,10 @@
 BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
 LONGEST_PAUSE_MS = 4_000
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
-FREE_INTERVAL_MS = 300  # between calls that free results
-FREE_AT_SHARE = 0.5  # of a replica's memory: above, results are freed at once
-TICK_MS = 50  # the shortest pause after which queues are looked at again
+FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
+# Of a replica's memory: above it, results are freed at the next tick.
+FREE_AT_SHARE = 0.25
+TICK_MS = 40  # the shortest pause after which queues are looked at again
 
 
 @attrs.define
@@ -135,10 +136,6 @@
         for result in results:
             address = self._calls.maker_address(result)
             service.to_free.setdefault(address, []).append(result)
-            held = service.held.pop(result, None)
-            if held is not None:
-                self._release(service, held)
-        self._pump(service)
 
     async def run_forever(self) -> None:
         """Free results and look at the queues again and again."""
@@ -147,8 +144,7 @@
             await self._clock.sleep_ms(TICK_MS)
             elapsed_ms += TICK_MS
             for service in list(self._services.values()):
-                if elapsed_ms >= FREE_INTERVAL_MS:
-                    self._flush_freed(service)
+                self._flush_freed(service, elapsed_ms >= FREE_INTERVAL_MS)
                 self._expire_held(service)
                 self._pump(service)
             if elapsed_ms >= FREE_INTERVAL_MS:
@@ -401,12 +397,23 @@
             del service.held[result]
             self._release(service, held)
 
-    def _flush_freed(self, service: _Service) -> None:
-        to_free, service.to_free = service.to_free, {}
-        for address, results in to_free.items():
-            self._start(self._free(address, results))
+    def _flush_freed(self, service: _Service, flush_all: bool) -> None:
+        limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
+        for address, results in list(service.to_free.items()):
+            if flush_all or self._freed_bytes(service, results) > limit_bytes:
+                del service.to_free[address]
+                self._start(self._free(service, address, results))
+
+    def _freed_bytes(self, service: _Service, results: list[str]) -> float:
+        return sum(
+            service.held[result].result_bytes
+            for result in results
+            if result in service.held
+        )
 
-    async def _free(self, address: str, results: list[str]) -> None:
+    async def _free(
+        self, service: _Service, address: str, results: list[str]
+    ) -> None:
         try:
             async with asyncio.timeout(MIN_CALL_TIMEOUT_MS / 1000):
                 await self._calls.free(address, results)
@@ -418,11 +425,17 @@
             # The replica is gone or drops the results by itself in time.
             telemetry.log_event(
                 'results_not_freed',
-                'DEBUG',
+                'WARNING',
                 address=address,
                 results=len(results),
                 error=repr(error),
             )
+            return
+        for result in results:
+            held = service.held.pop(result, None)
+            if held is not None:
+                self._release(service, held)
+        self._pump(service)
 
     def _start(self, work: object) -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
