--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -245,8 +245,12 @@
                 continue
             now_ms = self._clock.monotonic_ms()
             contact.succeeded()
-            self._instances.update(entries, now_ms)
-            self._instances.expire(now_ms)
+            changes = self._instances.update(entries, now_ms)
+            changes.extend(self._instances.expire(now_ms))
+            if changes:
+                telemetry.log_event(
+                    'instances_changed', changes=' '.join(changes)
+                )
             await self._clock.sleep_ms(INSTANCES_INTERVAL_MS)
 
     async def leave(self) -> None:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -64,7 +64,10 @@
         )
         self._instances = instances_module.Instances(
             instances_module.InstanceEntry(
-                settings.instance_id, settings.addresses.peers, 0
+                settings.instance_id,
+                settings.addresses.peers,
+                settings.region,
+                0,
             )
         )
         bounds = settings.bounds
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -1,5 +1,6 @@
 """The other instances: who they are, and which one owns a queue."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -19,6 +20,7 @@
 
     instance_id: str
     address: str
+    region: str
     renewal: int
 
 
@@ -56,25 +58,37 @@
         known = self._known.get(instance_id)
         return None if known is None else known.entry.address
 
-    def update(self, entries: Iterable[InstanceEntry], now_ms: int) -> None:
-        """Take a whole listing."""
+    def update(
+        self, entries: Iterable[InstanceEntry], now_ms: int
+    ) -> list[str]:
+        """Take a whole listing; return what changed, for the log."""
         listed = {
             entry.instance_id: entry
             for entry in entries
             if entry.instance_id != self._own.instance_id
         }
+        changes = []
         for instance_id in self._known.keys() - listed.keys():
             del self._known[instance_id]
+            changes.append(f'{instance_id}:left')
         for instance_id, entry in listed.items():
             known = self._known.get(instance_id)
+            if known is None:
+                changes.append(f'{instance_id}:{entry.address}')
             if known is None or known.entry != entry:
                 self._known[instance_id] = _Known(entry, now_ms)
+        return changes
 
-    def expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: int) -> list[str]:
         """Forget instances that renew their entries no more."""
-        for instance_id, known in list(self._known.items()):
-            if now_ms - known.renewed_ms >= EXPIRY_MS:
-                del self._known[instance_id]
+        gone = [
+            instance_id
+            for instance_id, known in self._known.items()
+            if now_ms - known.renewed_ms >= EXPIRY_MS
+        ]
+        for instance_id in gone:
+            del self._known[instance_id]
+        return [f'{instance_id}:expired' for instance_id in gone]
 
     def refresh(self, now_ms: int) -> None:
         """Keep all entries: none can be renewed while the store is away."""
@@ -98,16 +112,26 @@
     def owners(self, service: str, now_ms: int) -> list[str]:
         """Return the instances to ask for a service's items, best first.
 
-        The last one is always this instance.
+        Those of the region with most instances go first, since most items
+        come from there. The last one is always this instance.
         """
-        candidates = [
-            instance_id
-            for instance_id in (*self._known, self._own.instance_id)
-            if not self._is_suspected(instance_id, now_ms)
+        entries = [known.entry for known in self._known.values()]
+        entries.append(self._own)
+        population = Counter(entry.region for entry in entries)
+        entries.sort(
+            key=lambda entry: (
+                population[entry.region],
+                entry.region,
+                hashing.weight(service, entry.instance_id),
+            ),
+            reverse=True,
+        )
+        ranked = [
+            entry.instance_id
+            for entry in entries
+            if not self._is_suspected(entry.instance_id, now_ms)
         ]
-        ranked = hashing.rank(service, candidates, len(candidates))
-        own = self._own.instance_id
-        return ranked[: ranked.index(own) + 1]
+        return ranked[: ranked.index(self._own.instance_id) + 1]
 
     def _is_suspected(self, instance_id: str, now_ms: int) -> bool:
         suspicion = self._suspected.get(instance_id)
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -107,6 +107,7 @@
         group = stage_queue.Group(
             group_id=next(self._ids),
             rank=request.rank,
+            queued_ms=now_ms,
             objective_ms=now_ms + request.objective_in_ms,
             useless_ms=now_ms + request.useless_in_ms,
             zone=request.zone,
@@ -190,6 +191,9 @@
                 continue
             entries = service.queue.next_call(replica, replicas, now_ms)
             if entries:
+                # Reserved here: the task begins only after this function.
+                replica.calls += 1
+                replica.held_bytes += _result_bytes(entries)
                 self._start(self._call(service, replica, entries))
 
     async def _call(
@@ -200,11 +204,10 @@
     ) -> None:
         target = self._directory.get(replica.target_id)
         if target is None:
+            replica.calls -= 1
+            replica.held_bytes -= _result_bytes(entries)
             self._put_back(service, entries)
             return
-        replica.calls += 1
-        held = [entry.group.result_bytes for entry in entries]
-        replica.held_bytes += sum(held)
         began_ms = self._clock.monotonic_ms()
         try:
             async with asyncio.timeout(
@@ -217,12 +220,12 @@
                 )
         except upstream.NotSentError as error:
             replica.calls -= 1
-            replica.held_bytes -= sum(held)
+            replica.held_bytes -= _result_bytes(entries)
             self._pause_broken(service, replica, error)
             self._put_back(service, entries)
         except (upstream.BrokenError, TimeoutError) as error:
             replica.calls -= 1
-            replica.held_bytes -= sum(held)
+            replica.held_bytes -= _result_bytes(entries)
             self._pause_broken(service, replica, error)
             self._repeat(service, entries)
         else:
@@ -250,6 +253,22 @@
             case stages.Ran(results):
                 service.pauses.pop(replica.target_id, None)
                 self._learn_pace(service, replica, len(entries), began_ms)
+                telemetry.log_event(
+                    'stage_called',
+                    service=service.name,
+                    target=replica.target_id,
+                    items=len(entries),
+                    took_ms=now_ms - began_ms,
+                    waited_ms=began_ms
+                    - min(entry.group.queued_ms for entry in entries),
+                    waiting=service.queue.items,
+                    held_share=round(
+                        replica.held_bytes
+                        / service.queue.batching.memory_bytes,
+                        2,
+                    ),
+                    slowness=round(replica.slowness, 2),
+                )
                 self._metrics.count('stage.calls')
                 self._metrics.count('stage.items', len(entries))
                 for entry, item in zip(entries, results, strict=True):
@@ -443,6 +462,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _result_bytes(entries: list[stage_queue.Entry]) -> float:
+    return sum(entry.group.result_bytes for entry in entries)
+
+
 def _timed(entry: stage_queue.Entry, now_ms: int) -> stages.TimedItem:
     remaining_ms = max(1, entry.group.useless_ms - now_ms)
     return stages.TimedItem(entry.item, remaining_ms)
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -32,6 +32,7 @@
 
     group_id: int
     rank: int
+    queued_ms: int
     objective_ms: int
     useless_ms: int
     zone: str
--- a/sycamorebeam/platform/followed.py
+++ b/sycamorebeam/platform/followed.py
@@ -54,7 +54,11 @@
         self, entry: instances_module.InstanceEntry
     ) -> None:
         """Write this instance's entry."""
-        value = {'address': entry.address, 'renewal': entry.renewal}
+        value = {
+            'address': entry.address,
+            'region': entry.region,
+            'renewal': entry.renewal,
+        }
         await self._put(entry.instance_id, json.dumps(value).encode())
 
     async def remove_instance(self, instance_id: str) -> None:
@@ -115,7 +119,10 @@
     try:
         value = json.loads(record.value)
         return instances_module.InstanceEntry(
-            record.key, str(value['address']), int(value['renewal'])
+            record.key,
+            str(value['address']),
+            str(value['region']),
+            int(value['renewal']),
         )
     except (KeyError, TypeError, ValueError) as error:
         telemetry.log_event(
