--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -126,6 +126,9 @@
     may_have_run: bool = False
     splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
     last_target: str = ''
+    stages_ms: dict[int, int] = attrs.field(factory=dict)
+    sent_ms: int | None = None
+    begun_ms: int | None = None
 
     @property
     def rank(self) -> int:
@@ -319,6 +322,7 @@
             return None
         return preparation.Preparation(
             self._producer,
+            self._clock,
             call.request,
             call.route.stages,
             self._state.service,
@@ -336,14 +340,14 @@
         arrived_ms = call.request.arrived_ms
         patience_ms = arrived_ms + int(call.route.patience_ms)
         objective_ms = arrived_ms + int(call.route.latency_objective_ms)
-        return await prepared.run(
-            target.availability_zone,
-            preparation.Times(
-                objective_ms=objective_ms,
-                useless_ms=min(call.deadline.at_ms, patience_ms),
-            ),
-            self._clock.monotonic_ms(),
+        times = preparation.Times(
+            objective_ms=objective_ms,
+            useless_ms=min(call.deadline.at_ms, patience_ms),
         )
+        try:
+            return await prepared.run(target.availability_zone, times)
+        finally:
+            call.stages_ms = dict(prepared.took_ms)
 
     async def _attempt(
         self,
@@ -437,6 +441,7 @@
             ):
                 raise upstream.NotSentError('the desired state is too old')
             call.sends += 1
+            call.sent_ms = self._clock.monotonic_ms()
 
         return check
 
@@ -486,6 +491,7 @@
                 prepared.free()
             if not call.has_begun:
                 call.has_begun = True
+                call.begun_ms = self._clock.monotonic_ms()
                 await call.reply.begin(head)
             await call.reply.write(data)
         rest = call.splitter.drop_rest()
@@ -546,7 +552,8 @@
         return None if desired is None else desired.version
 
     def _log_end(self, call: _Call, result: str) -> None:
-        took_ms = self._clock.monotonic_ms() - call.request.arrived_ms
+        arrived_ms = call.request.arrived_ms
+        took_ms = self._clock.monotonic_ms() - arrived_ms
         self._metrics.count('request.ended')
         self._metrics.timing(f'request.{call.route.kind.value}', took_ms)
         telemetry.log_event(
@@ -557,6 +564,15 @@
             target=call.last_target,
             sends=call.sends,
             connect_failures=call.connect_failures,
+            stages_ms=','.join(
+                f'{position}:{ms}' for position, ms in call.stages_ms.items()
+            ),
+            sent_ms=None
+            if call.sent_ms is None
+            else call.sent_ms - arrived_ms,
+            begun_ms=None
+            if call.begun_ms is None
+            else call.begun_ms - arrived_ms,
             took_ms=took_ms,
             left_ms=call.deadline.remaining_ms(self._clock),
             state_version=self._version(),
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -2,13 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Sequence
-from typing import Any
 from typing import Protocol
 
 import attrs
 
+from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
@@ -47,21 +46,29 @@
     def __init__(
         self,
         producer: Producer,
+        clock: clocks.Clock,
         request: requests.CallerRequest,
         route_stages: Sequence[model.Stage],
         service_of: ServiceOf,
         rank: int,
     ) -> None:
         self._producer = producer
+        self._clock = clock
         self._request = request
         self._stages = route_stages
         self._service_of = service_of
         self._rank = rank
+        self._running: list[asyncio.Task[tuple[str, ...]]] = []
         self._held: dict[int, tuple[str, ...]] = {}
-        self._done: set[int] = set()
+        self._took_ms: dict[int, int] = {}
+
+    @property
+    def took_ms(self) -> dict[int, int]:
+        """How long each stage took that was produced."""
+        return self._took_ms
 
     async def run(
-        self, zone: str, times: Times, now_ms: int
+        self, zone: str, times: Times
     ) -> tuple[str, ...] | stages.Failure:
         """Return the results that the request itself needs.
 
@@ -70,10 +77,10 @@
         failure: stages.Failure | None = None
         try:
             async with asyncio.TaskGroup() as group:
-                running: list[asyncio.Task[tuple[str, ...]]] = []
-                for position in range(len(self._stages)):
-                    work = self._stage(position, running, zone, times, now_ms)
-                    running.append(group.create_task(work))
+                self._running = [
+                    group.create_task(self._run_stage(position, zone, times))
+                    for position in range(len(self._stages))
+                ]
         except* _StageError as errors:
             first = errors.exceptions[0]
             assert isinstance(first, _StageError)
@@ -88,68 +95,83 @@
         for position in list(self._held):
             self._free_stage(position)
 
-    def _stage(
-        self,
-        position: int,
-        running: list[asyncio.Task[tuple[str, ...]]],
-        zone: str,
-        times: Times,
-        now_ms: int,
-    ) -> Coroutine[Any, Any, tuple[str, ...]]:
-        stage = self._stages[position]
-        before = [running[index] for index in stage.after]
-        return self._run_stage(position, before, zone, times, now_ms)
-
     async def _run_stage(
-        self,
-        position: int,
-        before: list[asyncio.Task[tuple[str, ...]]],
-        zone: str,
-        times: Times,
-        began_ms: int,
+        self, position: int, zone: str, times: Times
     ) -> tuple[str, ...]:
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
+        stage = self._stages[position]
         inputs: list[str] = []
-        for task in before:
-            inputs.extend(await task)
+        for index in stage.after:
+            inputs.extend(await asyncio.shield(self._running[index]))
+        await self._wait_for_longer_chains(position)
         count = self._count(position)
         if not count:
             return ()
-        now_ms = began_ms + int((loop.time() - began_s) * 1000)
-        later_ms = self._later_ms(position)
-        stage = self._stages[position]
+        began_ms = self._clock.monotonic_ms()
         outcome = await self._producer.produce(
-            stages.StageRequest(
-                service=stage.service,
-                attempt_id=self._request.attempt_id,
-                rank=self._rank,
-                objective_in_ms=times.objective_ms - later_ms - now_ms,
-                useless_in_ms=times.useless_ms - later_ms - now_ms,
-                zone=zone,
-                result_bytes=stage.result_bytes,
-                items=tuple(
-                    stages.Item(
-                        self._request.attempt_id,
-                        position,
-                        index,
-                        self._request.item_key,
-                        bool(stage.after),
-                        tuple(inputs),
-                    )
-                    for index in range(count)
-                ),
-            )
+            self._stage_request(position, tuple(inputs), zone, times, began_ms)
         )
         match outcome:
             case stages.Failure():
                 raise _StageError(outcome)
             case stages.Results(results):
                 self._held[position] = results
-                self._done.add(position)
+                took_ms = self._clock.monotonic_ms() - began_ms
+                self._took_ms[position] = took_ms
                 self._free_used()
                 return results
 
+    async def _wait_for_longer_chains(self, position: int) -> None:
+        """Wait until no stage is further from the end than this one.
+
+        Results take up scarce memory from their production to their use.
+        """
+        level = self._level(position)
+        for index, task in enumerate(self._running):
+            if self._level(index) > level:
+                await asyncio.shield(task)
+
+    def _level(self, position: int) -> int:
+        """Return how many stages with items follow one, in a row."""
+        return max(
+            (
+                self._level(index) + bool(self._count(index))
+                for index, stage in enumerate(self._stages)
+                if position in stage.after
+            ),
+            default=0,
+        )
+
+    def _stage_request(
+        self,
+        position: int,
+        inputs: tuple[str, ...],
+        zone: str,
+        times: Times,
+        now_ms: int,
+    ) -> stages.StageRequest:
+        stage = self._stages[position]
+        later_ms = self._later_ms(position)
+        return stages.StageRequest(
+            service=stage.service,
+            attempt_id=self._request.attempt_id,
+            rank=self._rank,
+            objective_in_ms=times.objective_ms - later_ms - now_ms,
+            useless_in_ms=times.useless_ms - later_ms - now_ms,
+            zone=zone,
+            result_bytes=stage.result_bytes,
+            items=tuple(
+                stages.Item(
+                    self._request.attempt_id,
+                    position,
+                    index,
+                    self._request.item_key,
+                    bool(stage.after),
+                    inputs,
+                )
+                for index in range(self._count(position))
+            ),
+        )
+
     def _free_used(self) -> None:
         """Give up the results that all stages after them have taken."""
         for position in list(self._held):
@@ -158,7 +180,9 @@
                 for index, stage in enumerate(self._stages)
                 if position in stage.after and self._count(index)
             ]
-            if followers and all(index in self._done for index in followers):
+            if followers and all(
+                index in self._took_ms for index in followers
+            ):
                 self._free_stage(position)
 
     def _free_stage(self, position: int) -> None:
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -19,6 +19,9 @@
 # A replica slower than this many times its stated pace gets work only when
 # the others are busy for a round.
 SLOW_FACTOR = 1.8
+# Smaller results cost less to move between zones than an item loses by
+# waiting for a replica in the right one.
+LARGE_RESULT_BYTES = 1_000_000
 SHORTEST_RETURN_MS = 200.0  # below, a caller's way to and fro dominates
 
 
@@ -181,8 +184,8 @@
     ) -> list[Entry]:
         """Return the items that a replica may take, most urgent first.
 
-        Items go where their results are wanted, unless the replicas there
-        are busy beyond their next call. A slow replica takes only what the
+        Large results are made where they are wanted, unless the replicas
+        there are busy beyond their next call. A slow replica takes only what the
         next calls of the others have no place for.
         """
         if replica.slowness > SLOW_FACTOR:
@@ -195,16 +198,24 @@
         places: Counter[str] = Counter()
         for other in replicas:
             places[other.zone] += self._batching.items
-        near, far = [], []
+        room: Counter[str] = Counter()
+        for other in replicas:
+            free_bytes = self._batching.memory_bytes - other.held_bytes
+            room[other.zone] += max(0, int(free_bytes))
+        allowed = []
         for entry in ordered:
             zone = entry.group.zone
-            if zone == replica.zone or zone not in places:
-                near.append(entry)
-            elif places[zone] > 0:
+            needed_bytes = int(entry.group.result_bytes)
+            is_wanted_elsewhere = (
+                zone != replica.zone and needed_bytes >= LARGE_RESULT_BYTES
+            )
+            has_place = places[zone] > 0 and room[zone] >= needed_bytes
+            if is_wanted_elsewhere and has_place:
                 places[zone] -= 1
+                room[zone] -= needed_bytes
             else:
-                far.append(entry)
-        return near + far
+                allowed.append(entry)
+        return allowed
 
     def _ordered(self, now_ms: int) -> list[Entry]:
         keyed = [
