--- a/sycamorebeam/forwarding/directory.py
+++ b/sycamorebeam/forwarding/directory.py
@@ -52,6 +52,13 @@
                     found.append(target)
         return self._by_service.get(service, [])
 
+    def zone_of_address(self, address: str) -> str | None:
+        """Return the availability zone of the target at an address."""
+        for target in self._targets.values():
+            if target.address == address:
+                return target.availability_zone
+        return None
+
     def store_returned(self, now_ms: int) -> None:
         """Note the first successful read after failed ones."""
         self._returned_ms = now_ms
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -157,7 +157,11 @@
             rank=self._rank,
             objective_in_ms=times.objective_ms - later_ms - now_ms,
             useless_in_ms=times.useless_ms - later_ms - now_ms,
-            zone=zone,
+            zone='' if self._is_followed(position) else zone,
+            input_bytes=sum(
+                self._stages[index].result_bytes * self._count(index)
+                for index in stage.after
+            ),
             result_bytes=stage.result_bytes,
             items=tuple(
                 stages.Item(
@@ -215,6 +219,9 @@
         )
         return int(call_ms * (1 + STAGE_WAIT_SHARE))
 
+    def _is_followed(self, position: int) -> bool:
+        return any(position in stage.after for stage in self._stages)
+
     def _needed(self) -> tuple[str, ...]:
         """Return the results of the stages that no other stage follows."""
         followed = {index for stage in self._stages for index in stage.after}
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 import itertools
 
@@ -110,7 +111,7 @@
             queued_ms=now_ms,
             objective_ms=now_ms + request.objective_in_ms,
             useless_ms=now_ms + request.useless_in_ms,
-            zone=request.zone,
+            zone=self._zone(request),
             result_bytes=request.result_bytes,
             items=request.items,
         )
@@ -162,6 +163,20 @@
         found.queue.batching = described.batching
         return found
 
+    def _zone(self, request: stages.StageRequest) -> str:
+        """Return where the least data has to be moved for a request."""
+        results_bytes = request.result_bytes * len(request.items)
+        if request.input_bytes <= results_bytes and request.zone:
+            return request.zone
+        makers = Counter(
+            self._calls.maker_address(result)
+            for result in request.items[0].inputs
+        )
+        if not makers:
+            return request.zone
+        ((address, _),) = makers.most_common(1)
+        return self._directory.zone_of_address(address) or request.zone
+
     def _refresh(self, service: _Service) -> list[stage_queue.Replica]:
         targets = {
             target.target_id: target
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -19,9 +19,6 @@
 # A replica slower than this many times its stated pace gets work only when
 # the others are busy for a round.
 SLOW_FACTOR = 1.8
-# Smaller results cost less to move between zones than an item loses by
-# waiting for a replica in the right one.
-LARGE_RESULT_BYTES = 1_000_000
 SHORTEST_RETURN_MS = 200.0  # below, a caller's way to and fro dominates
 
 
@@ -30,7 +27,8 @@
     """All items of one request's stage.
 
     The results serve their latency objective until ``objective_ms``, and
-    are of no use after ``useless_ms``. ``zone`` is where they are wanted.
+    are of no use after ``useless_ms``. ``zone`` is where least data has to
+    be moved for them, empty where that makes no difference.
     """
 
     group_id: int
@@ -165,7 +163,7 @@
     ) -> list[Entry]:
         """Take the items of the next call of a free replica."""
         ordered = self._ordered(now_ms)
-        allowed = self._allowed(ordered, replica, replicas)
+        allowed = self._allowed(ordered, replica, replicas, now_ms)
         taken: list[Entry] = []
         held_bytes = replica.held_bytes
         for entry in allowed:
@@ -180,13 +178,17 @@
         return taken
 
     def _allowed(
-        self, ordered: list[Entry], replica: Replica, replicas: list[Replica]
+        self,
+        ordered: list[Entry],
+        replica: Replica,
+        replicas: list[Replica],
+        now_ms: int,
     ) -> list[Entry]:
         """Return the items that a replica may take, most urgent first.
 
-        Large results are made where they are wanted, unless the replicas
-        there are busy beyond their next call. A slow replica takes only what the
-        next calls of the others have no place for.
+        A slow replica takes only what the next calls of the others have no
+        place for. Items that can afford it wait for a replica in their
+        zone, as long as its next call has a place for them.
         """
         if replica.slowness > SLOW_FACTOR:
             others = sum(
@@ -196,27 +198,36 @@
             )
             return ordered[others * self._batching.items :]
         places: Counter[str] = Counter()
-        for other in replicas:
-            places[other.zone] += self._batching.items
         room: Counter[str] = Counter()
         for other in replicas:
-            free_bytes = self._batching.memory_bytes - other.held_bytes
-            room[other.zone] += max(0, int(free_bytes))
+            if other.slowness <= SLOW_FACTOR:
+                places[other.zone] += self._batching.items
+                free_bytes = self._batching.memory_bytes - other.held_bytes
+                room[other.zone] += max(0, int(free_bytes))
         allowed = []
         for entry in ordered:
             zone = entry.group.zone
             needed_bytes = int(entry.group.result_bytes)
-            is_wanted_elsewhere = (
-                zone != replica.zone and needed_bytes >= LARGE_RESULT_BYTES
-            )
-            has_place = places[zone] > 0 and room[zone] >= needed_bytes
-            if is_wanted_elsewhere and has_place:
+            if (
+                zone != replica.zone
+                and places[zone] > 0
+                and room[zone] >= needed_bytes
+                and self._can_wait(entry.group, now_ms)
+            ):
                 places[zone] -= 1
                 room[zone] -= needed_bytes
             else:
                 allowed.append(entry)
         return allowed
 
+    def _can_wait(self, group: Group, now_ms: int) -> bool:
+        """Whether a group can wait for another call and lose nothing."""
+        full_ms = self.call_ms(self._batching.items)
+        spent_ms = now_ms + full_ms + self.call_ms(len(group.items))
+        if now_ms + self.call_ms(len(group.items)) > group.objective_ms:
+            return spent_ms < group.useless_ms
+        return spent_ms < group.objective_ms
+
     def _ordered(self, now_ms: int) -> list[Entry]:
         keyed = [
             (self._urgency(pending.group, now_ms), pending)
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -300,6 +300,7 @@
         request.objective_in_ms,
         request.useless_in_ms,
         request.zone,
+        request.input_bytes,
         request.result_bytes,
         [
             [
@@ -322,6 +323,7 @@
         objective_in_ms=message.objective_in_ms,
         useless_in_ms=message.useless_in_ms,
         zone=message.zone,
+        input_bytes=message.input_bytes,
         result_bytes=message.result_bytes,
         items=tuple(
             stages.Item(
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -92,7 +92,11 @@
 
 @attrs.frozen(kw_only=True)
 class StageRequest:
-    """All items of one request's stage, with times left from now."""
+    """All items of one request's stage, with times left from now.
+
+    ``zone`` is where the results go, empty when that is not known yet;
+    ``input_bytes`` is the size of what the items take.
+    """
 
     service: str
     attempt_id: str
@@ -100,6 +104,7 @@
     objective_in_ms: int
     useless_in_ms: int
     zone: str
+    input_bytes: float
     result_bytes: float
     items: tuple[Item, ...]
 
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -78,6 +78,7 @@
     objective_in_ms: int
     useless_in_ms: int
     zone: str
+    input_bytes: float
     result_bytes: float
     items: list[list[Any]]
 
