--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -32,8 +32,8 @@
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
 # Of a replica's memory: above it, results are freed at the next tick.
-FREE_AT_SHARE = 0.25
-TICK_MS = 40  # the shortest pause after which queues are looked at again
+FREE_AT_SHARE = 0.4
+TICK_MS = 30  # the shortest pause after which queues are looked at again
 
 
 @attrs.define
@@ -434,17 +434,13 @@
     def _flush_freed(self, service: _Service, flush_all: bool) -> None:
         limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
         for address, results in list(service.to_free.items()):
-            if flush_all or self._freed_bytes(service, results) > limit_bytes:
+            held = service.held.get(results[0])
+            replica = held and service.replicas.get(held.target_id)
+            is_scarce = replica and replica.held_bytes > limit_bytes
+            if flush_all or is_scarce:
                 del service.to_free[address]
                 self._start(self._free(service, address, results))
 
-    def _freed_bytes(self, service: _Service, results: list[str]) -> float:
-        return sum(
-            service.held[result].result_bytes
-            for result in results
-            if result in service.held
-        )
-
     async def _free(
         self, service: _Service, address: str, results: list[str]
     ) -> None:
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-import enum
 import math
 
 import attrs
@@ -76,6 +75,11 @@
     group: Group
     left: list[int]
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether calls have taken some of the items."""
+        return len(self.left) < len(self.group.items)
+
 
 @attrs.frozen
 class Entry:
@@ -90,11 +94,15 @@
         return self.group.items[self.index]
 
 
-class Lateness(enum.IntEnum):
-    """Whether a group can still meet its latency objective."""
+@attrs.frozen(order=True)
+class Urgency:
+    """The order of groups; the lowest one goes first."""
 
-    IN_TIME = 0
-    LATE = 1
+    rank: int
+    is_late: bool
+    is_untouched: bool
+    objective_ms: int
+    group_id: int
 
 
 class StageQueue:
@@ -164,39 +172,45 @@
         """Take the items of the next call of a free replica."""
         ordered = self._ordered(now_ms)
         allowed = self._allowed(ordered, replica, replicas, now_ms)
+        places = self._batching.items
+        room = self._batching.memory_bytes - replica.held_bytes
         taken: list[Entry] = []
-        held_bytes = replica.held_bytes
-        for entry in allowed:
-            if len(taken) == self._batching.items:
-                break
-            held_bytes += entry.group.result_bytes
-            if held_bytes > self._batching.memory_bytes:
-                break
-            taken.append(entry)
-        for entry in taken:
-            self._take(entry)
+        split: _Pending | None = None
+        for pending in allowed:
+            fitting = self._fitting(pending.group, places, room)
+            if fitting < len(pending.left):
+                # A group is of use only whole, so others go before a part.
+                split = split or pending
+                continue
+            places -= len(pending.left)
+            room -= pending.group.result_bytes * len(pending.left)
+            taken.extend(self._take(pending, len(pending.left)))
+        if split is not None:
+            fitting = self._fitting(split.group, places, room)
+            taken.extend(self._take(split, fitting))
         return taken
 
+    def _fitting(self, group: Group, places: int, room: float) -> int:
+        """Return how many items of a group a call has place and memory for."""
+        if not group.result_bytes:
+            return places
+        return min(places, max(0, int(room / group.result_bytes)))
+
     def _allowed(
         self,
-        ordered: list[Entry],
+        ordered: list[_Pending],
         replica: Replica,
         replicas: list[Replica],
         now_ms: int,
-    ) -> list[Entry]:
-        """Return the items that a replica may take, most urgent first.
+    ) -> list[_Pending]:
+        """Return the groups that a replica may take, most urgent first.
 
         A slow replica takes only what the next calls of the others have no
-        place for. Items that can afford it wait for a replica in their
+        place for. Groups that can afford it wait for a replica in their
         zone, as long as its next call has a place for them.
         """
         if replica.slowness > SLOW_FACTOR:
-            others = sum(
-                other.slowness <= SLOW_FACTOR
-                for other in replicas
-                if other is not replica
-            )
-            return ordered[others * self._batching.items :]
+            return self._beyond_others(ordered, replica, replicas)
         places: Counter[str] = Counter()
         room: Counter[str] = Counter()
         for other in replicas:
@@ -205,21 +219,41 @@
                 free_bytes = self._batching.memory_bytes - other.held_bytes
                 room[other.zone] += max(0, int(free_bytes))
         allowed = []
-        for entry in ordered:
-            zone = entry.group.zone
-            needed_bytes = int(entry.group.result_bytes)
+        for pending in ordered:
+            zone = pending.group.zone
+            needed_bytes = int(pending.group.result_bytes * len(pending.left))
             if (
                 zone != replica.zone
-                and places[zone] > 0
+                and places[zone] >= len(pending.left)
                 and room[zone] >= needed_bytes
-                and self._can_wait(entry.group, now_ms)
+                and self._can_wait(pending.group, now_ms)
             ):
-                places[zone] -= 1
+                places[zone] -= len(pending.left)
                 room[zone] -= needed_bytes
             else:
-                allowed.append(entry)
+                allowed.append(pending)
         return allowed
 
+    def _beyond_others(
+        self,
+        ordered: list[_Pending],
+        replica: Replica,
+        replicas: list[Replica],
+    ) -> list[_Pending]:
+        """Return the groups that the next calls of faster ones won't take."""
+        faster = sum(
+            other.slowness <= SLOW_FACTOR
+            for other in replicas
+            if other is not replica
+        )
+        places = faster * self._batching.items
+        beyond = []
+        for pending in ordered:
+            if places <= 0:
+                beyond.append(pending)
+            places -= len(pending.left)
+        return beyond
+
     def _can_wait(self, group: Group, now_ms: int) -> bool:
         """Whether a group can wait for another call and lose nothing."""
         full_ms = self.call_ms(self._batching.items)
@@ -228,50 +262,44 @@
             return spent_ms < group.useless_ms
         return spent_ms < group.objective_ms
 
-    def _ordered(self, now_ms: int) -> list[Entry]:
-        keyed = [
-            (self._urgency(pending.group, now_ms), pending)
-            for pending in self._pending.values()
-        ]
-        keyed.sort(key=lambda item: item[0])
-        return [
-            Entry(pending.group, index)
-            for _, pending in keyed
-            for index in pending.left
-        ]
+    def _ordered(self, now_ms: int) -> list[_Pending]:
+        return sorted(
+            self._pending.values(),
+            key=lambda item: self._urgency(item.group, item.is_begun, now_ms),
+        )
 
-    def _urgency(
-        self, group: Group, now_ms: int
-    ) -> tuple[Lateness, int, int, int]:
-        """Return the order of a group: those in time first, then by rank.
+    def _urgency(self, group: Group, is_begun: bool, now_ms: int) -> Urgency:
+        """Return the order of a group: by rank, begun ones first.
 
-        What misses its objective anyway earns little, and must not make
-        others miss theirs.
+        Within a rank, what misses its objective anyway earns little and
+        must not make others miss theirs.
         """
         due_ms = now_ms + self.call_ms(len(group.items))
-        late = (
-            Lateness.LATE
-            if due_ms > group.objective_ms
-            else (Lateness.IN_TIME)
+        is_late = due_ms > group.objective_ms and not is_begun
+        return Urgency(
+            group.rank,
+            is_late,
+            not is_begun,
+            group.objective_ms,
+            group.group_id,
         )
-        return late, group.rank, group.objective_ms, group.group_id
 
-    def _take(self, entry: Entry) -> None:
-        pending = self._pending[entry.group.group_id]
-        pending.left.remove(entry.index)
+    def _take(self, pending: _Pending, count: int) -> list[Entry]:
+        taken, pending.left = pending.left[:count], pending.left[count:]
         if not pending.left:
-            del self._pending[entry.group.group_id]
+            del self._pending[pending.group.group_id]
+        return [Entry(pending.group, index) for index in taken]
 
     def _expected_ms(
         self, group: Group, replicas: list[Replica], now_ms: int
     ) -> float:
         if not replicas:
             return now_ms + self._batching.call_ms * 2
-        own = self._urgency(group, now_ms)
+        own = self._urgency(group, False, now_ms)
         ahead = sum(
             len(pending.left)
             for pending in self._pending.values()
-            if self._urgency(pending.group, now_ms) <= own
+            if self._urgency(pending.group, pending.is_begun, now_ms) < own
         )
         full_ms = self.call_ms(self._batching.items)
         pace = sum(1 / replica.slowness for replica in replicas)
