Admit requests by the expected end of all their stages; settle owners

A request begins only if its whole chain of stages is expected about in time while others wait; stages' recent times stand for those to come. Owners of queues change once: new instances settle first, a stopping one hands over what no call has taken and stays out of the list, and a lost one is probed rather than tried with requests.

--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -225,6 +225,7 @@
         self._platform = platform
         self._clock = clock
         self._instances = instances
+        self._is_leaving = False
 
     async def follow(self) -> None:
         """Follow until cancelled."""
@@ -233,20 +234,20 @@
         while True:
             now_ms = self._clock.monotonic_ms()
             try:
-                if renewed_ms is None or (
-                    now_ms - renewed_ms >= instances_module.RENEWAL_MS
+                if not self._is_leaving and (
+                    renewed_ms is None
+                    or now_ms - renewed_ms >= instances_module.RENEWAL_MS
                 ):
                     await self._renew(now_ms)
                     renewed_ms = now_ms
                 entries = await self._platform.read_instances()
             except ReadError as error:
-                self._instances.refresh(self._clock.monotonic_ms())
+                self._instances.refresh()
                 await self._clock.sleep_ms(contact.failed(error))
                 continue
-            now_ms = self._clock.monotonic_ms()
             contact.succeeded()
-            changes = self._instances.update(entries, now_ms)
-            changes.extend(self._instances.expire(now_ms))
+            changes = self._instances.update(entries)
+            changes.extend(self._instances.expire())
             if changes:
                 telemetry.log_event(
                     'instances_changed', changes=' '.join(changes)
@@ -255,6 +256,7 @@
 
     async def leave(self) -> None:
         """Remove this instance's entry."""
+        self._is_leaving = True
         own = self._instances.own
         try:
             await self._platform.remove_instance(own.instance_id)
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from sycamorebeam.forwarding import events
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import patience
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import requests
@@ -119,6 +120,7 @@
     service: str
     team: model.Team | None
     deadline: clocks.Deadline
+    elapsed_ms: int = 0
     sends: int = 0
     connect_failures: int = 0
     excluded: set[str] = attrs.field(factory=set)
@@ -137,6 +139,11 @@
             return self.team.rank
         return self.route.rank
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller came back after an earlier attempt."""
+        return self.elapsed_ms > patience.CERTAIN_ELAPSED_MS
+
     @property
     def may_send_again(self) -> bool:
         """Whether another target may get the request."""
@@ -196,6 +203,8 @@
         self._client = client
         self._codec = codec
         self._metrics = metrics
+        self._stage_times = preparation.StageTimes()
+        self._elapsed = patience.ElapsedTimes()
 
     async def handle(
         self, request: requests.CallerRequest, reply: Reply
@@ -250,6 +259,9 @@
             deadline=requests.deadline_of(
                 request, route.timeout_ms, self._clock
             ),
+            elapsed_ms=self._elapsed.elapsed_ms(
+                route.name, request.deadline_ms
+            ),
         )
 
     async def _serve(self, call: _Call) -> str:
@@ -326,6 +338,7 @@
             call.request,
             call.route.stages,
             self._state.service,
+            self._stage_times,
             call.rank,
         )
 
@@ -337,12 +350,17 @@
     ) -> tuple[str, ...] | stages.Failure | None:
         if prepared is None:
             return None
+        route = call.route
         arrived_ms = call.request.arrived_ms
-        patience_ms = arrived_ms + int(call.route.patience_ms)
-        objective_ms = arrived_ms + int(call.route.latency_objective_ms)
+        objective_ms = int(route.latency_objective_ms) - call.elapsed_ms
+        patience_ms = arrived_ms + int(route.patience_ms)
+        useless_ms = min(call.deadline.at_ms, patience_ms)
+        tolerance = 1 + preparation.TOLERANCE_SHARE
+        accept_ms = arrived_ms + int(objective_ms * tolerance)
         times = preparation.Times(
-            objective_ms=objective_ms,
-            useless_ms=min(call.deadline.at_ms, patience_ms),
+            objective_ms=arrived_ms + objective_ms,
+            accept_ms=useless_ms if call.is_return else accept_ms,
+            useless_ms=useless_ms,
         )
         try:
             return await prepared.run(target.availability_zone, times)
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -67,8 +67,10 @@
                 settings.instance_id,
                 settings.addresses.peers,
                 settings.region,
+                self._clock.wall_ms(),
                 0,
-            )
+            ),
+            self._clock,
         )
         bounds = settings.bounds
         self._budgets = retry_budget.RetryBudgets(
@@ -188,7 +190,9 @@
         grace_ms = self._settings.bounds.grace_period_s * 1000
         end_s = loop.time() + (grace_ms - EXIT_MARGIN_MS) / 1000
         self._frontend.stop()
+        self._instances.leave()
         self._streams.stop()
+        self._owner.hand_over()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
                 await self._instances_follower.leave()
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -5,13 +5,15 @@
 
 import attrs
 
+from sycamorebeam import clock as clocks
 from sycamorebeam import hashing
 
 # An instance that did not renew its entry for this long is gone.
 EXPIRY_MS = 16_000
 RENEWAL_MS = 5_000  # three renewals may be lost before an entry expires
-FIRST_SUSPICION_MS = 1_000
-LONGEST_SUSPICION_MS = 8_000
+# A new instance owns no queue before all others have surely heard of it;
+# two owners of one queue fill its calls badly.
+SETTLING_MS = 8_000
 
 
 @attrs.frozen
@@ -21,6 +23,7 @@
     instance_id: str
     address: str
     region: str
+    started_wall_ms: int
     renewal: int
 
 
@@ -30,19 +33,15 @@
     renewed_ms: int
 
 
-@attrs.define
-class _Suspicion:
-    until_ms: int
-    period_ms: int
-
-
 class Instances:
     """The instances that this one knows, and those it cannot reach."""
 
-    def __init__(self, own: InstanceEntry) -> None:
+    def __init__(self, own: InstanceEntry, clock: clocks.Clock) -> None:
         self._own = own
+        self._clock = clock
         self._known: dict[str, _Known] = {}
-        self._suspected: dict[str, _Suspicion] = {}
+        self._unreachable: set[str] = set()
+        self._is_leaving = False
 
     @property
     def own(self) -> InstanceEntry:
@@ -58,10 +57,9 @@
         known = self._known.get(instance_id)
         return None if known is None else known.entry.address
 
-    def update(
-        self, entries: Iterable[InstanceEntry], now_ms: int
-    ) -> list[str]:
+    def update(self, entries: Iterable[InstanceEntry]) -> list[str]:
         """Take a whole listing; return what changed, for the log."""
+        now_ms = self._clock.monotonic_ms()
         listed = {
             entry.instance_id: entry
             for entry in entries
@@ -69,7 +67,7 @@
         }
         changes = []
         for instance_id in self._known.keys() - listed.keys():
-            del self._known[instance_id]
+            self._forget(instance_id)
             changes.append(f'{instance_id}:left')
         for instance_id, entry in listed.items():
             known = self._known.get(instance_id)
@@ -79,60 +77,72 @@
                 self._known[instance_id] = _Known(entry, now_ms)
         return changes
 
-    def expire(self, now_ms: int) -> list[str]:
+    def expire(self) -> list[str]:
         """Forget instances that renew their entries no more."""
+        now_ms = self._clock.monotonic_ms()
         gone = [
             instance_id
             for instance_id, known in self._known.items()
             if now_ms - known.renewed_ms >= EXPIRY_MS
         ]
         for instance_id in gone:
-            del self._known[instance_id]
+            self._forget(instance_id)
         return [f'{instance_id}:expired' for instance_id in gone]
 
-    def refresh(self, now_ms: int) -> None:
+    def refresh(self) -> None:
         """Keep all entries: none can be renewed while the store is away."""
+        now_ms = self._clock.monotonic_ms()
         for known in self._known.values():
             known.renewed_ms = now_ms
 
-    def suspect(self, instance_id: str, now_ms: int) -> None:
-        """Pass an instance over for a growing period: it does not answer."""
-        before = self._suspected.get(instance_id)
-        period_ms = FIRST_SUSPICION_MS
-        if before is not None:
-            period_ms = min(LONGEST_SUSPICION_MS, before.period_ms * 2)
-        self._suspected[instance_id] = _Suspicion(
-            now_ms + period_ms, period_ms
-        )
+    def leave(self) -> None:
+        """Own queues only where no other instance can."""
+        self._is_leaving = True
+
+    def lost(self, instance_id: str) -> bool:
+        """Pass an instance over; return whether that is new."""
+        if instance_id in self._unreachable or instance_id not in self._known:
+            return False
+        self._unreachable.add(instance_id)
+        return True
 
-    def answered(self, instance_id: str) -> None:
-        """Trust an instance again."""
-        self._suspected.pop(instance_id, None)
+    def regained(self, instance_id: str) -> None:
+        """Use an instance again."""
+        self._unreachable.discard(instance_id)
 
-    def owners(self, service: str, now_ms: int) -> list[str]:
+    def owners(self, service: str) -> list[str]:
         """Return the instances to ask for a service's items, best first.
 
         Those of the region with most instances go first, since most items
         come from there. The last one is always this instance.
         """
-        entries = [known.entry for known in self._known.values()]
+        entries = [
+            known.entry
+            for known in self._known.values()
+            if known.entry.instance_id not in self._unreachable
+        ]
+        population = Counter(
+            known.entry.region for known in self._known.values()
+        )
+        population[self._own.region] += 1
         entries.append(self._own)
-        population = Counter(entry.region for entry in entries)
+        now_ms = self._clock.wall_ms()
         entries.sort(
             key=lambda entry: (
+                now_ms - entry.started_wall_ms >= SETTLING_MS,
                 population[entry.region],
                 entry.region,
                 hashing.weight(service, entry.instance_id),
             ),
             reverse=True,
         )
-        ranked = [
-            entry.instance_id
-            for entry in entries
-            if not self._is_suspected(entry.instance_id, now_ms)
-        ]
-        return ranked[: ranked.index(self._own.instance_id) + 1]
-
-    def _is_suspected(self, instance_id: str, now_ms: int) -> bool:
-        suspicion = self._suspected.get(instance_id)
-        return suspicion is not None and now_ms < suspicion.until_ms
+        ranked = [entry.instance_id for entry in entries]
+        own = self._own.instance_id
+        if self._is_leaving:
+            ranked.remove(own)
+            return [*ranked, own]
+        return ranked[: ranked.index(own) + 1]
+
+    def _forget(self, instance_id: str) -> None:
+        del self._known[instance_id]
+        self._unreachable.discard(instance_id)
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -9,13 +9,18 @@
 
 from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import rates
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 
 # What an engine needs from the request to its first event, at a usual load.
 ENGINE_START_MS = 150
-# Waiting for a call that is under way, on average, for each stage to come.
-STAGE_WAIT_SHARE = 0.5
+# Stages that took long lately are expected to do so for about this time.
+MEMORY_MS = 1_500.0
+NEW_WEIGHT = 0.3  # of the newest stage in the expectation
+# A request that is expected this much over its objective is still accepted:
+# expectations are no better than that.
+TOLERANCE_SHARE = 0.2
 
 ServiceOf = Callable[[str], model.Service | None]
 
@@ -34,12 +39,36 @@
 
 @attrs.frozen(kw_only=True)
 class Times:
-    """Until when results serve their purpose, on the monotonic clock."""
+    """Until when results serve their purpose, on the monotonic clock.
+
+    ``accept_ms`` bounds the expected end of a request that is to begin.
+    """
 
     objective_ms: int
+    accept_ms: int
     useless_ms: int
 
 
+class StageTimes:
+    """How much longer than a call stages took lately, by service and rank."""
+
+    def __init__(self) -> None:
+        self._excess: dict[tuple[str, int], rates.FadingExcess] = {}
+
+    def note(
+        self, service: str, rank: int, excess_ms: float, now_ms: int
+    ) -> None:
+        """Take the time of a stage beyond that of its own call."""
+        self._excess.setdefault(
+            (service, rank), rates.FadingExcess(MEMORY_MS, NEW_WEIGHT)
+        ).add(excess_ms, now_ms)
+
+    def excess_ms(self, service: str, rank: int, now_ms: int) -> float:
+        """Return the time beyond its own call that a stage needs."""
+        found = self._excess.get((service, rank))
+        return 0.0 if found is None else found.value_ms(now_ms)
+
+
 class Preparation:
     """The stages of one request: what is produced and what is held."""
 
@@ -50,6 +79,7 @@
         request: requests.CallerRequest,
         route_stages: Sequence[model.Stage],
         service_of: ServiceOf,
+        stage_times: StageTimes,
         rank: int,
     ) -> None:
         self._producer = producer
@@ -57,6 +87,7 @@
         self._request = request
         self._stages = route_stages
         self._service_of = service_of
+        self._stage_times = stage_times
         self._rank = rank
         self._running: list[asyncio.Task[tuple[str, ...]]] = []
         self._held: dict[int, tuple[str, ...]] = {}
@@ -117,6 +148,12 @@
                 self._held[position] = results
                 took_ms = self._clock.monotonic_ms() - began_ms
                 self._took_ms[position] = took_ms
+                self._stage_times.note(
+                    stage.service,
+                    self._rank,
+                    took_ms - self._call_ms(position),
+                    self._clock.monotonic_ms(),
+                )
                 self._free_used()
                 return results
 
@@ -150,12 +187,15 @@
         now_ms: int,
     ) -> stages.StageRequest:
         stage = self._stages[position]
-        later_ms = self._later_ms(position)
+        later_ms = self._later_ms(position, now_ms)
+        # Work that was begun is worth finishing as long as it is of use.
+        accept_ms = times.useless_ms if stage.after else times.accept_ms
         return stages.StageRequest(
             service=stage.service,
             attempt_id=self._request.attempt_id,
             rank=self._rank,
             objective_in_ms=times.objective_ms - later_ms - now_ms,
+            accept_in_ms=accept_ms - later_ms - now_ms,
             useless_in_ms=times.useless_ms - later_ms - now_ms,
             zone='' if self._is_followed(position) else zone,
             input_bytes=sum(
@@ -199,25 +239,34 @@
         counts = self._request.item_counts
         return counts[position] if position < len(counts) else 0
 
-    def _later_ms(self, position: int) -> int:
+    def _later_ms(self, position: int, now_ms: int) -> int:
         """Return what the longest chain of stages after one needs."""
-        longest = 0
-        for index, stage in enumerate(self._stages):
-            if position in stage.after:
-                later_ms = self._later_ms(index) - ENGINE_START_MS
-                longest = max(longest, later_ms + self._stage_ms(index))
-        return longest + ENGINE_START_MS
-
-    def _stage_ms(self, position: int) -> int:
+        return ENGINE_START_MS + max(
+            (
+                self._chain_ms(index, now_ms)
+                for index, stage in enumerate(self._stages)
+                if position in stage.after
+            ),
+            default=0,
+        )
+
+    def _chain_ms(self, position: int, now_ms: int) -> int:
+        """Return what a stage and the longest chain after it need."""
+        later_ms = self._later_ms(position, now_ms) - ENGINE_START_MS
+        if not self._count(position):
+            return later_ms
+        service = self._stages[position].service
+        excess_ms = self._stage_times.excess_ms(service, self._rank, now_ms)
+        return later_ms + int(self._call_ms(position) + excess_ms)
+
+    def _call_ms(self, position: int) -> float:
+        """Return how long a call takes that has a stage's items alone."""
         service = self._service_of(self._stages[position].service)
-        count = self._count(position)
-        if service is None or service.batching is None or not count:
-            return 0
+        if service is None or service.batching is None:
+            return 0.0
         batching = service.batching
-        call_ms = batching.call_ms + min(count, batching.items) * (
-            batching.item_ms
-        )
-        return int(call_ms * (1 + STAGE_WAIT_SHARE))
+        items = min(self._count(position), batching.items)
+        return batching.call_ms + items * batching.item_ms
 
     def _is_followed(self, position: int) -> bool:
         return any(position in stage.after for stage in self._stages)
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -41,6 +41,7 @@
     group: stage_queue.Group
     future: asyncio.Future[stages.Outcome]
     results: dict[int, str] = attrs.field(factory=dict)
+    is_begun: bool = False
 
 
 @attrs.frozen
@@ -110,6 +111,7 @@
             rank=request.rank,
             queued_ms=now_ms,
             objective_ms=now_ms + request.objective_in_ms,
+            accept_ms=now_ms + request.accept_in_ms,
             useless_ms=now_ms + request.useless_in_ms,
             zone=self._zone(request),
             result_bytes=request.result_bytes,
@@ -130,6 +132,15 @@
                 self._pump(service)
         return future
 
+    def hand_over(self) -> None:
+        """Give up the groups of which no call has taken anything.
+
+        Who asked for them asks the next owner.
+        """
+        for waiting in list(self._waiting.values()):
+            if not waiting.is_begun:
+                self._fail(waiting.group, stages.Reason.OWNER_LOST, 0)
+
     def free(self, service_name: str, results: list[str]) -> None:
         """Give up results that were used or are not wanted any more."""
         service = self._service(service_name)
@@ -206,8 +217,14 @@
                 continue
             entries = service.queue.next_call(replica, replicas, now_ms)
             if entries:
+                for entry in entries:
+                    self._waiting[entry.group.group_id].is_begun = True
                 # Reserved here: the task begins only after this function.
                 replica.calls += 1
+                call_ms = service.queue.call_ms(len(entries))
+                replica.busy_until_ms = now_ms + int(
+                    call_ms * replica.slowness
+                )
                 replica.held_bytes += _result_bytes(entries)
                 self._start(self._call(service, replica, entries))
 
@@ -245,6 +262,7 @@
             self._repeat(service, entries)
         else:
             replica.calls -= 1
+            replica.busy_until_ms = 0
             self._take_call(service, replica, entries, result, began_ms)
         self._pump(service)
 
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -6,15 +6,16 @@
 """
 
 from collections import Counter
-import math
 
 import attrs
 
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import rates
 from sycamorebeam.forwarding import stages
 
-# Items in calls already running take about half of a call longer.
-RESIDUAL_SHARE = 0.5
+RATE_MEMORY_MS = 1_500.0  # arrivals of a burst count within a second or so
+# However many more urgent items arrive, some places are left for others.
+LEAST_SHARE = 0.1
 # A replica slower than this many times its stated pace gets work only when
 # the others are busy for a round.
 SLOW_FACTOR = 1.8
@@ -26,14 +27,16 @@
     """All items of one request's stage.
 
     The results serve their latency objective until ``objective_ms``, and
-    are of no use after ``useless_ms``. ``zone`` is where least data has to
-    be moved for them, empty where that makes no difference.
+    are of no use after ``useless_ms``. While other items wait, the group is
+    accepted only if it is expected by ``accept_ms``. ``zone`` is where least
+    data has to be moved, empty where that makes no difference.
     """
 
     group_id: int
     rank: int
     queued_ms: int
     objective_ms: int
+    accept_ms: int
     useless_ms: int
     zone: str
     result_bytes: float
@@ -64,11 +67,17 @@
     slowness: float = 1.0
     held_bytes: float = 0.0
     paused_until_ms: int = 0
+    busy_until_ms: int = 0
 
     def is_free(self, slots: int, now_ms: int) -> bool:
         """Whether the replica can take a call now."""
         return self.calls < slots and now_ms >= self.paused_until_ms
 
+    def free_in_ms(self, now_ms: int) -> int:
+        """Return how long until the replica can take a call, as stated."""
+        until_ms = max(self.busy_until_ms, self.paused_until_ms)
+        return max(0, until_ms - now_ms)
+
 
 @attrs.define
 class _Pending:
@@ -111,6 +120,7 @@
     def __init__(self, batching: model.Batching) -> None:
         self._batching = batching
         self._pending: dict[int, _Pending] = {}
+        self._arrivals: dict[int, rates.FadingRate] = {}
 
     @property
     def batching(self) -> model.Batching:
@@ -135,9 +145,13 @@
     ) -> Accepted | Rejected:
         """Queue a group unless its results would come too late."""
         expected_ms = self._expected_ms(group, replicas, now_ms)
-        if expected_ms > group.useless_ms:
-            excess_ms = expected_ms - group.useless_ms
+        limit_ms = group.accept_ms if self._pending else group.useless_ms
+        if expected_ms > limit_ms:
+            excess_ms = expected_ms - limit_ms
             return Rejected(max(SHORTEST_RETURN_MS, excess_ms))
+        self._arrivals.setdefault(
+            group.rank, rates.FadingRate(RATE_MEMORY_MS)
+        ).add(len(group.items), now_ms)
         self._pending[group.group_id] = _Pending(
             group, list(range(len(group.items)))
         )
@@ -293,23 +307,34 @@
     def _expected_ms(
         self, group: Group, replicas: list[Replica], now_ms: int
     ) -> float:
+        """Return when the last result of a group is to be expected."""
+        own_ms = self.call_ms(min(len(group.items), self._batching.items))
         if not replicas:
-            return now_ms + self._batching.call_ms * 2
+            return now_ms + own_ms + self._batching.call_ms
         own = self._urgency(group, False, now_ms)
-        ahead = sum(
-            len(pending.left)
-            for pending in self._pending.values()
-            if self._urgency(pending.group, pending.is_begun, now_ms) < own
+        ahead = (
+            len(group.items)
+            - 1
+            + sum(
+                len(pending.left)
+                for pending in self._pending.values()
+                if self._urgency(pending.group, pending.is_begun, now_ms) < own
+            )
         )
         full_ms = self.call_ms(self._batching.items)
         pace = sum(1 / replica.slowness for replica in replicas)
-        rounds = math.floor(
-            (ahead + len(group.items) - 1) / (self._batching.items * pace)
+        capacity = self._batching.items * pace / full_ms
+        left = capacity - self._overtaking(own, now_ms)
+        usable = max(LEAST_SHARE * capacity, left)
+        # The first round's calls take what waits when replicas get free.
+        first_ms = min(replica.free_in_ms(now_ms) for replica in replicas)
+        later_ms = max(0.0, ahead - self._batching.items) / usable
+        return now_ms + first_ms + later_ms + own_ms
+
+    def _overtaking(self, own: Urgency, now_ms: int) -> float:
+        """Return how many items a millisecond arrive that go before."""
+        return sum(
+            rate.per_ms(now_ms)
+            for rank, rate in self._arrivals.items()
+            if rank < own.rank or (rank == own.rank and own.is_late)
         )
-        busy = all(
-            not replica.is_free(self._batching.slots, now_ms)
-            for replica in replicas
-        )
-        residual_ms = full_ms * RESIDUAL_SHARE if busy else 0.0
-        own_ms = self.call_ms(min(len(group.items), self._batching.items))
-        return now_ms + residual_ms + rounds * full_ms + own_ms
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -1,8 +1,10 @@
 """Asks the owner of a queue for results, at this instance or another."""
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import itertools
+from typing import Any
 
 import attrs
 
@@ -24,6 +26,7 @@
 # platform hands out no secret for them to share.
 NO_SECRET = b''
 TRIED_OWNERS = 3
+REGAIN_INTERVAL_MS = 500  # between tries to reach a lost owner
 
 
 @attrs.define
@@ -78,6 +81,10 @@
         """Tell the owner that results were used."""
         self._stream.send(messages.FreeResults(service, results))
 
+    def abandon(self) -> None:
+        """Close the stream at once: nothing is expected of it."""
+        self._stream.abort()
+
     async def receive(self) -> None:
         """Take messages until the stream ends or falls silent."""
         pings = asyncio.create_task(self._ping())
@@ -101,7 +108,7 @@
             await self._clock.sleep_ms(PING_MS)
             silent_ms = self._clock.monotonic_ms() - self._heard_ms
             if silent_ms > SILENCE_MS:
-                await self._stream.close()
+                self._stream.abort()
                 return
             self._stream.send(messages.Ping(-1, b''))
 
@@ -144,31 +151,43 @@
         self._dialling: dict[str, asyncio.Task[_Link | None]] = {}
         self._served: set[streams.PeerStream] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
 
     async def produce(self, request: stages.StageRequest) -> stages.Outcome:
         """Return the results of a request, or why there are none."""
-        now_ms = self._clock.monotonic_ms()
         own_id = self._instances.own.instance_id
-        owners = self._instances.owners(request.service, now_ms)
-        for instance_id in [*owners[:TRIED_OWNERS], own_id]:
-            if instance_id == own_id:
-                break
-            link = await self._link(instance_id)
-            if link is None or link.is_stopping:
-                continue
+        lost = stages.Failure(stages.Reason.OWNER_LOST, 0.0)
+        for _ in range(TRIED_OWNERS):
+            owner_id = self._next_owner(request.service)
+            if owner_id == own_id:
+                outcome = await self._owner.submit(request)
+            else:
+                outcome = await self._ask(owner_id, request)
+            if outcome != lost:
+                return outcome
+        return await self._owner.submit(request)
+
+    async def _ask(
+        self, instance_id: str, request: stages.StageRequest
+    ) -> stages.Outcome:
+        link = await self._link(instance_id)
+        if link is not None and not link.is_stopping:
             try:
-                outcome = await link.ask(request)
+                return await link.ask(request)
             except _OwnerLostError as error:
-                self._suspect(instance_id, error)
-                continue
-            self._instances.answered(instance_id)
-            return outcome
-        return await self._owner.submit(request)
+                self._lose(instance_id, error)
+        return stages.Failure(stages.Reason.OWNER_LOST, 0.0)
+
+    def _next_owner(self, service: str) -> str:
+        for instance_id in self._instances.owners(service):
+            link = self._links.get(instance_id)
+            if link is None or not link.is_stopping:
+                return instance_id
+        return self._instances.own.instance_id
 
     def free(self, service: str, results: list[str]) -> None:
         """Give up results; their replica's owner passes it on."""
-        now_ms = self._clock.monotonic_ms()
-        owner_id = self._instances.owners(service, now_ms)[0]
+        owner_id = self._next_owner(service)
         link = self._links.get(owner_id)
         if link is None or link.is_closed:
             self._owner.free(service, results)
@@ -177,6 +196,7 @@
 
     def stop(self) -> None:
         """Tell the others to send no more items to this instance."""
+        self._is_stopping = True
         for stream in self._served:
             stream.send(messages.Stopping())
 
@@ -189,10 +209,15 @@
         try:
             await stream.handshake(self._instances.own.instance_id, NO_SECRET)
             self._served.add(stream)
+            if self._is_stopping:
+                stream.send(messages.Stopping())
             async for message in stream.receive():
                 self._serve(stream, asked, message)
         except streams.HandshakeError as error:
             telemetry.log_event('peer_refused', 'WARNING', reason=str(error))
+        except asyncio.CancelledError:
+            # The process ends; asyncio would report the cancelled task.
+            return
         finally:
             self._served.discard(stream)
             for future in asked.values():
@@ -247,13 +272,11 @@
                     self._instances.own.instance_id, NO_SECRET
                 )
         except (OSError, TimeoutError, streams.HandshakeError) as error:
-            self._suspect(instance_id, error)
+            self._lose(instance_id, error)
             return None
         link = _Link(stream, self._clock)
         self._links[instance_id] = link
-        task = asyncio.create_task(self._receive(instance_id, link))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start(self._receive(instance_id, link))
         telemetry.log_event('owner_connected', peer=instance_id)
         return link
 
@@ -264,11 +287,30 @@
             del self._links[instance_id]
         telemetry.log_event('owner_disconnected', peer=instance_id)
 
-    def _suspect(self, instance_id: str, error: BaseException) -> None:
-        self._instances.suspect(instance_id, self._clock.monotonic_ms())
+    def _lose(self, instance_id: str, error: BaseException) -> None:
+        """Pass an instance over until it can be reached again."""
+        link = self._links.pop(instance_id, None)
+        if link is not None:
+            link.abandon()
+        if not self._instances.lost(instance_id):
+            return
         telemetry.log_event(
-            'owner_suspected', 'WARNING', peer=instance_id, error=repr(error)
+            'owner_lost', 'WARNING', peer=instance_id, error=repr(error)
         )
+        self._start(self._regain(instance_id))
+
+    async def _regain(self, instance_id: str) -> None:
+        while self._instances.address(instance_id) is not None:
+            await self._clock.sleep_ms(REGAIN_INTERVAL_MS)
+            if await self._link(instance_id) is not None:
+                self._instances.regained(instance_id)
+                telemetry.log_event('owner_regained', peer=instance_id)
+                return
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
 def _answer(
@@ -298,6 +340,7 @@
         request.attempt_id,
         request.rank,
         request.objective_in_ms,
+        request.accept_in_ms,
         request.useless_in_ms,
         request.zone,
         request.input_bytes,
@@ -321,6 +364,7 @@
         attempt_id=message.attempt_id,
         rank=message.rank,
         objective_in_ms=message.objective_in_ms,
+        accept_in_ms=message.accept_in_ms,
         useless_in_ms=message.useless_in_ms,
         zone=message.zone,
         input_bytes=message.input_bytes,
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -94,14 +94,17 @@
 class StageRequest:
     """All items of one request's stage, with times left from now.
 
-    ``zone`` is where the results go, empty when that is not known yet;
-    ``input_bytes`` is the size of what the items take.
+    While other items wait, the request is accepted only if its results are
+    expected within ``accept_in_ms``. ``zone`` is where the results go, empty
+    when that is not known yet; ``input_bytes`` is the size of what the items
+    take.
     """
 
     service: str
     attempt_id: str
     rank: int
     objective_in_ms: int
+    accept_in_ms: int
     useless_in_ms: int
     zone: str
     input_bytes: float
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -76,6 +76,7 @@
     attempt_id: str
     rank: int
     objective_in_ms: int
+    accept_in_ms: int
     useless_in_ms: int
     zone: str
     input_bytes: float
--- a/sycamorebeam/peering/stream.py
+++ b/sycamorebeam/peering/stream.py
@@ -90,6 +90,10 @@
                     return
                 yield message
 
+    def abort(self) -> None:
+        """Close the connection at once, whatever is still unsent."""
+        self._writer.transport.abort()
+
     async def close(self) -> None:
         """Close the stream; queued messages are dropped."""
         if self._sender is not None:
--- a/sycamorebeam/platform/followed.py
+++ b/sycamorebeam/platform/followed.py
@@ -57,6 +57,7 @@
         value = {
             'address': entry.address,
             'region': entry.region,
+            'started': entry.started_wall_ms,
             'renewal': entry.renewal,
         }
         await self._put(entry.instance_id, json.dumps(value).encode())
@@ -122,6 +123,7 @@
             record.key,
             str(value['address']),
             str(value['region']),
+            int(value['started']),
             int(value['renewal']),
         )
     except (KeyError, TypeError, ValueError) as error:
