Expect full calls and scarce memory when admitting stage items

Cause: the expected end counted a call with the group's own items only and no bound by memory, so an overload was admitted that then came late.

--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -48,6 +48,7 @@
 class _Held:
     target_id: str
     result_bytes: float
+    since_ms: int
     until_ms: int
 
 
@@ -320,6 +321,7 @@
                 held = _Held(
                     replica.target_id,
                     entry.group.result_bytes,
+                    now_ms,
                     now_ms + int(service.queue.batching.result_ttl_ms),
                 )
                 service.held[name] = held
@@ -479,9 +481,11 @@
                 error=repr(error),
             )
             return
+        now_ms = self._clock.monotonic_ms()
         for result in results:
             held = service.held.pop(result, None)
             if held is not None:
+                service.queue.note_residence(now_ms - held.since_ms)
                 self._release(service, held)
         self._pump(service)
 
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -16,6 +16,7 @@
 RATE_MEMORY_MS = 1_500.0  # arrivals of a burst count within a second or so
 # However many more urgent items arrive, some places are left for others.
 LEAST_SHARE = 0.1
+RESIDENCE_WEIGHT = 0.02  # of the newest result, of some dozens a second
 # A replica slower than this many times its stated pace gets work only when
 # the others are busy for a round.
 SLOW_FACTOR = 1.8
@@ -121,6 +122,17 @@
         self._batching = batching
         self._pending: dict[int, _Pending] = {}
         self._arrivals: dict[int, rates.FadingRate] = {}
+        self._residence_ms = 0.0
+
+    @property
+    def residence_ms(self) -> float:
+        """How long results are kept after their call, on average."""
+        return self._residence_ms
+
+    def note_residence(self, kept_ms: float) -> None:
+        """Take how long a result was kept after its call."""
+        change_ms = kept_ms - self._residence_ms
+        self._residence_ms += RESIDENCE_WEIGHT * change_ms
 
     @property
     def batching(self) -> model.Batching:
@@ -308,7 +320,9 @@
         self, group: Group, replicas: list[Replica], now_ms: int
     ) -> float:
         """Return when the last result of a group is to be expected."""
-        own_ms = self.call_ms(min(len(group.items), self._batching.items))
+        size = self._batching.items
+        # Whatever else waits fills the call, which then takes longer.
+        own_ms = self.call_ms(min(size, self.items + len(group.items)))
         if not replicas:
             return now_ms + own_ms + self._batching.call_ms
         own = self._urgency(group, False, now_ms)
@@ -321,16 +335,38 @@
                 if self._urgency(pending.group, pending.is_begun, now_ms) < own
             )
         )
-        full_ms = self.call_ms(self._batching.items)
-        pace = sum(1 / replica.slowness for replica in replicas)
-        capacity = self._batching.items * pace / full_ms
+        capacity = self._capacity(group, replicas)
         left = capacity - self._overtaking(own, now_ms)
         usable = max(LEAST_SHARE * capacity, left)
-        # The first round's calls take what waits when replicas get free.
         first_ms = min(replica.free_in_ms(now_ms) for replica in replicas)
-        later_ms = max(0.0, ahead - self._batching.items) / usable
+        later_ms = (ahead // size) * size / usable
         return now_ms + first_ms + later_ms + own_ms
 
+    def _capacity(self, group: Group, replicas: list[Replica]) -> float:
+        """Return how many items a millisecond the replicas can produce.
+
+        Results take up memory from the start of their call until they are
+        freed, which bounds the calls of some services.
+        """
+        size = self._batching.items
+        full_ms = self.call_ms(size)
+        pace = sum(1 / replica.slowness for replica in replicas)
+        places = size * pace / full_ms
+        result_bytes = self._mean_result_bytes(group)
+        if not result_bytes:
+            return places
+        kept_ms = full_ms + self.residence_ms
+        held = len(replicas) * self._batching.memory_bytes / result_bytes
+        return min(places, held / kept_ms)
+
+    def _mean_result_bytes(self, group: Group) -> float:
+        total_bytes = group.result_bytes * len(group.items)
+        items = len(group.items)
+        for pending in self._pending.values():
+            total_bytes += pending.group.result_bytes * len(pending.left)
+            items += len(pending.left)
+        return total_bytes / items
+
     def _overtaking(self, own: Urgency, now_ms: int) -> float:
         """Return how many items a millisecond arrive that go before."""
         return sum(
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding and of the platform adapter."""
--- /dev/null
+++ b/tests/forwarding/build.py
@@ -0,0 +1,118 @@
+"""Builds what the tests of forwarding need."""
+
+import attrs
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stages
+
+ZONES = {'a1': 'north', 'a2': 'north', 'b1': 'south'}
+
+
+def target(name, zone='a1', service='engine', **fields):
+    values = {
+        'target_id': name,
+        'service': service,
+        'address': '127.0.0.1:1',
+        'availability_zone': zone,
+        'is_draining': False,
+        'incarnation': 1,
+        'slots': 4,
+    }
+    return model.Target(**{**values, **fields})
+
+
+def route(**fields):
+    values = {
+        'name': 'r',
+        'host': 'h.example',
+        'path_prefix': '/p/',
+        'kind': model.Kind.IDEMPOTENT,
+        'timeout_ms': 2_000.0,
+        'latency_objective_ms': 500.0,
+        'longest_pause_ms': 0.0,
+        'rank': 1,
+        'split': (model.Weighted(service='engine', weight=1.0),),
+        'max_attempts': 2,
+    }
+    return model.Route(**{**values, **fields})
+
+
+def batching(**fields):
+    values = {
+        'slots': 1,
+        'queue': 2,
+        'items': 8,
+        'call_ms': 150.0,
+        'item_ms': 10.0,
+        'memory_bytes': 1_000_000.0,
+        'result_ttl_ms': 4_000.0,
+    }
+    return model.Batching(**{**values, **fields})
+
+
+def service(name='engine', **fields):
+    return model.Service(name=name, connection_limit=10, **fields)
+
+
+def desired(version=1, routes=(), services=(), keys=(), has_teams=False):
+    return model.DesiredState(
+        version=version,
+        routes=tuple(routes),
+        services={item.name: item for item in services},
+        team_of_key={
+            key: model.Team(name=team, rank=rank) for key, team, rank in keys
+        },
+        has_teams=has_teams,
+    )
+
+
+def item(name='r1', position=0, stage=0, inputs=()):
+    return stages.Item(name, stage, position, 'k', bool(inputs), inputs)
+
+
+def group(group_id, items=1, **fields):
+    values = {
+        'group_id': group_id,
+        'rank': 1,
+        'queued_ms': 0,
+        'objective_ms': 1_000,
+        'accept_ms': 10_000,
+        'useless_ms': 10_000,
+        'zone': '',
+        'result_bytes': 1_000.0,
+        'items': tuple(item(f'r{group_id}', i) for i in range(items)),
+    }
+    return stage_queue.Group(**{**values, **fields})
+
+
+def request(**fields):
+    values = {
+        'attempt_id': 'id-1',
+        'method': 'POST',
+        'host': 'h.example',
+        'path': '/p/x',
+        'headers': (('X-Attempt-Id', 'id-1'),),
+        'body': b'body',
+        'arrived_ms': 0,
+        'deadline_ms': 2_000.0,
+        'key': None,
+    }
+    return requests.CallerRequest(**{**values, **fields})
+
+
+@attrs.define
+class Time:
+    """A clock that tests move by hand."""
+
+    now_ms: int = 0
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+    def boottime_ms(self):
+        return self.now_ms
+
+    def wall_ms(self):
+        return self.now_ms
--- /dev/null
+++ b/tests/forwarding/test_decisions.py
@@ -0,0 +1,391 @@
+"""Pure decisions of forwarding: routes, freshness, targets, budgets."""
+
+import ddt
+
+from sycamorebeam.forwarding import directory
+from sycamorebeam.forwarding import events
+from sycamorebeam.forwarding import forwarder
+from sycamorebeam.forwarding import freshness
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import patience
+from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import rates
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import routing
+from tests import base
+from tests.forwarding import build
+
+
+@ddt.ddt
+class RoutingTest(base.TestCase):
+    @ddt.data(
+        ('h.example', '/p/x', 'short'),
+        ('h.example', '/p/q/x', 'long'),
+        ('H.Example', '/p/q/x?a=/p/', 'long'),
+        ('h.example', '/p', None),
+        ('h.example', '/x?y=/p/', None),
+        ('other.example', '/p/x', None),
+    )
+    @ddt.unpack
+    def test_the_longest_prefix_of_the_host_wins(self, host, path, expected):
+        state = build.desired(
+            routes=[
+                build.route(name='short', path_prefix='/p/'),
+                build.route(name='long', path_prefix='/p/q/'),
+            ]
+        )
+        found = routing.RouteTable(state).find(host, path)
+        self.assertEqual(expected, found and found.name)
+
+    def test_requests_are_split_by_weight(self):
+        route = build.route(
+            split=(
+                model.Weighted(service='a', weight=90),
+                model.Weighted(service='b', weight=10),
+            )
+        )
+        picked = [routing.pick_service(route, f'id-{n}') for n in range(2000)]
+        self.assertAlmostEqual(200, picked.count('b'), delta=60)
+        self.assertEqual(
+            routing.pick_service(route, 'id-1'),
+            routing.pick_service(route, 'id-1'),
+        )
+
+    @ddt.data((1, False), (2, False), (3, True))
+    @ddt.unpack
+    def test_a_version_never_goes_back(self, version, is_taken):
+        state = forwarder.State()
+        state.take(build.desired(version=2))
+        self.assertEqual(is_taken, state.take(build.desired(version=version)))
+        self.assertEqual(max(2, version), state.desired.version)
+
+
+@ddt.ddt
+class FreshnessTest(base.TestCase):
+    @ddt.data(
+        (True, None, 0, False),
+        (True, 1_000, 1_000, True),
+        (True, 1_000, 1_000 + 4_599, True),
+        (True, 1_000, 1_000 + 4_600, False),
+        (False, None, 99_999, True),
+    )
+    @ddt.unpack
+    def test_a_read_is_relied_on_for_a_bounded_time(
+        self, is_strict, began_ms, now_ms, is_valid
+    ):
+        lease = freshness.FreshnessLease(5_000, is_strict)
+        if began_ms is not None:
+            lease.renew(began_ms)
+        self.assertEqual(is_valid, lease.is_valid(now_ms))
+
+    def test_a_read_that_began_earlier_does_not_shorten_the_lease(self):
+        lease = freshness.FreshnessLease(5_000, True)
+        lease.renew(2_000)
+        lease.renew(1_000)
+        self.assertEqual(500, lease.age_ms(2_500))
+
+
+def entry(name, **fields):
+    return directory.Entry(name, build.target(name, **fields))
+
+
+GONE = directory.Entry('t1', None)
+
+
+@ddt.ddt
+class DirectoryTest(base.TestCase):
+    @ddt.data(
+        ([], ['t1']),
+        ([GONE], []),
+        ([entry('t1', is_draining=True)], []),
+        ([entry('t1', incarnation=0, is_draining=True)], ['t1']),
+        ([GONE, entry('t1', incarnation=2)], ['t1']),
+        ([entry('t2', service='other')], ['t1']),
+        ([entry('t2')], ['t1', 't2']),
+    )
+    @ddt.unpack
+    def test_entries_decide_which_targets_are_usable(self, changes, expected):
+        subject = directory.Directory()
+        subject.replace([entry('t1')], 0)
+        subject.update(changes, 10)
+        usable = [item.target_id for item in subject.usable('engine')]
+        self.assertEqual(expected, sorted(usable))
+
+    @ddt.data(
+        ('not away', None, 100, []),
+        ('just back', 0, 100, ['t1']),
+        ('back, in the grace period', 0, 1_999, ['t1']),
+        ('back for the grace period', 0, 2_000, []),
+    )
+    @ddt.unpack
+    def test_lapsed_entries_stay_for_a_grace_period(
+        self, _, returned_ms, now_ms, expected
+    ):
+        subject = directory.Directory()
+        subject.replace([entry('t1')], 0)
+        if returned_ms is not None:
+            subject.store_returned(returned_ms)
+        subject.replace([], 10)
+        subject.expire(now_ms)
+        usable = [item.target_id for item in subject.usable('engine')]
+        self.assertEqual(expected, usable)
+
+    def test_an_entry_that_came_back_stays(self):
+        subject = directory.Directory()
+        subject.replace([entry('t1')], 0)
+        subject.store_returned(0)
+        subject.update([GONE], 10)
+        subject.update([entry('t1')], 500)
+        subject.expire(5_000)
+        self.assertEqual(1, len(subject.usable('engine')))
+
+    def test_the_zone_of_an_address_is_known(self):
+        subject = directory.Directory()
+        subject.replace([entry('t1', zone='b1', address='1.2.3.4:5')], 0)
+        self.assertEqual('b1', subject.zone_of_address('1.2.3.4:5'))
+        self.assertIsNone(subject.zone_of_address('1.2.3.4:6'))
+
+
+@ddt.ddt
+class RetryBudgetTest(base.TestCase):
+    @ddt.data((1, 0), (1, 100), (3, 100), (9, 1_000))
+    @ddt.unpack
+    def test_all_instances_together_keep_the_bound(self, count, each):
+        """Every window of a long fault, all targets failing."""
+        ratio, extra, window_ms = 0.2, 52, 10_000
+        fleet = [
+            retry_budget.RetryBudget(ratio, extra, window_ms)
+            for _ in range(count)
+        ]
+        spent = []
+        for now_ms in range(0, 30_000, 10):
+            for subject in fleet:
+                if each and now_ms % max(10, window_ms // each) == 0:
+                    subject.count_request(now_ms)
+                if subject.spend(now_ms, count):
+                    spent.append(now_ms)
+        per_window = max(10, window_ms // each) if each else 0
+        seen = count * window_ms / per_window if each else 0
+        for start_ms in range(0, 20_000, 500):
+            repeats = sum(start_ms <= at < start_ms + 10_000 for at in spent)
+            self.assertLessEqual(repeats, ratio * seen + extra)
+
+    def test_a_budget_fills_again(self):
+        subject = retry_budget.RetryBudget(0.0, 10.0, 1_000)
+        allowed = [subject.spend(0, 1) for _ in range(10)]
+        self.assertEqual(7, sum(allowed))
+        self.assertTrue(subject.spend(1_001, 1))
+
+
+@ddt.ddt
+class PlacementTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.places = placement.Placement('a1', build.ZONES)
+
+    @ddt.data(
+        ('nothing known', [], 'near'),
+        ('near one slow', [('near', 'slow')], 'next'),
+        ('near ones slow', [('near', 'slow'), ('next', 'slow')], 'far'),
+        ('near one fails', [('near', 'fails')], 'next'),
+        ('near one unreachable', [('near', 'unreachable')], 'next'),
+        ('near one busy', [('near', 'busy')], 'next'),
+    )
+    @ddt.unpack
+    def test_the_target_that_answers_first_is_picked(self, _, seen, expected):
+        targets = [
+            build.target('near', 'a1'),
+            build.target('next', 'a2'),
+            build.target('far', 'b1'),
+        ]
+        by_id = {item.target_id: item for item in targets}
+        for name, what in seen:
+            observed = self.places.observed(by_id[name])
+            match what:
+                case 'slow':
+                    for _ in range(20):
+                        observed.succeeded(900, 100)
+                case 'fails':
+                    for _ in range(2):
+                        observed.failed(100)
+                case 'unreachable':
+                    observed.unreachable(100)
+                case 'busy':
+                    observed.reported(12, 100)
+        picked = self.places.pick_service_target(targets, (), 100)
+        self.assertEqual(expected, picked.target_id)
+
+    def test_a_slow_target_is_tried_again(self):
+        targets = [build.target('near', 'a1'), build.target('next', 'a2')]
+        for _ in range(20):
+            self.places.observed(targets[0]).succeeded(900, 0)
+        picked = self.places.pick_service_target(targets, (), 60_000)
+        self.assertEqual('near', picked.target_id)
+
+    def test_sessions_keep_to_an_engine_and_spread(self):
+        targets = [build.target(f't{n}', 'a1') for n in range(4)]
+        picked = {}
+        for n in range(200):
+            part = requests.PromptPart(f's{n % 50}', 1_000)
+            found = self.places.pick_engine(targets, (), part, f'id{n}', 0)
+            picked.setdefault(part.part_id, set()).add(found.target_id)
+        self.assertEqual({1}, {len(names) for names in picked.values()})
+        used = set().union(*picked.values())
+        self.assertEqual(4, len(used))
+
+    @ddt.data((0, 't0'), (4, 't1'))
+    @ddt.unpack
+    def test_a_full_engine_yields(self, load, expected):
+        targets = [build.target(f't{n}', 'a1') for n in range(2)]
+        part = next(
+            part
+            for part in (requests.PromptPart(f's{n}', 1) for n in range(99))
+            if self.places.pick_engine(targets, (), part, 'i', 0).target_id
+            == 't0'
+        )
+        self.places.observed(targets[0]).reported(load, 0)
+        found = self.places.pick_engine(targets, (), part, 'i', 0)
+        self.assertEqual(expected, found.target_id)
+
+    def test_engines_of_the_own_region_go_first(self):
+        far = build.target('far', 'b1')
+        near = build.target('near', 'a2')
+        picked = {
+            self.places.pick_engine([far, near], (), None, f'i{n}', 0)
+            for n in range(20)
+        }
+        self.assertEqual({near}, picked)
+        only = self.places.pick_engine([far], (), None, 'i', 0)
+        self.assertEqual(far, only)
+
+    def test_a_new_incarnation_is_judged_anew(self):
+        old = build.target('t', incarnation=1)
+        self.places.observed(old).unreachable(0)
+        new = build.target('t', incarnation=2)
+        self.assertEqual(0.0, self.places.observed(new).failure_rate)
+        self.places.keep_only([new])
+        self.assertEqual(0.0, self.places.observed(old).failure_rate)
+
+
+def instance(name, region='north', started=0, renewal=0):
+    return instances.InstanceEntry(name, f'{name}:1', region, started, renewal)
+
+
+@ddt.ddt
+class InstancesTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.time = build.Time(now_ms=100_000)
+
+    def view(self, own, others):
+        subject = instances.Instances(own, self.time)
+        subject.update([own, *others])
+        return subject
+
+    def test_all_instances_agree_on_an_owner(self):
+        entries = [instance(f'i{n}') for n in range(6)]
+        for service in ('s1', 's2', 's3'):
+            owners = {
+                self.view(own, entries).owners(service)[0] for own in entries
+            }
+            self.assertEqual(1, len(owners))
+
+    def test_owners_are_in_the_region_with_most_instances(self):
+        entries = [instance(f'n{n}') for n in range(4)]
+        entries += [instance(f's{n}', region='south') for n in range(2)]
+        owner = self.view(entries[4], entries).owners('s1')[0]
+        self.assertTrue(owner.startswith('n'))
+
+    def test_a_new_instance_owns_nothing_until_it_has_settled(self):
+        entries = [instance('old'), instance('new', started=100_000)]
+        subject = self.view(entries[1], entries)
+        for n in range(20):
+            self.assertEqual('old', subject.owners(f's{n}')[0])
+        self.time.now_ms += instances.SETTLING_MS
+        owners = {subject.owners(f's{n}')[0] for n in range(20)}
+        self.assertEqual({'old', 'new'}, owners)
+
+    def test_a_lost_instance_is_passed_over_until_it_is_regained(self):
+        entries = [instance('i0'), instance('i1')]
+        subject = self.view(entries[0], entries)
+        name = next(
+            f's{n}' for n in range(99) if subject.owners(f's{n}')[0] == 'i1'
+        )
+        self.assertTrue(subject.lost('i1'))
+        self.assertFalse(subject.lost('i1'))
+        self.assertEqual(['i0'], subject.owners(name))
+        subject.regained('i1')
+        self.assertEqual('i1', subject.owners(name)[0])
+
+    def test_a_leaving_instance_owns_only_as_the_last_resort(self):
+        entries = [instance('i0'), instance('i1')]
+        subject = self.view(entries[0], entries)
+        subject.leave()
+        for n in range(20):
+            self.assertEqual(['i1', 'i0'], subject.owners(f's{n}'))
+
+    def test_entries_expire_without_renewal(self):
+        entries = [instance('i0'), instance('i1'), instance('i2')]
+        subject = self.view(entries[0], entries)
+        self.time.now_ms += instances.EXPIRY_MS
+        subject.update([instance('i1'), instance('i2', renewal=1)])
+        self.assertEqual(['i1:expired'], subject.expire())
+        self.assertEqual(2, subject.count())
+
+    def test_no_entry_expires_while_the_store_is_away(self):
+        entries = [instance('i0'), instance('i1')]
+        subject = self.view(entries[0], entries)
+        self.time.now_ms += instances.EXPIRY_MS
+        subject.refresh()
+        self.assertEqual([], subject.expire())
+
+
+@ddt.ddt
+class EventSplitterTest(base.TestCase):
+    WHOLE = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n'
+
+    @ddt.data(1, 2, 3, 7, 16, 1_000)
+    def test_only_whole_events_are_passed_on(self, size):
+        subject = events.EventSplitter()
+        passed = []
+        for start in range(0, len(self.WHOLE), size):
+            passed.append(subject.feed(self.WHOLE[start : start + size]))
+        self.assertEqual(self.WHOLE, b''.join(passed))
+        for part in passed:
+            self.assertTrue(not part or part.endswith(b'\n\n'))
+        self.assertEqual('3', subject.last_event_id)
+
+    def test_a_cut_event_is_dropped_before_a_resumption(self):
+        subject = events.EventSplitter()
+        subject.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        self.assertEqual('1', subject.last_event_id)
+        self.assertEqual(b'id: 2\nda', subject.drop_rest())
+        self.assertEqual(
+            b'id: 2\ndata: b\n\n', subject.feed(b'id: 2\ndata: b\n\n')
+        )
+
+
+@ddt.ddt
+class RatesTest(base.TestCase):
+    def test_a_rate_follows_arrivals_and_fades(self):
+        rate = rates.FadingRate(1_000.0)
+        for now_ms in range(0, 10_000, 10):
+            rate.add(1, now_ms)
+        self.assertAlmostEqual(0.1, rate.per_ms(10_000), delta=0.01)
+        self.assertLess(rate.per_ms(15_000), 0.001)
+
+    def test_an_excess_fades(self):
+        excess = rates.FadingExcess(1_000.0, 0.5)
+        for now_ms in range(0, 1_000, 100):
+            excess.add(400.0, now_ms)
+        self.assertGreater(excess.value_ms(1_000), 300)
+        self.assertLess(excess.value_ms(6_000), 10)
+
+    @ddt.data((6_000.0, 0), (4_500.0, 1_500), (None, 0))
+    @ddt.unpack
+    def test_a_later_attempt_shows_by_less_time_left(self, left_ms, expected):
+        elapsed = patience.ElapsedTimes()
+        elapsed.elapsed_ms('r', 6_000.0)
+        self.assertEqual(expected, elapsed.elapsed_ms('r', left_ms))
--- /dev/null
+++ b/tests/forwarding/test_stage_queue.py
@@ -0,0 +1,274 @@
+"""Which items go into the next call, and who is admitted at all."""
+
+import heapq
+import itertools
+import random
+
+import ddt
+
+from sycamorebeam.forwarding import stage_queue
+from tests import base
+from tests.forwarding import build
+
+
+def replicas(*zones, **fields):
+    return [
+        stage_queue.Replica(f't{n}', zone, **fields)
+        for n, zone in enumerate(zones)
+    ]
+
+
+def new_queue(**fields):
+    return stage_queue.StageQueue(build.batching(**fields))
+
+
+def taken(entries):
+    return [entry.group.group_id for entry in entries]
+
+
+@ddt.ddt
+class NextCallTest(base.TestCase):
+    @ddt.data(
+        ('rank first', [{'rank': 2}, {'rank': 0}, {'rank': 1}], [1, 2, 0]),
+        (
+            'earliest objective within a rank',
+            [{'objective_ms': 900}, {'objective_ms': 500}],
+            [1, 0],
+        ),
+        (
+            'late ones last within a rank',
+            [{'objective_ms': 100}, {'objective_ms': 900}],
+            [1, 0],
+        ),
+        (
+            'late ones of a better rank before others',
+            [{'rank': 1}, {'rank': 0, 'objective_ms': 10}],
+            [1, 0],
+        ),
+    )
+    @ddt.unpack
+    def test_the_most_urgent_groups_go_first(self, _, groups, expected):
+        queue = new_queue()
+        fleet = replicas('a1')
+        for group_id, fields in enumerate(groups):
+            queue.submit(build.group(group_id, **fields), fleet, 0)
+        entries = queue.next_call(fleet[0], fleet, 0)
+        self.assertEqual(expected, taken(entries))
+
+    @ddt.data(
+        ('whole groups fill a call', [5, 5, 3], [0, 0, 0, 0, 0, 2, 2, 2]),
+        ('a part fills what is left', [5, 5], [0, 0, 0, 0, 0, 1, 1, 1]),
+        ('a group larger than a call', [10], [0] * 8),
+    )
+    @ddt.unpack
+    def test_calls_take_whole_groups(self, _, sizes, expected):
+        queue = new_queue()
+        fleet = replicas('a1')
+        for group_id, size in enumerate(sizes):
+            queue.submit(build.group(group_id, size), fleet, 0)
+        entries = queue.next_call(fleet[0], fleet, 0)
+        self.assertEqual(expected, taken(entries))
+
+    def test_what_was_begun_goes_before_untouched_groups(self):
+        queue = new_queue()
+        fleet = replicas('a1')
+        queue.submit(build.group(0, 10), fleet, 0)
+        queue.next_call(fleet[0], fleet, 0)
+        queue.submit(build.group(1, 8, objective_ms=400), fleet, 0)
+        entries = queue.next_call(fleet[0], fleet, 0)
+        self.assertEqual([0, 0], taken(entries)[:2])
+
+    def test_a_replica_gets_no_more_than_its_memory_holds(self):
+        queue = new_queue(memory_bytes=10_000.0)
+        fleet = replicas('a1', held_bytes=5_000.0)
+        queue.submit(build.group(0, 8, result_bytes=1_000.0), fleet, 0)
+        self.assertEqual(5, len(queue.next_call(fleet[0], fleet, 0)))
+
+    @ddt.data(
+        ('waits for its zone', 'a1', 2_000, 0, [1]),
+        ('cannot afford to wait', 'a1', 300, 0, [0, 1]),
+        ('no replica in its zone', 'c1', 2_000, 0, [0, 1]),
+        ('no memory in its zone', 'a1', 2_000, 1_000_000, [0, 1]),
+    )
+    @ddt.unpack
+    def test_groups_wait_for_their_zone_while_they_can(
+        self, _, zone, objective_ms, held_bytes, expected
+    ):
+        queue = new_queue()
+        fleet = replicas('a1', 'b1')
+        fleet[0].held_bytes = held_bytes
+        first = build.group(0, zone=zone, objective_ms=objective_ms)
+        queue.submit(first, fleet, 0)
+        queue.submit(build.group(1, objective_ms=5_000), fleet, 0)
+        entries = queue.next_call(fleet[1], fleet, 0)
+        self.assertEqual(expected, sorted(taken(entries)))
+
+    @ddt.data((8, 0), (16, 0), (20, 4))
+    @ddt.unpack
+    def test_a_slow_replica_takes_what_others_have_no_place_for(
+        self, waiting, expected
+    ):
+        queue = new_queue()
+        fleet = replicas('a1', 'a1', 'a1')
+        fleet[0].slowness = 4.0
+        for group_id in range(waiting):
+            queue.submit(build.group(group_id), fleet, 0)
+        entries = queue.next_call(fleet[0], fleet, 0)
+        self.assertEqual(expected, len(entries))
+
+    def test_useless_groups_are_dropped(self):
+        queue = new_queue()
+        fleet = replicas('a1')
+        queue.submit(build.group(0, useless_ms=1_000), fleet, 0)
+        self.assertEqual([], queue.drop_useless(840))
+        self.assertEqual([0], [g.group_id for g in queue.drop_useless(841)])
+        self.assertEqual(0, queue.items)
+
+    def test_an_item_is_put_back(self):
+        queue = new_queue()
+        fleet = replicas('a1')
+        queue.submit(build.group(0, 2), fleet, 0)
+        entries = queue.next_call(fleet[0], fleet, 0)
+        queue.put_back(entries[1])
+        again = queue.next_call(fleet[0], fleet, 0)
+        self.assertEqual([entries[1]], again)
+
+
+@ddt.ddt
+class AdmissionTest(base.TestCase):
+    @ddt.data(
+        ('an empty queue takes all that is of use', 0, 10, 500, True),
+        ('nothing useless is taken', 0, 10, 100, False),
+        ('a short queue', 8, 400, 10_000, True),
+        ('a long queue', 200, 400, 10_000, False),
+        ('a long queue, but patient', 200, 10_000, 10_000, True),
+    )
+    @ddt.unpack
+    def test_a_group_is_taken_if_it_is_expected_in_time(
+        self, _, waiting, accept_ms, useless_ms, is_taken
+    ):
+        queue = new_queue()
+        fleet = replicas('a1', 'a2')
+        for group_id in range(1, waiting + 1):
+            queue.submit(build.group(group_id), fleet, 0)
+        result = queue.submit(
+            build.group(
+                waiting + 1,
+                accept_ms=accept_ms,
+                useless_ms=useless_ms,
+            ),
+            fleet,
+            0,
+        )
+        self.assertEqual(is_taken, isinstance(result, stage_queue.Accepted))
+
+    def test_a_refusal_says_when_to_come_back(self):
+        queue = new_queue()
+        fleet = replicas('a1')
+        for group_id in range(1, 81):
+            queue.submit(build.group(group_id), fleet, 0)
+        result = queue.submit(build.group(99, accept_ms=500), fleet, 0)
+        # Ten full calls of 230 ms wait on one replica.
+        self.assertGreater(result.retry_after_ms, 1_000)
+        self.assertLess(result.retry_after_ms, 3_000)
+
+    def test_urgent_groups_are_not_held_up_by_others(self):
+        queue = new_queue()
+        fleet = replicas('a1')
+        for group_id in range(1, 81):
+            queue.submit(build.group(group_id, rank=2), fleet, 0)
+        result = queue.submit(build.group(0, rank=0, accept_ms=500), fleet, 0)
+        self.assertIsInstance(result, stage_queue.Accepted)
+
+
+class Load:
+    """Plays arrivals against replicas that work as they state."""
+
+    def __init__(self, seed, per_s, seconds, is_admitting=True):
+        self.random = random.Random(seed)
+        self.queue = new_queue(memory_bytes=1e9)
+        self.fleet = replicas('a1', 'a2', 'b1')
+        self.is_admitting = is_admitting
+        self.left = {}
+        self.in_time = 0
+        self.late = 0
+        self.refused = 0
+        self.calls = []
+        events = []
+        at_ms = 0.0
+        for group_id in itertools.count():
+            at_ms += self.random.expovariate(per_s / 1_000)
+            if at_ms > seconds * 1_000:
+                break
+            events.append((int(at_ms), 0, group_id, None))
+        self.play(events)
+
+    def play(self, events):
+        heapq.heapify(events)
+        while events:
+            now_ms, kind, key, entries = heapq.heappop(events)
+            if kind == 0:
+                self.arrive(key, now_ms)
+            else:
+                self.finish(key, entries, now_ms)
+            for group in self.queue.drop_useless(now_ms):
+                self.left.pop(group.group_id)
+                self.refused += 1
+            for index, replica in enumerate(self.fleet):
+                if not replica.is_free(1, now_ms):
+                    continue
+                entries = self.queue.next_call(replica, self.fleet, now_ms)
+                if entries:
+                    self.calls.append(len(entries))
+                    replica.calls = 1
+                    end_ms = now_ms + int(self.queue.call_ms(len(entries)))
+                    replica.busy_until_ms = end_ms
+                    heapq.heappush(events, (end_ms, 1, index, entries))
+
+    def arrive(self, group_id, now_ms):
+        accept_ms = 600 if self.is_admitting else 10_000
+        group = build.group(
+            group_id,
+            2,
+            objective_ms=now_ms + 600,
+            accept_ms=now_ms + accept_ms,
+            useless_ms=now_ms + 3_000,
+        )
+        match self.queue.submit(group, self.fleet, now_ms):
+            case stage_queue.Accepted():
+                self.left[group_id] = 2
+            case stage_queue.Rejected():
+                self.refused += 1
+
+    def finish(self, index, entries, now_ms):
+        self.fleet[index].calls = 0
+        for entry in entries:
+            group = entry.group
+            self.left[group.group_id] -= 1
+            if not self.left[group.group_id]:
+                del self.left[group.group_id]
+                if now_ms <= group.objective_ms:
+                    self.in_time += 1
+                else:
+                    self.late += 1
+
+
+# Three replicas with full calls of 8 carry 104 items a second, 52 groups.
+@ddt.ddt
+class LoadTest(base.TestCase):
+    @ddt.data(1, 2, 3)
+    def test_joining_carries_what_single_calls_cannot(self, seed):
+        """40 groups a second in calls of their own need 6.8 replicas."""
+        load = Load(seed, per_s=40, seconds=30)
+        total = load.in_time + load.late + load.refused
+        self.assertGreater(load.in_time / total, 0.95)
+        self.assertGreater(sum(load.calls) / len(load.calls), 4)
+
+    @ddt.data(1, 2, 3)
+    def test_most_of_an_overload_is_served_in_time(self, seed):
+        """80 groups a second, of which 52 can be served."""
+        load = Load(seed, per_s=80, seconds=20)
+        self.assertGreater(load.in_time / (20 * 52), 0.85)
+        self.assertLess(load.late, 0.1 * load.in_time)
+        unbounded = Load(seed, per_s=80, seconds=20, is_admitting=False)
+        self.assertGreater(load.in_time, unbounded.in_time)
