--- a/sycamorebeam/platform/exchange.py
+++ b/sycamorebeam/platform/exchange.py
@@ -46,6 +46,7 @@
     }
 )
 _LOWEST_PRIORITY = 9
+_MOST_MS = 86_400_000  # a day; callers wait seconds
 
 
 def decode_request(
@@ -72,7 +73,7 @@
         ),
         body=body,
         arrived_ms=arrived_ms,
-        deadline_ms=_number(found.get('x-deadline-ms')),
+        deadline_ms=_milliseconds(found.get('x-deadline-ms')),
         key=found.get('x-credential'),
         prompt=_prompt(found.get('x-prompt-prefix')),
         item_counts=_counts(found.get('x-chunks')),
@@ -225,8 +226,13 @@
     return frozenset(name.strip().lower() for name in names)
 
 
-def _number(text: str | None) -> float | None:
-    return None if text is None else float(text)
+def _milliseconds(text: str | None) -> float | None:
+    if text is None:
+        return None
+    value = float(text)
+    if not 0 <= value < _MOST_MS:
+        raise ValueError(f'{text!r} is no number of milliseconds')
+    return value
 
 
 def _prompt(text: str | None) -> tuple[requests.PromptPart, ...]:
--- /dev/null
+++ b/tests/forwarding/test_platform_formats.py
@@ -0,0 +1,437 @@
+"""The platform's formats, decoded and encoded."""
+
+import json
+
+import attrs
+import ddt
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import stages
+from sycamorebeam.platform import desired_state
+from sycamorebeam.platform import exchange
+from sycamorebeam.platform import target_records
+from tests import base
+from tests.forwarding import build
+
+ROUTE = {
+    'name': 'r',
+    'hostname': 'H.example',
+    'path_prefix': '/p/',
+    'route_kind': 'streaming',
+    'timeout_ms': 5_000,
+    'target_latency_ms': 1_600,
+    'gap_aim_ms': 300,
+    'priority': 2,
+    'service': 'engine',
+    'max_attempts': 2,
+    'stages': [
+        {'service': 'desk', 'after': [], 'size_bytes': 8_000},
+        {'service': 'crew', 'after': [0], 'size_bytes': 60_000},
+    ],
+    'public': False,
+    'session_affinity': True,
+    'stream_resumption': True,
+}
+SEGMENTS = {
+    'slots': 1,
+    'queue': 2,
+    'batch': 8,
+    'call_duration_ms': 150.0,
+    'item_duration_ms': 16.25,
+    'headroom_mb': 51.2,
+    'handle_ttl_s': 4.0,
+    'link_mbps': 10_000,
+}
+STATE = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {'name': 'engine', 'connection_limit': 610, 'inference_engine': {}},
+        {'name': 'desk', 'connection_limit': 610, 'segments': SEGMENTS},
+    ],
+    'limits': {},
+    'tenants': [{'name': 'crew', 'api_keys': ['k1', 'k2'], 'priority': 0}],
+}
+RECORD = {
+    'service': 'engine',
+    'address': '10.0.0.9:8080',
+    'zone': 'a1',
+    'version': 'v1',
+    'slots': 128,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'sequence': 4,
+    'born': 1_700_000_000_000,
+}
+
+
+def without(record, key):
+    return {name: record[name] for name in record if name != key}
+
+
+@ddt.ddt
+class DesiredStateTest(base.TestCase):
+    def test_every_field_is_decoded(self):
+        state = desired_state.decode(json.dumps(STATE).encode())
+        self.assertEqual(7, state.version)
+        self.assertEqual(
+            build.route(
+                kind=model.Kind.STREAM,
+                timeout_ms=5_000.0,
+                latency_objective_ms=1_600.0,
+                longest_pause_ms=300.0,
+                rank=2,
+                is_resumable=True,
+                stages=(
+                    model.Stage(service='desk', after=(), result_bytes=8_000),
+                    model.Stage(
+                        service='crew', after=(0,), result_bytes=60_000
+                    ),
+                ),
+            ),
+            state.routes[0],
+        )
+        self.assertTrue(state.services['engine'].has_engine)
+        self.assertEqual(
+            build.batching(item_ms=16.25, memory_bytes=51_200_000.0),
+            state.services['desk'].batching,
+        )
+        self.assertEqual(
+            {'k1', 'k2'},
+            {
+                k
+                for k, team in state.team_of_key.items()
+                if team.name == 'crew'
+            },
+        )
+        self.assertTrue(state.has_teams)
+
+    def test_a_split_goes_before_a_single_service(self):
+        split = [
+            {'service': 'a', 'weight': 90},
+            {'service': 'b', 'weight': 10},
+        ]
+        route = {**without(ROUTE, 'service'), 'traffic_split': split}
+        state = desired_state.decode(
+            json.dumps({**STATE, 'routes': [route]}).encode()
+        )
+        self.assertEqual(
+            ['a', 'b'], [item.service for item in state.routes[0].split]
+        )
+
+    def test_without_tenants_no_key_is_needed(self):
+        state = desired_state.decode(
+            json.dumps(without(STATE, 'tenants')).encode()
+        )
+        self.assertFalse(state.has_teams)
+
+    @ddt.data(
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'{"version": 1}',
+        json.dumps({**STATE, 'routes': [without(ROUTE, 'hostname')]}).encode(),
+        json.dumps(
+            {**STATE, 'routes': [{**ROUTE, 'route_kind': 'other'}]}
+        ).encode(),
+    )
+    def test_what_cannot_be_decoded_is_refused(self, data):
+        with self.assertRaisesRegex(ValueError, 'publish a valid version'):
+            desired_state.decode(data)
+
+
+@ddt.ddt
+class TargetRecordTest(base.TestCase):
+    def test_every_field_is_decoded(self):
+        self.assertEqual(
+            build.target(
+                'i-1',
+                address='10.0.0.9:8080',
+                incarnation=1_700_000_000_000,
+                slots=128,
+            ),
+            target_records.decode('i-1', json.dumps(RECORD).encode()),
+        )
+
+    @ddt.data(
+        b'',
+        b'\xff',
+        b'[]',
+        b'null',
+        *(
+            json.dumps(without(RECORD, key)).encode()
+            for key in ('service', 'address', 'zone', 'slots', 'state')
+        ),
+        *(
+            json.dumps({**RECORD, **wrong}).encode()
+            for wrong in (
+                {'state': 'odd'},
+                {'state': None},
+                {'address': '10.0.0.9'},
+                {'address': 5},
+                {'service': ['engine']},
+                {'slots': '128'},
+                {'born': '1700'},
+                {'born': 1.5},
+            )
+        ),
+    )
+    def test_a_record_of_another_writer_names_no_target(self, data):
+        self.assertIsNone(target_records.decode('i-1', data))
+
+    def test_a_draining_target_is_known_as_such(self):
+        data = json.dumps({**RECORD, 'state': 'draining'}).encode()
+        self.assertTrue(target_records.decode('i-1', data).is_draining)
+
+
+HEADERS = [
+    ('Host', 'h.example'),
+    ('X-Attempt-Id', 'id-1'),
+    ('X-Model', 'm'),
+    ('X-Token-Usage', '1460,80'),
+    ('X-Prompt-Prefix', 'aa:800,bb:410,cc:250'),
+    ('X-Deadline-Ms', '6000'),
+    ('X-Credential', 'k1'),
+    ('X-Chunks', '1,0,16'),
+    ('X-Chunk-Key', 'key'),
+]
+
+
+def decode(headers):
+    return exchange.decode_request(
+        method='POST',
+        path='/p/x?y=1',
+        headers=headers,
+        body=b'b',
+        arrived_ms=5,
+    )
+
+
+def forwarded(headers, **fields):
+    values = {'remaining_ms': 900, 'team': 'crew', 'rank': 1}
+    send = requests.Send(**{**values, **fields})
+    return exchange.target_headers(decode(headers), 'i-1', send)
+
+
+@ddt.ddt
+class RequestTest(base.TestCase):
+    def test_a_request_is_decoded(self):
+        request = decode([*HEADERS, ('Last-Event-Id', '7')])
+        self.assertEqual('id-1', request.attempt_id)
+        self.assertEqual(6_000.0, request.deadline_ms)
+        self.assertEqual('k1', request.key)
+        self.assertEqual((1, 0, 16), request.item_counts)
+        self.assertEqual('key', request.item_key)
+        self.assertEqual(requests.PromptPart('bb', 410), request.session_part)
+        self.assertEqual('7', request.last_event_id)
+
+    @ddt.data(
+        'X-Tenant',
+        'X-Credential',
+        'X-Deadline-Ms',
+        'X-Expected-Instance',
+        'X-Request-Priority',
+        'X-Cache-Retention',
+        'X-Pin-Ms',
+        'X-Kv-Backup',
+        'X-Input-Items',
+        'Kv-From',
+        'Kv-Fetch',
+        'Last-Event-Id',
+    )
+    def test_what_only_the_system_sets_is_not_taken_from_callers(self, name):
+        sent = forwarded([*HEADERS, (name, '4242')], team=None)
+        self.assertNotIn('4242', [value for _, value in sent])
+
+    @ddt.data(
+        ('Connection', 'keep-alive, X-Odd', 'Connection'),
+        ('Transfer-Encoding', 'chunked', 'Transfer-Encoding'),
+        ('TE', 'trailers', 'TE'),
+        ('Content-Length', '5', 'Content-Length'),
+        ('Upgrade', 'h2c', 'Upgrade'),
+    )
+    @ddt.unpack
+    def test_headers_of_one_connection_are_not_forwarded(
+        self, name, value, absent
+    ):
+        sent = forwarded([*HEADERS, (name, value), ('X-Odd', '1')])
+        self.assertNotIn(absent, [header for header, _ in sent])
+
+    def test_headers_that_connection_names_are_not_forwarded(self):
+        sent = dict(
+            forwarded([*HEADERS, ('Connection', 'x-odd'), ('X-Odd', '1')])
+        )
+        self.assertNotIn('X-Odd', sent)
+
+    def test_other_headers_are_forwarded_unchanged(self):
+        sent = forwarded([*HEADERS, ('X-Other', 'a'), ('X-Other', 'b')])
+        self.assertEqual(
+            ['a', 'b'], [value for name, value in sent if name == 'X-Other']
+        )
+        for name in ('X-Attempt-Id', 'X-Model', 'X-Prompt-Prefix', 'Host'):
+            self.assertEqual(dict(HEADERS)[name], dict(sent)[name])
+
+    @ddt.data(
+        ({}, 'X-Input-Items', None),
+        ({'results': ()}, 'X-Input-Items', ''),
+        ({'results': ('a', 'b')}, 'X-Input-Items', 'a,b'),
+        ({'last_event_id': '7'}, 'Last-Event-Id', '7'),
+        ({'rank': 12}, 'X-Request-Priority', '9'),
+        ({'team': None}, 'X-Tenant', None),
+        ({}, 'X-Tenant', 'crew'),
+        ({}, 'X-Deadline-Ms', '900'),
+        ({}, 'X-Expected-Instance', 'i-1'),
+    )
+    @ddt.unpack
+    def test_what_the_system_sets(self, fields, name, expected):
+        self.assertEqual(
+            expected, dict(forwarded(HEADERS, **fields)).get(name)
+        )
+
+    @ddt.data(
+        ('X-Deadline-Ms', 'soon'),
+        ('X-Deadline-Ms', 'nan'),
+        ('X-Deadline-Ms', '-1'),
+        ('X-Chunks', '1,x'),
+        ('X-Prompt-Prefix', 'aa'),
+    )
+    @ddt.unpack
+    def test_malformed_values_are_refused(self, name, value):
+        headers = [pair for pair in HEADERS if pair[0] != name]
+        with self.assertRaises(ValueError):
+            decode([*headers, (name, value)])
+
+
+@attrs.frozen
+class RawAnswer:
+    status: int
+    headers: tuple
+
+
+@ddt.ddt
+class AnswerHeadTest(base.TestCase):
+    @ddt.data(
+        (200, [], True),
+        (500, [], True),
+        (503, [], True),
+        (503, [('X-Not-Executed', '1')], False),
+        (400, [('x-not-executed', '1')], False),
+        (421, [], False),
+    )
+    @ddt.unpack
+    def test_only_the_target_says_that_nothing_ran(
+        self, status, headers, is_executed
+    ):
+        head = exchange.decode_answer_head(RawAnswer(status, tuple(headers)))
+        self.assertEqual(is_executed, head.is_executed)
+
+    @ddt.data(('3,0,8', (3, 0, 8)), ('3', None), ('a,b,c', None))
+    @ddt.unpack
+    def test_a_reported_load_is_decoded(self, text, expected):
+        answer = RawAnswer(200, (('X-Instance-Load', text),))
+        self.assertEqual(expected, exchange.decode_answer_head(answer).load)
+
+    def test_connection_headers_are_dropped_and_the_signature_kept(self):
+        head = exchange.decode_answer_head(
+            RawAnswer(
+                200,
+                (
+                    ('X-Server-Signature', 's'),
+                    ('Keep-Alive', 'timeout=5'),
+                    ('Connection', 'close'),
+                    ('Content-Length', '3'),
+                ),
+            )
+        )
+        self.assertEqual((('X-Server-Signature', 's'),), head.headers)
+        self.assertTrue(head.is_signed)
+
+
+class FakeAnswer:
+    def __init__(self, status, body, headers=()):
+        self.status = status
+        self.headers = tuple(headers)
+        self.body = body
+
+    async def whole_body(self):
+        return self.body
+
+    def close(self):
+        pass
+
+
+class FakeClient:
+    def __init__(self, answer):
+        self.answer = answer
+        self.sent = []
+
+    async def open(self, address, method, path, headers, body):
+        self.sent.append((address, method, path, headers, json.loads(body)))
+        return self.answer
+
+
+@ddt.ddt
+class StageCallTest(base.TestCase):
+    ITEMS = (
+        stages.TimedItem(stages.Item('r1', 0, 2, 'k', False, ()), 900),
+        stages.TimedItem(stages.Item('r2', 2, 0, 'k', True, ('h1',)), 800),
+    )
+
+    async def call(self, answer):
+        client = FakeClient(answer)
+        calls = exchange.StageTargets(client)
+        result = await calls.run('1.2.3.4:5', 'i-1', list(self.ITEMS))
+        return result, client.sent[0]
+
+    async def test_items_are_encoded(self):
+        body = {'entries': [{'handle': 'h2'}, {'reason': 'gone'}]}
+        result, sent = await self.call(
+            FakeAnswer(200, json.dumps(body).encode())
+        )
+        self.assertEqual(
+            [
+                {
+                    'id': 'r1',
+                    'phase': 0,
+                    'segment': 2,
+                    'remaining_ms': 900,
+                    'key': 'k',
+                },
+                {
+                    'id': 'r2',
+                    'phase': 2,
+                    'segment': 0,
+                    'remaining_ms': 800,
+                    'input_handles': ['h1'],
+                },
+            ],
+            sent[4]['entries'],
+        )
+        self.assertIn(('X-Expected-Instance', 'i-1'), sent[3])
+        self.assertEqual(
+            (
+                stages.Produced('h2'),
+                stages.NotProduced(stages.Reason.INPUT_GONE),
+            ),
+            result.results,
+        )
+
+    @ddt.data((503, False), (421, True))
+    @ddt.unpack
+    async def test_a_declined_call_ran_nothing(self, status, is_gone):
+        answer = FakeAnswer(status, b'', [('X-Not-Executed', '1')])
+        result, _ = await self.call(answer)
+        self.assertEqual(stages.Declined(is_gone), result)
+
+    @ddt.data(
+        (500, b''),
+        (200, b'not json'),
+        (200, b'{"entries": []}'),
+        (200, b'{"entries": [{}, {}]}'),
+        (200, b'{"entries": [{"reason": "odd"}, {"handle": "h"}]}'),
+    )
+    @ddt.unpack
+    async def test_an_unreadable_answer_is_a_broken_call(self, status, body):
+        with self.assertRaisesRegex(Exception, '1.2.3.4:5'):
+            await self.call(FakeAnswer(status, body))
--- /dev/null
+++ b/tests/forwarding/wire.py
@@ -0,0 +1,95 @@
+"""A server that answers raw bytes, for tests of what goes over the wire."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+RESET = object()  # ends a connection by a reset
+HANG = object()  # says nothing more and keeps the connection
+
+
+class Wire:
+    """Reads requests and answers each from a script; the last one stays.
+
+    A script's entry is a list of bytes to send, in which numbers are pauses
+    in milliseconds. The connection is closed after it.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+        self.closed = asyncio.Event()
+        self.address = ''
+
+    async def serve(self, reader, writer):
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+            body = b''
+            for line in head.lower().split(b'\r\n'):
+                if line.startswith(b'content-length:'):
+                    body = await reader.readexactly(int(line[15:]))
+            self.requests.append(head + body)
+            steps = self.script[0]
+            if len(self.script) > 1:
+                self.script.pop(0)
+            for step in steps:
+                await self.step(step, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+    async def step(self, step, reader, writer):
+        if step is RESET:
+            opened = writer.get_extra_info('socket')
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            writer.transport.abort()
+        elif step is HANG:
+            await reader.read()
+        elif isinstance(step, int):
+            await asyncio.sleep(step / 1_000)
+        else:
+            writer.write(step)
+            await writer.drain()
+
+
+@contextlib.asynccontextmanager
+async def serving(*script):
+    wire = Wire(*script)
+    server = await asyncio.start_server(wire.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    wire.address = f'127.0.0.1:{port}'
+    try:
+        yield wire
+    finally:
+        server.close()
+
+
+def answer(body=b'ok', status='200 OK', headers=(), attempt_id='id-1'):
+    lines = [
+        f'HTTP/1.1 {status}',
+        f'X-Attempt-Id: {attempt_id}',
+        'X-Server-Signature: signed',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Signature: signed\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+STREAM_END = b'0\r\n\r\n'
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def event(number):
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
