--- /dev/null
+++ b/sycamorebeam/forwarding/attempts.py
@@ -0,0 +1,221 @@
+"""Attempts of requests at targets: choice, exchange, answer."""
+
+from collections.abc import Callable
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import calls
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import freshness
+from sycamorebeam.forwarding import metrics as metrics_module
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import preparation
+from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import state as states
+from sycamorebeam.forwarding import upstream
+
+MIN_SEND_MS = 20  # a target cannot serve anything in less
+
+
+class Attempts:
+    """Sends requests to targets and passes their answers on."""
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        state: states.State,
+        lease: freshness.FreshnessLease,
+        directory: directories.Directory,
+        places: placement.Placement,
+        client: upstream.Upstream,
+        codec: calls.Codec,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._lease = lease
+        self._directory = directory
+        self._places = places
+        self._client = client
+        self._codec = codec
+        self._metrics = metrics
+
+    def pick(self, call: calls.Call) -> model.Target | None:
+        """Return the target to try next, None when none is left."""
+        now_ms = self._clock.monotonic_ms()
+        usable = self._directory.usable(call.service)
+        service = self._state.service(call.service)
+        if service is not None and service.has_engine:
+            return self._places.pick_engine(
+                usable,
+                call.excluded,
+                call.request.session_part,
+                call.request.attempt_id,
+                now_ms,
+            )
+        return self._places.pick_service_target(usable, call.excluded, now_ms)
+
+    async def attempt(
+        self,
+        call: calls.Call,
+        results: tuple[str, ...] | None,
+        prepared: preparation.Preparation | None,
+    ) -> calls.Outcome:
+        """Send a request to one target and pass its answer on.
+
+        ``results`` are what the request's stages produced; ``prepared``
+        holds them until they were used.
+        """
+        # The stages took time, in which the first choice may have gone.
+        target = self.pick(call)
+        if target is None:
+            return calls.NotSent('no target is left')
+        call.last_target = target.target_id
+        seen = self._places.observed(target)
+        began_ms = self._clock.monotonic_ms()
+        seen.started()
+        try:
+            outcome = await self._exchange(call, target, results, prepared)
+        finally:
+            seen.ended()
+        now_ms = self._clock.monotonic_ms()
+        self._metrics.attempts.labels(
+            call.route.kind.value, type(outcome).__name__.lower()
+        ).inc()
+        match outcome:
+            case calls.NotSent():
+                call.excluded.add(target.target_id)
+                seen.unreachable(now_ms)
+            case calls.Declined():
+                call.excluded.add(target.target_id)
+            case calls.Broken():
+                call.excluded.add(target.target_id)
+                seen.failed(now_ms)
+            case calls.Delivered():
+                if call.route.kind is not model.Kind.STREAM:
+                    seen.succeeded(now_ms - began_ms, now_ms)
+        return outcome
+
+    async def _exchange(
+        self,
+        call: calls.Call,
+        target: model.Target,
+        results: tuple[str, ...] | None,
+        prepared: preparation.Preparation | None,
+    ) -> calls.Outcome:
+        remaining_ms = call.deadline.remaining_ms(self._clock)
+        if remaining_ms < MIN_SEND_MS:
+            raise TimeoutError
+        last_event_id = None
+        if call.route.is_resumable:
+            last_event_id = (
+                call.splitter.last_event_id or call.request.last_event_id
+            )
+        headers = self._codec.target_headers(
+            call.request,
+            target.target_id,
+            requests.Send(
+                remaining_ms=remaining_ms,
+                team=None if call.team is None else call.team.name,
+                rank=call.rank,
+                results=results,
+                last_event_id=last_event_id,
+            ),
+        )
+        try:
+            answer = await self._client.open(
+                target.address,
+                call.request.method,
+                call.request.path,
+                headers,
+                call.request.body or None,
+                self._check_before_send(call),
+            )
+        except upstream.NotSentError as error:
+            return calls.NotSent(str(error))
+        except upstream.BrokenError as error:
+            return calls.Broken(str(error))
+        try:
+            return await self._take_answer(call, target, answer, prepared)
+        except upstream.BrokenError as error:
+            call.splitter.drop_rest()
+            return calls.Broken(str(error))
+        finally:
+            answer.close()
+
+    def _check_before_send(self, call: calls.Call) -> Callable[[], None]:
+        """Return a check that runs when the connection is open.
+
+        The process may have been suspended since the request was admitted.
+        """
+
+        def check() -> None:
+            if call.team is not None and not self._lease.is_valid(
+                self._clock.boottime_ms()
+            ):
+                raise upstream.NotSentError('the desired state is too old')
+            call.sends += 1
+            call.sent_ms = self._clock.monotonic_ms()
+
+        return check
+
+    async def _take_answer(
+        self,
+        call: calls.Call,
+        target: model.Target,
+        answer: upstream.Answer,
+        prepared: preparation.Preparation | None,
+    ) -> calls.Outcome:
+        head = self._codec.decode_answer_head(answer)
+        if head.load is not None:
+            running, waiting, _ = head.load
+            self._places.observed(target).reported(
+                running + waiting, self._clock.monotonic_ms()
+            )
+        if not head.is_executed:
+            return calls.Declined(head.status)
+        if head.attempt_id != call.request.attempt_id:
+            return calls.Broken('the answer belongs to another request')
+        if head.status < 300 and not head.is_signed:
+            return calls.Broken('the answer is not signed by its target')
+        if head.has_encoding:
+            return calls.Broken(
+                "the answer is encoded, so not the target's own"
+            )
+        if head.status < 300 and call.route.kind is model.Kind.STREAM:
+            return await self._relay(call, head, answer, prepared)
+        body = await answer.whole_body()
+        if head.status >= 500:
+            return calls.Broken(f'status {head.status}', (head, body))
+        await call.reply.whole(head, body)
+        return calls.Delivered(head.status)
+
+    async def _relay(
+        self,
+        call: calls.Call,
+        head: requests.AnswerHead,
+        answer: upstream.Answer,
+        prepared: preparation.Preparation | None,
+    ) -> calls.Outcome:
+        """Pass the events of a stream on as they arrive."""
+        async for chunk in answer.chunks():
+            data = call.splitter.feed(chunk)
+            if not data:
+                continue
+            if prepared is not None:
+                # The engine has read its inputs before its first event.
+                prepared.free()
+            if not call.has_begun:
+                call.has_begun = True
+                call.begun_ms = self._clock.monotonic_ms()
+                await call.reply.begin(head)
+            await call.reply.write(data)
+        rest = call.splitter.drop_rest()
+        if not call.has_begun:
+            call.has_begun = True
+            await call.reply.begin(head)
+        if rest:
+            await call.reply.write(rest)
+        await call.reply.end()
+        return calls.Delivered(head.status)
--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -8,11 +8,11 @@
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import directory as directories
-from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import instances as instances_module
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import state as states
 
 # A read of the desired state renews the freshness lease, so that several
 # fit into the shortest lease; each call to the store is billed.
@@ -121,7 +121,7 @@
         self,
         platform: Platform,
         clock: clocks.Clock,
-        state: forwarder.State,
+        state: states.State,
         lease: freshness.FreshnessLease,
     ) -> None:
         self._platform = platform
--- a/sycamorebeam/forwarding/frontend.py
+++ b/sycamorebeam/forwarding/frontend.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 
 from sycamorebeam import clock as clocks
-from sycamorebeam import telemetry
 from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import requests
 
@@ -96,12 +95,10 @@
         clock: clocks.Clock,
         forward: forwarder.Forwarder,
         decode: Decoder,
-        metrics: telemetry.Metrics,
     ) -> None:
         self._clock = clock
         self._forward = forward
         self._decode = decode
-        self._metrics = metrics
         self._in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
--- /dev/null
+++ b/sycamorebeam/forwarding/held_results.py
@@ -0,0 +1,79 @@
+"""Results that replicas of one stage service hold, and their memory."""
+
+import attrs
+
+from sycamorebeam.forwarding import stage_queue
+
+
+@attrs.frozen
+class _Held:
+    replica: stage_queue.Replica
+    result_bytes: float
+    since_ms: int
+    until_ms: int
+
+
+class HeldResults:
+    """Counts results against their replica until it knows they are free.
+
+    A replica drops a result by itself some time after it was made.
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Held] = {}
+        self._given_up: dict[str, list[str]] = {}
+
+    def add(
+        self,
+        result: str,
+        replica: stage_queue.Replica,
+        result_bytes: float,
+        now_ms: int,
+        ttl_ms: int,
+    ) -> None:
+        """Take note of a result whose memory counts at its replica."""
+        self._held[result] = _Held(
+            replica, result_bytes, now_ms, now_ms + ttl_ms
+        )
+
+    def give_up(self, result: str, address: str) -> None:
+        """Note that a result at an address is not needed any more."""
+        self._given_up.setdefault(address, []).append(result)
+
+    def take_due(self, limit_bytes: float) -> dict[str, list[str]]:
+        """Return given-up results by the address of fuller replicas."""
+        due = {
+            address: results
+            for address, results in self._given_up.items()
+            if limit_bytes <= 0 or self._memory_at(results) > limit_bytes
+        }
+        for address in due:
+            del self._given_up[address]
+        return due
+
+    def remove(self, result: str, now_ms: int) -> int | None:
+        """Release a result's memory; return how long it was held."""
+        held = self._held.pop(result, None)
+        if held is None:
+            return None
+        _release(held)
+        return now_ms - held.since_ms
+
+    def expire(self, now_ms: int) -> None:
+        """Release the memory of results that their replica has dropped."""
+        while self._held:
+            result, held = next(iter(self._held.items()))
+            if held.until_ms > now_ms:
+                return
+            del self._held[result]
+            _release(held)
+
+    def _memory_at(self, results: list[str]) -> float:
+        """Return the memory in use at the replica that made some results."""
+        held = self._held.get(results[0])
+        return 0.0 if held is None else held.replica.held_bytes
+
+
+def _release(held: _Held) -> None:
+    left_bytes = held.replica.held_bytes - held.result_bytes
+    held.replica.held_bytes = max(0.0, left_bytes)
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -12,24 +12,29 @@
 from sycamorebeam import garbage
 from sycamorebeam import supervision
 from sycamorebeam import telemetry
+from sycamorebeam.forwarding import attempts
+from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import directory as directories
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import frontend
 from sycamorebeam.forwarding import instances as instances_module
+from sycamorebeam.forwarding import metrics as metrics_module
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import settings as settings_module
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_streams
 from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import state as states
 from sycamorebeam.forwarding import upstream
 
 MAX_CONNECTIONS = 1_500  # to targets; below the descriptors of an instance
 # The balancer asks each second and takes an instance out after two misses.
 BALANCER_LAG_MS = 2_500
 EXIT_MARGIN_MS = 700  # of the grace period, to flush and exit
+TEXT = 'text/plain'
 KEEPALIVE_MARGIN_S = 1.0  # callers may use a connection up to the limit
 
 
@@ -39,7 +44,7 @@
 
     platform: followers.Platform
     decode: frontend.Decoder
-    codec: forwarder.Codec
+    codec: calls.Codec
     stage_calls: stages.StageCalls
     client: upstream.Upstream
 
@@ -53,8 +58,8 @@
         self._settings = settings
         self._adapter = adapter
         self._clock = clocks.Clock()
-        self._metrics = telemetry.Metrics()
-        self._state = forwarder.State()
+        self._metrics = metrics_module.Metrics()
+        self._state = states.State()
         self._lease = freshness.FreshnessLease(
             settings.bounds.revocation_ms, settings.bounds.strict_revocation
         )
@@ -96,16 +101,21 @@
                 clock=self._clock,
                 state=self._state,
                 lease=self._lease,
-                directory=self._directory,
-                places=self._places,
                 budgets=self._budgets,
                 producer=self._streams,
-                client=adapter.client,
-                codec=adapter.codec,
+                attempts=attempts.Attempts(
+                    clock=self._clock,
+                    state=self._state,
+                    lease=self._lease,
+                    directory=self._directory,
+                    places=self._places,
+                    client=adapter.client,
+                    codec=adapter.codec,
+                    metrics=self._metrics,
+                ),
                 metrics=self._metrics,
             ),
             adapter.decode,
-            self._metrics,
         )
         self._instances_follower = followers.InstancesFollower(
             adapter.platform, self._clock, self._instances
@@ -127,6 +137,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._asked_to_stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._watch()
         await self._listen()
         self._start_tasks()
         garbage.tune()
@@ -168,6 +179,8 @@
         await self._serve(callers, addresses.callers)
         ready = web.Server(self._answer_ready, access_log=None)
         await self._serve(ready, addresses.readiness)
+        metrics = web.Server(self._answer_metrics, access_log=None)
+        await self._serve(metrics, addresses.metrics)
         host, port = checking.split_address(addresses.peers)
         await asyncio.start_server(self._streams.accept, host, port)
 
@@ -183,6 +196,47 @@
             return web.Response(text='ready\n')
         return web.Response(status=503, text='not ready\n')
 
+    async def _answer_metrics(self, http: web.BaseRequest) -> web.Response:
+        return web.Response(body=self._metrics.render(), content_type=TEXT)
+
+    def _watch(self) -> None:
+        """Show what is known and how old it is among the metrics."""
+        watch = self._metrics.watch
+        watch(
+            'state_age_ms',
+            'Age of the last read of the desired state; -1 before the first.',
+            self._state_age_ms,
+        )
+        watch(
+            'state_version',
+            'The version in force; -1 before the first.',
+            lambda: (
+                -1
+                if not self._state.desired
+                else (self._state.desired.version)
+            ),
+        )
+        watch(
+            'targets',
+            'Known targets, those that drain included.',
+            lambda: len(self._directory.targets),
+        )
+        watch('instances', 'Known instances.', self._instances.count)
+        watch(
+            'requests_in_progress',
+            'Requests that are being served.',
+            lambda: self._frontend.in_progress,
+        )
+        watch(
+            'stage_groups_waiting',
+            'Requests that wait at queues of this instance.',
+            lambda: self._owner.waiting,
+        )
+
+    def _state_age_ms(self) -> float:
+        age_ms = self._lease.age_ms(self._clock.boottime_ms())
+        return -1 if age_ms is None else age_ms
+
     async def _stop(self) -> None:
         """Serve on until the balancer has noticed, then finish and exit."""
         telemetry.log_event('stopping', in_progress=self._frontend.in_progress)
--- /dev/null
+++ b/sycamorebeam/forwarding/metrics.py
@@ -0,0 +1,72 @@
+"""Counters and latency histograms of forwarding, as text for scrapers."""
+
+from collections.abc import Callable
+
+import prometheus_client
+
+PREFIX = 'sycamorebeam'
+# Around the latency objectives of the users' routes, 0.3 to 2.4 s.
+SECONDS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.3, 1.6, 2.4, 4, 6, 10, 15)
+
+
+class Metrics:
+    """What one instance counts; each has the labels that it is called by."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            'requests', 'Requests that ended.', 'kind', 'result'
+        )
+        self.request_seconds = self._histogram(
+            'request_seconds', 'Time to the end of a request.', 'kind'
+        )
+        self.first_event_seconds = self._histogram(
+            'first_event_seconds', 'Time to the first event of a stream.'
+        )
+        self.refusals = self._counter(
+            'refusals', 'Answers of the instance itself.', 'status', 'reason'
+        )
+        self.attempts = self._counter(
+            'attempts', 'Attempts at targets.', 'kind', 'outcome'
+        )
+        self.repeats_denied = self._counter(
+            'repeats_denied', 'Repeats beyond the retry budget.'
+        )
+        self.stage_seconds = self._histogram(
+            'stage_seconds', 'Time of a stage of a request.', 'service'
+        )
+        self.stage_calls = self._counter(
+            'stage_calls', 'Calls to replicas of stages.', 'service', 'outcome'
+        )
+        self.stage_items = self._counter(
+            'stage_items', 'Items in calls that ran.', 'service'
+        )
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show a value that is read when the metrics are."""
+        gauge = prometheus_client.Gauge(
+            f'{PREFIX}_{name}', text, registry=self._registry
+        )
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f'{PREFIX}_{name}', text, labels, registry=self._registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f'{PREFIX}_{name}',
+            text,
+            labels,
+            registry=self._registry,
+            buckets=SECONDS,
+        )
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -15,6 +15,8 @@
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import held_results
+from sycamorebeam.forwarding import metrics as metrics_module
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stage_queue
@@ -44,22 +46,15 @@
     is_begun: bool = False
 
 
-@attrs.frozen
-class _Held:
-    target_id: str
-    result_bytes: float
-    since_ms: int
-    until_ms: int
-
-
 @attrs.define
 class _Service:
     name: str
     queue: stage_queue.StageQueue
     replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
     pauses: dict[str, int] = attrs.field(factory=dict)
-    held: dict[str, _Held] = attrs.field(factory=dict)
-    to_free: dict[str, list[str]] = attrs.field(factory=dict)
+    held: held_results.HeldResults = attrs.field(
+        factory=held_results.HeldResults
+    )
 
 
 class StageOwner:
@@ -72,7 +67,7 @@
         service_of: Callable[[str], model.Service | None],
         calls: stages.StageCalls,
         budgets: retry_budget.RetryBudgets,
-        metrics: telemetry.Metrics,
+        metrics: metrics_module.Metrics,
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -148,8 +143,7 @@
         if service is None:
             return
         for result in results:
-            address = self._calls.maker_address(result)
-            service.to_free.setdefault(address, []).append(result)
+            service.held.give_up(result, self._calls.maker_address(result))
 
     async def run_forever(self) -> None:
         """Free results and look at the queues again and again."""
@@ -159,7 +153,7 @@
             elapsed_ms += TICK_MS
             for service in list(self._services.values()):
                 self._flush_freed(service, elapsed_ms >= FREE_INTERVAL_MS)
-                self._expire_held(service)
+                service.held.expire(self._clock.monotonic_ms())
                 self._pump(service)
             if elapsed_ms >= FREE_INTERVAL_MS:
                 elapsed_ms = 0
@@ -282,32 +276,40 @@
                     replica.held_bytes -= entry.group.result_bytes
                 pause_ms = BROKEN_PAUSE_MS if is_gone else DECLINED_PAUSE_MS
                 replica.paused_until_ms = now_ms + pause_ms
-                self._metrics.count('stage.declined')
+                self._metrics.stage_calls.labels(
+                    service.name, 'declined'
+                ).inc()
                 self._put_back(service, entries)
             case stages.Ran(results):
                 service.pauses.pop(replica.target_id, None)
                 self._learn_pace(service, replica, len(entries), began_ms)
-                telemetry.log_event(
-                    'stage_called',
-                    service=service.name,
-                    target=replica.target_id,
-                    items=len(entries),
-                    took_ms=now_ms - began_ms,
-                    waited_ms=began_ms
-                    - min(entry.group.queued_ms for entry in entries),
-                    waiting=service.queue.items,
-                    held_share=round(
-                        replica.held_bytes
-                        / service.queue.batching.memory_bytes,
-                        2,
-                    ),
-                    slowness=round(replica.slowness, 2),
-                )
-                self._metrics.count('stage.calls')
-                self._metrics.count('stage.items', len(entries))
+                self._note_call(service, replica, entries, began_ms)
                 for entry, item in zip(entries, results, strict=True):
                     self._take_result(service, replica, entry, item)
 
+    def _note_call(
+        self,
+        service: _Service,
+        replica: stage_queue.Replica,
+        entries: list[stage_queue.Entry],
+        began_ms: int,
+    ) -> None:
+        self._metrics.stage_calls.labels(service.name, 'ran').inc()
+        self._metrics.stage_items.labels(service.name).inc(len(entries))
+        memory_bytes = service.queue.batching.memory_bytes
+        telemetry.log_event(
+            'stage_called',
+            service=service.name,
+            target=replica.target_id,
+            items=len(entries),
+            took_ms=self._clock.monotonic_ms() - began_ms,
+            waited_ms=began_ms
+            - min(entry.group.queued_ms for entry in entries),
+            waiting=service.queue.items,
+            held_share=round(replica.held_bytes / memory_bytes, 2),
+            slowness=round(replica.slowness, 2),
+        )
+
     def _take_result(
         self,
         service: _Service,
@@ -318,13 +320,13 @@
         now_ms = self._clock.monotonic_ms()
         match result:
             case stages.Produced(name):
-                held = _Held(
-                    replica.target_id,
+                service.held.add(
+                    name,
+                    replica,
                     entry.group.result_bytes,
                     now_ms,
-                    now_ms + int(service.queue.batching.result_ttl_ms),
+                    int(service.queue.batching.result_ttl_ms),
                 )
-                service.held[name] = held
                 self._take_product(service, entry, name)
                 return
             case stages.NotProduced(reason):
@@ -435,31 +437,11 @@
         stated_ms = service.queue.call_ms(len(entries))
         return max(MIN_CALL_TIMEOUT_MS, CALL_PATIENCE * stated_ms)
 
-    def _release(self, service: _Service, held: _Held) -> None:
-        replica = service.replicas.get(held.target_id)
-        if replica is not None:
-            replica.held_bytes = max(
-                0.0, replica.held_bytes - held.result_bytes
-            )
-
-    def _expire_held(self, service: _Service) -> None:
-        now_ms = self._clock.monotonic_ms()
-        while service.held:
-            result, held = next(iter(service.held.items()))
-            if held.until_ms > now_ms:
-                return
-            del service.held[result]
-            self._release(service, held)
-
     def _flush_freed(self, service: _Service, flush_all: bool) -> None:
         limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
-        for address, results in list(service.to_free.items()):
-            held = service.held.get(results[0])
-            replica = held and service.replicas.get(held.target_id)
-            is_scarce = replica and replica.held_bytes > limit_bytes
-            if flush_all or is_scarce:
-                del service.to_free[address]
-                self._start(self._free(service, address, results))
+        due = service.held.take_due(0.0 if flush_all else limit_bytes)
+        for address, results in due.items():
+            self._start(self._free(service, address, results))
 
     async def _free(
         self, service: _Service, address: str, results: list[str]
@@ -483,10 +465,9 @@
             return
         now_ms = self._clock.monotonic_ms()
         for result in results:
-            held = service.held.pop(result, None)
-            if held is not None:
-                service.queue.note_residence(now_ms - held.since_ms)
-                self._release(service, held)
+            kept_ms = service.held.remove(result, now_ms)
+            if kept_ms is not None:
+                service.queue.note_residence(kept_ms)
         self._pump(service)
 
     def _start(self, work: object) -> None:
--- /dev/null
+++ b/sycamorebeam/forwarding/state.py
@@ -0,0 +1,30 @@
+"""The desired state in force at this instance."""
+
+import attrs
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import routing
+
+
+@attrs.define
+class State:
+    """The desired state in force and its routes."""
+
+    desired: model.DesiredState | None = None
+    routes: routing.RouteTable | None = None
+
+    def take(self, desired: model.DesiredState) -> bool:
+        """Put a version in force unless it is not newer."""
+        if self.desired is not None and (
+            desired.version <= self.desired.version
+        ):
+            return False
+        self.desired = desired
+        self.routes = routing.RouteTable(desired)
+        return True
+
+    def service(self, name: str) -> model.Service | None:
+        """Return a service of the desired state."""
+        return (
+            None if self.desired is None else self.desired.services.get(name)
+        )
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -4,7 +4,6 @@
 
 from sycamorebeam.forwarding import directory
 from sycamorebeam.forwarding import events
-from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import instances
 from sycamorebeam.forwarding import model
@@ -14,6 +13,7 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import routing
+from sycamorebeam.forwarding import state
 from tests import base
 from tests.forwarding import build
 
@@ -30,13 +30,13 @@
     )
     @ddt.unpack
     def test_the_longest_prefix_of_the_host_wins(self, host, path, expected):
-        state = build.desired(
+        desired = build.desired(
             routes=[
                 build.route(name='short', path_prefix='/p/'),
                 build.route(name='long', path_prefix='/p/q/'),
             ]
         )
-        found = routing.RouteTable(state).find(host, path)
+        found = routing.RouteTable(desired).find(host, path)
         self.assertEqual(expected, found and found.name)
 
     def test_requests_are_split_by_weight(self):
@@ -56,10 +56,11 @@
     @ddt.data((1, False), (2, False), (3, True))
     @ddt.unpack
     def test_a_version_never_goes_back(self, version, is_taken):
-        state = forwarder.State()
-        state.take(build.desired(version=2))
-        self.assertEqual(is_taken, state.take(build.desired(version=version)))
-        self.assertEqual(max(2, version), state.desired.version)
+        subject = state.State()
+        subject.take(build.desired(version=2))
+        taken = subject.take(build.desired(version=version))
+        self.assertEqual(is_taken, taken)
+        self.assertEqual(max(2, version), subject.desired.version)
 
 
 @ddt.ddt
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -8,15 +8,17 @@
 import ddt
 
 from sycamorebeam import clock as clocks
-from sycamorebeam import telemetry
+from sycamorebeam.forwarding import attempts
 from sycamorebeam.forwarding import directory
 from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import frontend
+from sycamorebeam.forwarding import metrics
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import state as states
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import exchange
 from tests import base
@@ -59,7 +61,7 @@
     """An instance before some targets."""
 
     address: str
-    state: forwarder.State
+    state: states.State
     lease: freshness.FreshnessLease
     directory: directory.Directory
     producer: FakeProducer
@@ -70,7 +72,7 @@
 async def running(targets, keys=(), budget=100.0, **route):
     """Serve one route whose targets are the wires of ``targets``."""
     clock = clocks.Clock()
-    state = forwarder.State()
+    state = states.State()
     state.take(
         build.desired(
             routes=[build.route(**route)],
@@ -96,22 +98,28 @@
     )
     client = upstream.Upstream(100)
     producer = FakeProducer()
+    counted = metrics.Metrics()
     front = frontend.Frontend(
         clock,
         forwarder.Forwarder(
             clock=clock,
             state=state,
             lease=lease,
-            directory=listed,
-            places=placement.Placement('a1', build.ZONES),
             budgets=retry_budget.RetryBudgets(0.0, budget, 10_000, lambda: 1),
             producer=producer,
-            client=client,
-            codec=exchange,
-            metrics=telemetry.Metrics(),
+            attempts=attempts.Attempts(
+                clock=clock,
+                state=state,
+                lease=lease,
+                directory=listed,
+                places=placement.Placement('a1', build.ZONES),
+                client=client,
+                codec=exchange,
+                metrics=counted,
+            ),
+            metrics=counted,
         ),
         exchange.decode_request,
-        telemetry.Metrics(),
     )
     server = web.Server(
         front.handle, handler_cancellation=True, access_log=None
--- /dev/null
+++ b/tests/forwarding/test_stage_owner.py
@@ -0,0 +1,329 @@
+"""The owner of a stage service's queue, before replicas of ours."""
+
+import asyncio
+
+import ddt
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import directory
+from sycamorebeam.forwarding import metrics
+from sycamorebeam.forwarding import preparation
+from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import stage_owner
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+from tests import base
+from tests.forwarding import build
+
+BATCHING = build.batching(memory_bytes=8_000.0)
+
+
+class Replicas:
+    """Replicas that work one call at a time, and may be told to fail."""
+
+    def __init__(self):
+        self.calls = []
+        self.freed = []
+        self.running = {}
+        self.most = 0
+        self.scripts = {}
+        self.duration_ms = 200
+
+    async def run(self, address, target_id, items):
+        self.calls.append((target_id, [timed.item for timed in items]))
+        script = self.scripts.get(target_id)
+        step = script.pop(0) if script else None
+        self.running[target_id] = self.running.get(target_id, 0) + 1
+        self.most = max(self.most, *self.running.values())
+        try:
+            match step:
+                case 'refused':
+                    raise upstream.NotSentError('refused')
+                case 'declined':
+                    return stages.Declined(is_gone=False)
+            await asyncio.sleep(self.duration_ms / 1_000)
+            match step:
+                case 'broken':
+                    raise upstream.BrokenError('broken')
+                case stages.Reason():
+                    return stages.Ran((stages.NotProduced(step),) * len(items))
+        finally:
+            self.running[target_id] -= 1
+        return stages.Ran(
+            tuple(
+                stages.Produced(
+                    f'{address}/{item.item.attempt_id}.{item.item.position}'
+                )
+                for item in items
+            )
+        )
+
+    async def free(self, address, results):
+        self.freed.extend(results)
+
+    def maker_address(self, result):
+        return result.partition('/')[0]
+
+
+def stage_request(name, count=1, **fields):
+    values = {
+        'service': 'desk',
+        'attempt_id': name,
+        'rank': 1,
+        'objective_in_ms': 2_000,
+        'accept_in_ms': 10_000,
+        'useless_in_ms': 10_000,
+        'zone': '',
+        'input_bytes': 0.0,
+        'result_bytes': 100.0,
+        'items': tuple(build.item(name, i) for i in range(count)),
+    }
+    return stages.StageRequest(**{**values, **fields})
+
+
+@ddt.ddt
+class StageOwnerTest(base.TestCase):
+    def new_owner(self, targets=2, budget=100.0):
+        self.replicas = Replicas()
+        listed = directory.Directory()
+        listed.replace(
+            [
+                directory.Entry(
+                    f't{n}',
+                    build.target(
+                        f't{n}', service='desk', address=f'10.0.0.{n}:1'
+                    ),
+                )
+                for n in range(targets)
+            ],
+            0,
+        )
+        described = build.service('desk', batching=BATCHING)
+        self.listed = listed
+        owner = stage_owner.StageOwner(
+            clocks.Clock(),
+            listed,
+            lambda name: described if name == 'desk' else None,
+            self.replicas,
+            retry_budget.RetryBudgets(0.0, budget, 10_000, lambda: 1),
+            metrics.Metrics(),
+        )
+        self.ticking = asyncio.create_task(owner.run_forever())
+        return owner
+
+    async def test_items_that_come_together_are_joined(self):
+        owner = self.new_owner()
+        futures = [owner.submit(stage_request(f'r{n}', 2)) for n in range(20)]
+        outcomes = await asyncio.gather(*futures)
+        for n, outcome in enumerate(outcomes):
+            names = [result.partition('/')[2] for result in outcome.results]
+            self.assertEqual([f'r{n}.0', f'r{n}.1'], names)
+        self.assertEqual(1, self.replicas.most)
+        # 40 items: two calls of what came first, then full ones.
+        self.assertLessEqual(len(self.replicas.calls), 8)
+
+    @ddt.data(
+        ('refused', True),
+        ('declined', True),
+        ('broken', True),
+        (stages.Reason.NO_MEMORY, True),
+        (stages.Reason.FAILED, True),
+        (stages.Reason.INPUT_GONE, False),
+        (stages.Reason.TOO_LATE, False),
+    )
+    @ddt.unpack
+    async def test_a_call_that_fails(self, step, is_produced):
+        owner = self.new_owner()
+        self.replicas.scripts = {'t0': [step], 't1': [step]}
+        outcome = await owner.submit(stage_request('r', 2))
+        self.assertEqual(is_produced, isinstance(outcome, stages.Results))
+
+    async def test_repeats_of_items_that_may_have_run_are_bounded(self):
+        owner = self.new_owner(budget=4.0)
+        self.replicas.scripts = {'t0': ['broken'] * 9, 't1': ['broken'] * 9}
+        outcome = await owner.submit(stage_request('r'))
+        self.assertEqual(stages.Reason.FAILED, outcome.reason)
+        # Two repeats of one item, 0.7 of the budget's four.
+        self.assertEqual(3, len(self.replicas.calls))
+
+    async def test_memory_bounds_what_is_at_a_replica(self):
+        """Each replica holds 80 results of 100 bytes; nothing is freed."""
+        owner = self.new_owner(targets=1)
+        futures = [owner.submit(stage_request(f'r{n}')) for n in range(100)]
+        await asyncio.sleep(3.9)
+        self.assertEqual(80, sum(future.done() for future in futures))
+        owner.free(
+            'desk', [r for f in futures[:40] for r in f.result().results]
+        )
+        await asyncio.sleep(1.5)
+        self.assertEqual(100, sum(future.done() for future in futures))
+        self.assertEqual(40, len(self.replicas.freed))
+
+    async def test_results_that_nobody_waits_for_are_freed(self):
+        owner = self.new_owner()
+        future = owner.submit(stage_request('r'))
+        await asyncio.sleep(0.1)
+        future.cancel()
+        await asyncio.sleep(2)
+        self.assertEqual(['10.0.0.0:1/r.0'], self.replicas.freed)
+
+    async def test_cancelled_items_that_wait_are_never_run(self):
+        owner = self.new_owner(targets=1)
+        first = owner.submit(stage_request('r0'))
+        second = owner.submit(stage_request('r1'))
+        second.cancel()
+        await first
+        await asyncio.sleep(1)
+        self.assertEqual(1, len(self.replicas.calls))
+
+    async def test_a_stopping_owner_hands_over_what_waits(self):
+        owner = self.new_owner(targets=1)
+        running = owner.submit(stage_request('r0'))
+        waiting = owner.submit(stage_request('r1'))
+        await asyncio.sleep(0.05)
+        owner.hand_over()
+        outcome = await waiting
+        self.assertEqual(stages.Reason.OWNER_LOST, outcome.reason)
+        self.assertIsInstance(await running, stages.Results)
+
+    async def test_a_target_that_left_gets_nothing_more(self):
+        owner = self.new_owner()
+        await owner.submit(stage_request('r0'))
+        self.listed.update([directory.Entry('t0', None)], 0)
+        self.replicas.calls.clear()
+        await asyncio.gather(
+            *(owner.submit(stage_request(f'r{n}')) for n in range(30))
+        )
+        self.assertEqual({'t1'}, {name for name, _ in self.replicas.calls})
+
+    async def test_an_unknown_service_is_said_at_once(self):
+        owner = self.new_owner()
+        outcome = await owner.submit(stage_request('r', service='other'))
+        self.assertEqual(stages.Reason.NO_TARGET, outcome.reason)
+
+
+class Producer:
+    """Produces after a time, and notes the order of events."""
+
+    def __init__(self, durations_ms=None, failing=()):
+        self.durations_ms = durations_ms or {}
+        self.failing = failing
+        self.log = []
+        self.requests = {}
+
+    async def produce(self, request):
+        stage = request.items[0].stage
+        self.requests[stage] = request
+        self.log.append(f'begin {stage}')
+        await asyncio.sleep(self.durations_ms.get(stage, 200) / 1_000)
+        if stage in self.failing:
+            return stages.Failure(stages.Reason.OVERLOADED, 300.0)
+        self.log.append(f'end {stage}')
+        return stages.Results(
+            tuple(f'{stage}.{n}' for n in range(len(request.items)))
+        )
+
+    def free(self, service, results):
+        self.log.append(f'free {results[0][0]}')
+
+
+def chain(*after):
+    return [
+        preparation.model.Stage(
+            service='desk', after=before, result_bytes=10.0
+        )
+        for before in after
+    ]
+
+
+@ddt.ddt
+class PreparationTest(base.TestCase):
+    async def prepare(self, route_stages, counts, **fields):
+        self.producer = Producer(**fields)
+        now_ms = clocks.Clock().monotonic_ms()
+        subject = preparation.Preparation(
+            self.producer,
+            clocks.Clock(),
+            build.request(item_counts=counts, arrived_ms=now_ms),
+            route_stages,
+            lambda _: build.service('desk', batching=BATCHING),
+            preparation.StageTimes(),
+            1,
+        )
+        self.subject = subject
+        return await subject.run(
+            'a1',
+            preparation.Times(
+                objective_ms=now_ms + 1_600,
+                accept_ms=now_ms + 1_900,
+                useless_ms=now_ms + 5_000,
+            ),
+        )
+
+    @ddt.data(
+        ('one', [()], (2,), ['0.0', '0.1']),
+        ('none', [()], (0,), []),
+        ('a chain', [(), (0,), (1,)], (1, 2, 1), ['2.0']),
+        ('two ends', [(), (), (1,)], (1, 1, 1), ['0.0', '2.0']),
+        ('one left out', [(), (), (1,)], (0, 1, 1), ['2.0']),
+    )
+    @ddt.unpack
+    async def test_the_last_results_are_needed(
+        self, _, after, counts, expected
+    ):
+        results = await self.prepare(chain(*after), counts)
+        self.assertEqual(expected, list(results))
+
+    async def test_inputs_are_all_results_of_the_stages_before(self):
+        await self.prepare(chain((), (), (0, 1)), (1, 2, 1))
+        item = self.producer.requests[2].items[0]
+        self.assertEqual(('0.0', '1.0', '1.1'), item.inputs)
+
+    async def test_inner_results_are_freed_when_they_were_used(self):
+        await self.prepare(chain((), (0,), (1,)), (1, 1, 1))
+        self.assertEqual(
+            [
+                'begin 0',
+                'end 0',
+                'begin 1',
+                'end 1',
+                'free 0',
+                'begin 2',
+                'end 2',
+                'free 1',
+            ],
+            self.producer.log,
+        )
+        self.subject.free()
+        self.assertEqual('free 2', self.producer.log[-1])
+
+    async def test_short_chains_wait_for_longer_ones(self):
+        await self.prepare(chain((), (), (1,)), (1, 1, 1))
+        begun = [line for line in self.producer.log if 'begin' in line]
+        self.assertEqual({'begin 0', 'begin 2'}, set(begun[1:]))
+        self.assertEqual('begin 1', begun[0])
+
+    async def test_a_failure_ends_and_frees_the_rest(self):
+        result = await self.prepare(
+            chain((), (0,), ()), (1, 1, 1), failing=(1,)
+        )
+        self.assertEqual(stages.Reason.OVERLOADED, result.reason)
+        self.assertIn('free 0', self.producer.log)
+
+    async def test_times_leave_room_for_the_stages_to_come(self):
+        await self.prepare(chain((), (0,)), (1, 1))
+        first = self.producer.requests[0]
+        # 160 ms for the second stage, 150 ms for the engine.
+        self.assertAlmostEqual(1_600 - 310, first.objective_in_ms, delta=5)
+        self.assertAlmostEqual(1_900 - 310, first.accept_in_ms, delta=5)
+        second = self.producer.requests[1]
+        # What was begun is finished as long as it is of use.
+        self.assertEqual(second.useless_in_ms, second.accept_in_ms)
+
+    async def test_stages_that_took_long_are_expected_to(self):
+        times = preparation.StageTimes()
+        for now_ms in range(0, 2_000, 100):
+            times.note('desk', 1, 500.0, now_ms)
+        self.assertGreater(times.excess_ms('desk', 1, 2_000), 400)
+        self.assertEqual(0.0, times.excess_ms('desk', 0, 2_000))
+        self.assertLess(times.excess_ms('desk', 1, 10_000), 10)
