--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stage_queue
@@ -116,3 +117,10 @@
 
     def wall_ms(self):
         return self.now_ms
+
+
+class LoopClock(clocks.Clock):
+    """A clock whose suspended time is the loop's, too."""
+
+    def boottime_ms(self):
+        return self.monotonic_ms()
--- /dev/null
+++ b/tests/forwarding/test_followers.py
@@ -0,0 +1,250 @@
+"""Following the store, through outages and lost history."""
+
+import asyncio
+
+import ddt
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import directory
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import freshness
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import state
+from tests import base
+from tests.forwarding import build
+
+
+class FakePlatform:
+    """A store whose records tests set, and that can be away."""
+
+    def __init__(self):
+        self.versions = [1]
+        self.entries = {}
+        self.changes = []
+        self.instances = {}
+        self.is_away = False
+        self.lost_history = 0
+        self.calls = 0
+        self.answer_delay_ms = 0
+
+    async def _call(self):
+        self.calls += 1
+        await asyncio.sleep(self.answer_delay_ms / 1_000)
+        if self.is_away:
+            raise followers.ReadError('away')
+
+    def _state(self):
+        return build.desired(version=self.versions[-1])
+
+    async def read_state(self):
+        await self._call()
+        return followers.StateRead(
+            self._state() if self.versions else None, len(self.versions)
+        )
+
+    async def wait_state(self, position, wait_ms):
+        await self._call()
+        self._lose_history()
+        if len(self.versions) > position:
+            return followers.StateRead(self._state(), len(self.versions))
+        await asyncio.sleep(wait_ms / 1_000)
+        await self._call()
+        return followers.StateRead(None, position)
+
+    async def read_targets(self):
+        await self._call()
+        entries = tuple(
+            directory.Entry(name, target)
+            for name, target in self.entries.items()
+        )
+        return followers.TargetsRead(entries, len(self.changes))
+
+    async def read_target_changes(self, position):
+        await self._call()
+        self._lose_history()
+        return followers.TargetsRead(
+            tuple(self.changes[position:]), len(self.changes)
+        )
+
+    async def read_instances(self):
+        await self._call()
+        return list(self.instances.values())
+
+    async def renew_instance(self, entry):
+        await self._call()
+        self.instances[entry.instance_id] = entry
+
+    async def remove_instance(self, instance_id):
+        await self._call()
+        self.instances.pop(instance_id, None)
+
+    def change(self, name, target):
+        self.changes.append(directory.Entry(name, target))
+        if target is None:
+            self.entries.pop(name, None)
+        else:
+            self.entries[name] = target
+
+    def _lose_history(self):
+        if self.lost_history:
+            self.lost_history -= 1
+            raise followers.HistoryGoneError('gone')
+
+
+@ddt.ddt
+class StateFollowerTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = FakePlatform()
+        self.state = state.State()
+        self.lease = freshness.FreshnessLease(5_000, True)
+
+    def follow(self):
+        follower = followers.StateFollower(
+            self.platform, build.LoopClock(), self.state, self.lease
+        )
+        return asyncio.create_task(follower.follow())
+
+    def is_fresh(self):
+        return self.lease.is_valid(build.LoopClock().boottime_ms())
+
+    async def test_a_version_is_in_force_at_once(self):
+        self.follow()
+        await asyncio.sleep(3)
+        self.platform.versions.append(5)
+        await asyncio.sleep(followers.STATE_WAIT_MS / 1_000 + 0.1)
+        self.assertEqual(5, self.state.desired.version)
+
+    @ddt.data((0, True), (3_000, True), (5_000, False), (60_000, False))
+    @ddt.unpack
+    async def test_the_lease_ends_while_the_store_is_away(
+        self, away_ms, is_fresh
+    ):
+        self.follow()
+        await asyncio.sleep(followers.STATE_WAIT_MS / 1_000 + 0.05)
+        self.platform.is_away = True
+        await asyncio.sleep(away_ms / 1_000)
+        self.assertEqual(is_fresh, self.is_fresh())
+        self.assertEqual(1, self.state.desired.version)
+
+    async def test_the_lease_is_back_soon_after_the_store(self):
+        self.follow()
+        await asyncio.sleep(1)
+        self.platform.is_away = True
+        await asyncio.sleep(20)
+        self.platform.is_away = False
+        await asyncio.sleep(followers.LONGEST_RETRY_MS / 1_000 + 0.1)
+        await asyncio.sleep(followers.STATE_WAIT_MS / 1_000 + 0.1)
+        self.assertTrue(self.is_fresh())
+
+    async def test_a_slow_read_counts_from_its_beginning(self):
+        self.platform.answer_delay_ms = 4_700
+        self.follow()
+        await asyncio.sleep(4.8)
+        self.assertEqual(1, self.state.desired.version)
+        self.assertFalse(self.is_fresh())
+
+    async def test_lost_history_is_read_whole(self):
+        self.follow()
+        await asyncio.sleep(1)
+        self.platform.lost_history = 1
+        self.platform.versions.append(9)
+        await asyncio.sleep(followers.STATE_WAIT_MS / 1_000 + 0.6)
+        self.assertEqual(9, self.state.desired.version)
+
+    async def test_calls_to_the_store_are_bounded(self):
+        self.follow()
+        await asyncio.sleep(30)
+        calm = self.platform.calls
+        self.platform.is_away = True
+        await asyncio.sleep(30)
+        # Two counted here for each wait that ends without news.
+        self.assertLessEqual(calm, 45)
+        self.assertLessEqual(self.platform.calls - calm, 60)
+
+
+@ddt.ddt
+class TargetsFollowerTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = FakePlatform()
+        self.platform.change('t1', build.target('t1'))
+        self.directory = directory.Directory()
+
+    def follow(self):
+        follower = followers.TargetsFollower(
+            self.platform,
+            clocks.Clock(),
+            self.directory,
+            placement.Placement('a1', build.ZONES),
+        )
+        return asyncio.create_task(follower.follow())
+
+    def usable(self):
+        return [t.target_id for t in self.directory.usable('engine')]
+
+    @ddt.data('draining', 'gone')
+    async def test_a_leaving_target_is_out_within_a_second(self, how):
+        self.follow()
+        await asyncio.sleep(5)
+        self.assertEqual(['t1'], self.usable())
+        leaving = build.target('t1', is_draining=True)
+        self.platform.change('t1', leaving if how == 'draining' else None)
+        await asyncio.sleep(followers.TARGETS_INTERVAL_MS / 1_000 + 0.1)
+        self.assertEqual([], self.usable())
+
+    async def test_targets_stay_while_the_store_is_away(self):
+        self.follow()
+        await asyncio.sleep(1)
+        self.platform.is_away = True
+        self.platform.change('t1', None)
+        await asyncio.sleep(30)
+        self.assertEqual(['t1'], self.usable())
+        self.platform.is_away = False
+        await asyncio.sleep(1)
+        self.assertEqual(['t1'], self.usable())
+        await asyncio.sleep(3)
+        self.assertEqual([], self.usable())
+
+    async def test_lost_history_is_read_whole(self):
+        self.follow()
+        await asyncio.sleep(1)
+        self.platform.lost_history = 1
+        self.platform.change('t1', None)
+        self.platform.change('t2', build.target('t2'))
+        await asyncio.sleep(1)
+        self.assertEqual(['t2'], self.usable())
+
+
+class InstancesFollowerTest(base.TestCase):
+    async def test_an_instance_renews_its_entry_until_it_leaves(self):
+        platform = FakePlatform()
+        clock = clocks.Clock()
+        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', 0, 0)
+        known = instances.Instances(own, clock)
+        follower = followers.InstancesFollower(platform, clock, known)
+        task = asyncio.create_task(follower.follow())
+        await asyncio.sleep(1)
+        first = platform.instances['i0'].renewal
+        await asyncio.sleep(10)
+        self.assertGreater(platform.instances['i0'].renewal, first)
+        await follower.leave()
+        await asyncio.sleep(20)
+        self.assertEqual({}, platform.instances)
+        task.cancel()
+
+    async def test_entries_stay_while_the_store_is_away(self):
+        platform = FakePlatform()
+        clock = clocks.Clock()
+        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', 0, 0)
+        known = instances.Instances(own, clock)
+        other = instances.InstanceEntry('i1', '127.0.0.1:2', 'north', 0, 0)
+        platform.instances['i1'] = other
+        follower = followers.InstancesFollower(platform, clock, known)
+        task = asyncio.create_task(follower.follow())
+        await asyncio.sleep(1)
+        platform.is_away = True
+        await asyncio.sleep(60)
+        self.assertEqual(2, known.count())
+        task.cancel()
--- /dev/null
+++ b/tests/forwarding/test_stage_streams.py
@@ -0,0 +1,238 @@
+"""Instances that ask each other for results, over loopback."""
+
+import asyncio
+import contextlib
+import random
+
+import attrs
+import ddt
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import stage_streams
+from sycamorebeam.forwarding import stages
+from tests import base
+from tests.forwarding import test_stage_owner
+
+
+class FakeOwner:
+    """Answers after a time, and notes what it was asked."""
+
+    def __init__(self):
+        self.asked = []
+        self.freed = []
+        self.cancelled = 0
+        self.delay_ms = 20
+        self.outcome = None
+
+    def submit(self, request):
+        self.asked.append(request)
+        future = asyncio.get_running_loop().create_future()
+        future.add_done_callback(self.note)
+        asyncio.get_running_loop().call_later(
+            self.delay_ms / 1_000, self.answer, future, request
+        )
+        return future
+
+    def answer(self, future, request):
+        if not future.done():
+            default = stages.Results(
+                tuple(f'{i.attempt_id}.{i.position}' for i in request.items)
+            )
+            future.set_result(self.outcome or default)
+
+    def note(self, future):
+        self.cancelled += future.cancelled()
+
+    def free(self, service, results):
+        self.freed.extend(results)
+
+
+@attrs.define
+class Node:
+    name: str
+    known: instances.Instances
+    owner: FakeOwner
+    streams: stage_streams.StageStreams
+    server: asyncio.Server
+    connections: list = attrs.field(factory=list)
+
+    def kill(self):
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
+
+async def new_node(name):
+    clock = clocks.Clock()
+    owner = FakeOwner()
+    node = None
+
+    async def accept(reader, writer):
+        node.connections.append(writer)
+        await node.streams.accept(reader, writer)
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    own = instances.InstanceEntry(name, f'127.0.0.1:{port}', 'north', 0, 0)
+    known = instances.Instances(own, clock)
+    streams = stage_streams.StageStreams(clock, known, owner)
+    node = Node(name, known, owner, streams, server)
+    return node
+
+
+@contextlib.asynccontextmanager
+async def fleet(count):
+    nodes = [await new_node(f'i{n}') for n in range(count)]
+    for node in nodes:
+        node.known.update([other.known.own for other in nodes])
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(0)
+
+
+def split(nodes):
+    """Return the owner, the next owner and the others."""
+    for asker in nodes:
+        ranked = asker.known.owners('desk')
+        if len(ranked) == len(nodes):
+            by_name = {node.name: node for node in nodes}
+            return [by_name[name] for name in ranked]
+    raise AssertionError('no instance is the last of the owners')
+
+
+def request(name='r', **fields):
+    return test_stage_owner.stage_request(name, 2, **fields)
+
+
+@ddt.ddt
+class StageStreamsTest(base.NetworkTestCase):
+    async def test_all_ask_the_same_owner(self):
+        async with fleet(4) as nodes:
+            outcomes = await asyncio.gather(
+                *(node.streams.produce(request(node.name)) for node in nodes)
+            )
+            owner = split(nodes)[0]
+            self.assertEqual(4, len(owner.owner.asked))
+            for node, outcome in zip(nodes, outcomes, strict=True):
+                self.assertEqual(
+                    (f'{node.name}.0', f'{node.name}.1'), outcome.results
+                )
+
+    async def test_a_request_arrives_as_it_was_sent(self):
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            sent = request(
+                items=(stages.Item('r', 2, 5, 'k', True, ('x', 'y')),),
+                zone='b1',
+                input_bytes=7.0,
+            )
+            await asker.streams.produce(sent)
+            self.assertEqual([sent], owner.owner.asked)
+
+    async def test_a_failure_is_passed_on(self):
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            failure = stages.Failure(stages.Reason.OVERLOADED, 750.0)
+            owner.owner.outcome = failure
+            self.assertEqual(failure, await asker.streams.produce(request()))
+
+    async def test_leaving_early_cancels_at_the_owner(self):
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            owner.owner.delay_ms = 5_000
+            task = asyncio.create_task(asker.streams.produce(request()))
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, owner.owner.cancelled)
+
+    async def test_results_are_freed_by_the_owner(self):
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            await asker.streams.produce(request())
+            asker.streams.free('desk', ['x'])
+            await asyncio.sleep(0.1)
+            self.assertEqual(['x'], owner.owner.freed)
+
+    @ddt.data('killed before', 'killed midway', 'silent')
+    async def test_the_next_owner_takes_over(self, fault):
+        async with fleet(3) as nodes:
+            owner, following, asker = split(nodes)
+            if fault == 'killed before':
+                owner.kill()
+            elif fault == 'killed midway':
+                owner.owner.delay_ms = 10_000
+                asyncio.get_running_loop().call_later(0.2, owner.kill)
+            else:
+                # It accepts connections and reads, but never answers.
+                owner.streams.accept = asyncio.Event().wait
+            async with asyncio.timeout(2):
+                outcome = await asker.streams.produce(request())
+            self.assertEqual(('r.0', 'r.1'), outcome.results)
+            self.assertEqual(1, len(following.owner.asked))
+
+    async def test_a_lost_owner_is_asked_again_when_it_is_back(self):
+        async with fleet(3) as nodes:
+            owner, _, asker = split(nodes)
+            accept = owner.streams.accept
+            owner.streams.accept = asyncio.Event().wait
+            await asker.streams.produce(request('r0'))
+            self.assertEqual([], owner.owner.asked)
+            owner.streams.accept = accept
+            async with asyncio.timeout(3):
+                while not owner.owner.asked:
+                    await asyncio.sleep(0.1)
+                    await asker.streams.produce(request('r1'))
+
+    async def test_without_any_other_instance_the_own_queue_serves(self):
+        async with fleet(3) as nodes:
+            first, second, asker = split(nodes)
+            first.kill()
+            second.kill()
+            outcome = await asker.streams.produce(request())
+            self.assertEqual(('r.0', 'r.1'), outcome.results)
+            self.assertEqual(1, len(asker.owner.asked))
+
+    async def test_a_stopping_owner_is_left_at_once(self):
+        async with fleet(3) as nodes:
+            owner, following, asker = split(nodes)
+            await asker.streams.produce(request('r0'))
+            owner.known.leave()
+            owner.streams.stop()
+            await asyncio.sleep(0.1)
+            await asker.streams.produce(request('r1'))
+            self.assertEqual(1, len(owner.owner.asked))
+            self.assertEqual(1, len(following.owner.asked))
+            self.assertEqual(following.name, owner.streams._next_owner('desk'))
+
+    async def test_what_a_stopping_owner_hands_over_is_asked_again(self):
+        async with fleet(3) as nodes:
+            owner, following, asker = split(nodes)
+            owner.owner.outcome = stages.Failure(stages.Reason.OWNER_LOST, 0.0)
+            owner.owner.delay_ms = 100
+
+            def stop():
+                owner.known.leave()
+                owner.streams.stop()
+
+            asyncio.get_running_loop().call_later(0.05, stop)
+            outcome = await asker.streams.produce(request())
+            self.assertEqual(('r.0', 'r.1'), outcome.results)
+            self.assertEqual(1, len(following.owner.asked))
+
+    @ddt.data(1, 2, 3)
+    async def test_garbage_on_the_port_does_no_harm(self, seed):
+        generator = random.Random(seed)
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            host, port = owner.known.own.address.split(':')
+            for _ in range(20):
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(generator.randbytes(200))
+                writer.close()
+            outcome = await asker.streams.produce(request())
+            self.assertEqual(('r.0', 'r.1'), outcome.results)
