--- a/sycamorebeam/forwarding/attempts.py
+++ b/sycamorebeam/forwarding/attempts.py
@@ -173,6 +173,11 @@
             self._places.observed(target).reported(
                 running + waiting, self._clock.monotonic_ms()
             )
+        if head.is_other_target:
+            # The target is gone and another one has its address, so that
+            # this was no attempt at the target.
+            call.sends -= 1
+            return calls.NotSent('another target has the address')
         if not head.is_executed:
             return calls.Declined(head.status)
         if head.attempt_id != call.request.attempt_id:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -91,6 +91,7 @@
             adapter.stage_calls,
             self._budgets,
             self._metrics,
+            self._places.round_trip_ms,
         )
         self._streams = stage_streams.StageStreams(
             self._clock, self._instances, self._owner
--- a/sycamorebeam/forwarding/placement.py
+++ b/sycamorebeam/forwarding/placement.py
@@ -111,6 +111,14 @@
         self._region = region_of_zone.get(zone, '')
         self._observed: dict[tuple[str, int], Observed] = {}
 
+    def round_trip_ms(self, zone: str) -> float:
+        """Return the time to a zone and back."""
+        if zone == self._zone:
+            return 0.0
+        if self._region_of_zone.get(zone) == self._region:
+            return ZONE_RTT_MS
+        return REGION_RTT_MS
+
     def observed(self, target: model.Target) -> Observed:
         """Return what was seen of this incarnation of a target."""
         key = (target.target_id, target.incarnation)
@@ -189,10 +197,7 @@
 
     def _expected_ms(self, target: model.Target, now_ms: int) -> float:
         seen = self.observed(target)
-        expected_ms = seen.expected_ms(now_ms, target.slots)
-        if target.availability_zone == self._zone:
-            return expected_ms
+        way_ms = self.round_trip_ms(target.availability_zone)
         region = self._region_of_zone.get(target.availability_zone)
-        if region == self._region:
-            return expected_ms + ZONE_RTT_MS
-        return expected_ms + REGION_RTT_MS + REGION_COST_MS
+        cost_ms = 0.0 if region == self._region else REGION_COST_MS
+        return seen.expected_ms(now_ms, target.slots) + way_ms + cost_ms
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -68,8 +68,10 @@
         calls: stages.StageCalls,
         budgets: retry_budget.RetryBudgets,
         metrics: metrics_module.Metrics,
+        round_trip_ms: Callable[[str], float],
     ) -> None:
         self._clock = clock
+        self._round_trip_ms = round_trip_ms
         self._directory = directory
         self._service_of = service_of
         self._calls = calls
@@ -193,11 +195,20 @@
                 del service.replicas[target_id]
         for target_id, target in targets.items():
             if target_id not in service.replicas:
+                zone = target.availability_zone
                 service.replicas[target_id] = stage_queue.Replica(
-                    target_id, target.availability_zone
+                    target_id, zone, lead_ms=self._lead_ms(zone)
                 )
         return [service.replicas[target_id] for target_id in targets]
 
+    def _lead_ms(self, zone: str) -> int:
+        """Return how far ahead calls to a zone are sent.
+
+        An answer, a new connection and a call cross the way twice.
+        """
+        lead_ms = 2 * self._round_trip_ms(zone)
+        return int(lead_ms) if lead_ms > TICK_MS else 0
+
     def _pump(self, service: _Service) -> None:
         """Start a call on each free replica that has items to run."""
         if not service.queue.items:
@@ -217,7 +228,8 @@
                 # Reserved here: the task begins only after this function.
                 replica.calls += 1
                 call_ms = service.queue.call_ms(len(entries))
-                replica.busy_until_ms = now_ms + int(
+                begin_ms = max(now_ms, replica.busy_until_ms)
+                replica.busy_until_ms = begin_ms + int(
                     call_ms * replica.slowness
                 )
                 replica.held_bytes += _result_bytes(entries)
@@ -257,7 +269,8 @@
             self._repeat(service, entries)
         else:
             replica.calls -= 1
-            replica.busy_until_ms = 0
+            if not replica.calls:
+                replica.busy_until_ms = 0
             self._take_call(service, replica, entries, result, began_ms)
         self._pump(service)
 
@@ -283,6 +296,7 @@
             case stages.Ran(results):
                 service.pauses.pop(replica.target_id, None)
                 self._learn_pace(service, replica, len(entries), began_ms)
+                replica.ended_ms = now_ms
                 self._note_call(service, replica, entries, began_ms)
                 for entry, item in zip(entries, results, strict=True):
                     self._take_result(service, replica, entry, item)
@@ -305,6 +319,9 @@
             took_ms=self._clock.monotonic_ms() - began_ms,
             waited_ms=began_ms
             - min(entry.group.queued_ms for entry in entries),
+            in_zone=sum(
+                entry.group.zone in ('', replica.zone) for entry in entries
+            ),
             waiting=service.queue.items,
             held_share=round(replica.held_bytes / memory_bytes, 2),
             slowness=round(replica.slowness, 2),
@@ -404,8 +421,10 @@
         items: int,
         began_ms: int,
     ) -> None:
+        # A call that was sent ahead began when the one before it ended.
+        began_ms = max(began_ms, replica.ended_ms)
         took_ms = self._clock.monotonic_ms() - began_ms
-        # A waiting call, or one of cheap items, says little about pace.
+        # Items cheaper than stated say nothing about the replica's pace.
         sample = max(1.0, took_ms / service.queue.call_ms(items))
         replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
 
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -69,10 +69,21 @@
     held_bytes: float = 0.0
     paused_until_ms: int = 0
     busy_until_ms: int = 0
+    lead_ms: int = 0
+    ended_ms: int = 0
 
     def is_free(self, slots: int, now_ms: int) -> bool:
-        """Whether the replica can take a call now."""
-        return self.calls < slots and now_ms >= self.paused_until_ms
+        """Whether the replica should get a call now.
+
+        A call takes ``lead_ms`` to arrive, so the next one is sent that much
+        before the replica is expected to end the one before.
+        """
+        if now_ms < self.paused_until_ms:
+            return False
+        if self.calls < slots or not self.lead_ms:
+            return self.calls < slots
+        left_ms = self.busy_until_ms - now_ms
+        return self.calls == slots and left_ms <= self.lead_ms
 
     def free_in_ms(self, now_ms: int) -> int:
         """Return how long until the replica can take a call, as stated."""
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -282,6 +282,7 @@
         ('full', NON_IDEMPOTENT, [FULL, OK], 200, 2),
         ('full twice', NON_IDEMPOTENT, [FULL, FULL], 503, 2),
         ('another target', NON_IDEMPOTENT, [OTHER_TARGET, OK], 200, 2),
+        ('other targets', NON_IDEMPOTENT, [OTHER_TARGET], 503, 2),
         (
             "another request's answer",
             NON_IDEMPOTENT,
@@ -340,6 +341,18 @@
             await call(setup.address)
         self.assertEqual(3, len(target.requests))
 
+    async def test_a_reused_address_is_no_attempt(self):
+        async with (
+            wire.serving(OTHER_TARGET, OK) as target,
+            running(
+                [target.address, target.address],
+                kind=NON_IDEMPOTENT,
+                max_attempts=1,
+            ) as setup,
+        ):
+            found = await call(setup.address)
+        self.assertEqual(200, found.status)
+
     async def test_a_target_that_refuses_connections_is_no_attempt(self):
         async with wire.serving([]) as closed:
             pass
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -107,6 +107,7 @@
             self.replicas,
             retry_budget.RetryBudgets(0.0, budget, 10_000, lambda: 1),
             metrics.Metrics(),
+            lambda zone: 0.0,
         )
         self.ticking = asyncio.create_task(owner.run_forever())
         return owner
--- a/tests/forwarding/test_stage_queue.py
+++ b/tests/forwarding/test_stage_queue.py
@@ -134,6 +134,31 @@
         self.assertEqual([entries[1]], again)
 
 
+@ddt.ddt
+class FreeReplicaTest(base.TestCase):
+    @ddt.data(
+        ('idle', 0, 0, 0, True),
+        ('busy', 1, 0, 200, False),
+        ('busy beyond expectation', 1, 0, 0, False),
+        ('far, about to end', 1, 50, 50, True),
+        ('far, not about to end', 1, 50, 51, False),
+        ('far, one sent ahead', 2, 50, 0, False),
+    )
+    @ddt.unpack
+    def test_calls_are_sent_ahead_only_to_far_replicas(
+        self, _, calls, lead_ms, left_ms, is_free
+    ):
+        replica = stage_queue.Replica(
+            't', 'a1', calls=calls, lead_ms=lead_ms, busy_until_ms=left_ms
+        )
+        self.assertEqual(is_free, replica.is_free(1, 0))
+
+    def test_a_paused_replica_gets_nothing(self):
+        replica = stage_queue.Replica('t', 'a1', paused_until_ms=10)
+        self.assertFalse(replica.is_free(1, 9))
+        self.assertTrue(replica.is_free(1, 10))
+
+
 @ddt.ddt
 class AdmissionTest(base.TestCase):
     @ddt.data(
