--- /dev/null
+++ b/tests/forwarding/standin.py
@@ -0,0 +1,220 @@
+"""A small platform for tests: a store, an engine, a stage, a plain service.
+
+It notes what ran, so that tests can check what the instances promise.
+"""
+
+import asyncio
+import base64
+import collections
+import itertools
+import json
+import struct
+import time
+
+from aiohttp import web
+import attrs
+
+WAIT_STEP_S = 0.02
+
+
+class StandinStore:
+    """Keyed topics of one partition each, without any bounds."""
+
+    def __init__(self):
+        self.topics = collections.defaultdict(list)
+        self.is_away = False
+
+    def put(self, topic, key, value):
+        data = b'' if value is None else json.dumps(value).encode()
+        self.topics[topic].append((key, data))
+
+    async def handle(self, request):
+        if self.is_away:
+            return web.Response(status=503)
+        records = self.topics[request.query['topic']]
+        if request.path.endswith('/log-append'):
+            content = (await request.read())[4:]
+            end = 1 + content[0]
+            records.append((content[1:end].decode(), content[end:]))
+            return web.json_response({'offset': len(records) - 1})
+        if request.path.endswith('/log-newest'):
+            return web.json_response(self.newest(records))
+        return await self.read(request, records)
+
+    def newest(self, records):
+        newest = {key: value for key, value in records}
+        return {
+            'entries': [
+                {'key': key, 'value': base64.b64encode(value).decode()}
+                for key, value in newest.items()
+                if value
+            ],
+            'has_more': False,
+            'end_offset': len(records),
+        }
+
+    async def read(self, request, records):
+        start = int(request.query['source'])
+        end_s = time.monotonic() + int(request.query.get('wait_ms', 0)) / 1000
+        while len(records) <= start and time.monotonic() < end_s:
+            await asyncio.sleep(WAIT_STEP_S)
+        parts = [struct.pack('>QQ', len(records), 0)]
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            parts.append(struct.pack('>I', len(content)) + content)
+        return web.Response(body=b''.join(parts))
+
+
+@attrs.define
+class StandinTarget:
+    """One replica of an engine, a stage or a plain service."""
+
+    target_id: str
+    service: str
+    duration_ms: int = 30
+    ran: list = attrs.field(factory=list)
+    calls: list = attrs.field(factory=list)
+    held: set = attrs.field(factory=set)
+    address: str = ''
+    _ids: object = attrs.field(factory=lambda: itertools.count(1))
+
+    async def handle(self, request):
+        body = await request.read()
+        expected = request.headers.get('X-Expected-Instance', self.target_id)
+        if expected != self.target_id:
+            return web.Response(status=421)
+        if request.path.endswith('/stage-run'):
+            return await self.run_stage(json.loads(body))
+        if request.path.endswith('/stage-free'):
+            self.held.difference_update(json.loads(body)['handles'])
+            return web.json_response({})
+        return await self.run(request)
+
+    async def run_stage(self, body):
+        self.calls.append(len(body['entries']))
+        await asyncio.sleep(self.duration_ms / 1000)
+        names = [f'{self.address}/{next(self._ids)}' for _ in body['entries']]
+        self.held.update(names)
+        return web.json_response(
+            {'entries': [{'handle': name} for name in names]}
+        )
+
+    async def run(self, request):
+        attempt_id = request.headers['X-Attempt-Id']
+        self.ran.append((attempt_id, dict(request.headers)))
+        headers = {'X-Attempt-Id': attempt_id, 'X-Server-Signature': 's'}
+        if 'X-Input-Items' not in request.headers:
+            await asyncio.sleep(self.duration_ms / 1000)
+            return web.Response(text=f'served {attempt_id}', headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(1, 4):
+            await asyncio.sleep(self.duration_ms / 1000)
+            await response.write(
+                f'id: {number}\ndata: {attempt_id}\n\n'.encode()
+            )
+        await response.write_eof()
+        return response
+
+
+class StandinPlatform:
+    """The store and the targets, each at an address of its own."""
+
+    def __init__(self):
+        self.store = StandinStore()
+        self.store_address = ''
+        self.targets = []
+        self._runners = []
+
+    async def start(self, targets):
+        self.store_address = await self._serve(self.store.handle)
+        for target in targets:
+            target.address = await self._serve(target.handle)
+            self.targets.append(target)
+            self.announce(target)
+
+    async def stop(self):
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def announce(self, target, state='ready'):
+        self.store.put(
+            'keyed.servers',
+            target.target_id,
+            {
+                'service': target.service,
+                'address': target.address,
+                'zone': 'a1',
+                'version': 'v1',
+                'slots': 8,
+                'state': state,
+                'cold_remaining_ms': 0,
+                'born': 1,
+            },
+        )
+
+    def configure(self, version, keys):
+        self.store.put('keyed.op', 'config', desired_state(version, keys))
+
+    async def _serve(self, handler):
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None), shutdown_timeout=0.1
+        )
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        self._runners.append(runner)
+        return f'127.0.0.1:{runner.addresses[0][1]}'
+
+
+def desired_state(version, keys):
+    """Return a state with a stream over one stage, and a plain route."""
+    common = {
+        'hostname': 'h.example',
+        'timeout_ms': 5_000,
+        'target_latency_ms': 1_000,
+        'priority': 1,
+        'public': False,
+    }
+    return {
+        'version': version,
+        'routes': [
+            {
+                **common,
+                'name': 'stream',
+                'path_prefix': '/stream/',
+                'route_kind': 'streaming',
+                'service': 'engine',
+                'max_attempts': 1,
+                'stages': [{'service': 'desk', 'after': [], 'size_bytes': 9}],
+                'session_affinity': True,
+                'stream_resumption': False,
+                'gap_aim_ms': 300,
+            },
+            {
+                **common,
+                'name': 'plain',
+                'path_prefix': '/plain/',
+                'route_kind': 'non_idempotent',
+                'service': 'plain',
+                'max_attempts': 1,
+            },
+        ],
+        'services': [
+            {'name': 'engine', 'inference_engine': {}},
+            {'name': 'plain'},
+            {
+                'name': 'desk',
+                'segments': {
+                    'slots': 1,
+                    'queue': 2,
+                    'batch': 8,
+                    'call_duration_ms': 30.0,
+                    'item_duration_ms': 1.0,
+                    'headroom_mb': 1.0,
+                    'handle_ttl_s': 4.0,
+                },
+            },
+        ],
+        'tenants': [{'name': 'crew', 'api_keys': keys, 'priority': 0}],
+    }
