--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -9,7 +9,6 @@
 import itertools
 import json
 import struct
-import time
 
 from aiohttp import web
 import attrs
@@ -42,7 +41,7 @@
         return await self.read(request, records)
 
     def newest(self, records):
-        newest = {key: value for key, value in records}
+        newest = dict(records)
         return {
             'entries': [
                 {'key': key, 'value': base64.b64encode(value).decode()}
@@ -55,8 +54,10 @@
 
     async def read(self, request, records):
         start = int(request.query['source'])
-        end_s = time.monotonic() + int(request.query.get('wait_ms', 0)) / 1000
-        while len(records) <= start and time.monotonic() < end_s:
+        wait_s = int(request.query.get('wait_ms', 0)) / 1000
+        for _ in range(int(wait_s / WAIT_STEP_S)):
+            if len(records) > start:
+                break
             await asyncio.sleep(WAIT_STEP_S)
         parts = [struct.pack('>QQ', len(records), 0)]
         for key, value in records[start:]:
