Bind inner stages to no zone by small inputs

Cause: a stage whose results' place is not known yet waited for a replica beside its inputs, 8 KB, while its results are 480 KB. The test failed before the change.

--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -174,7 +174,7 @@
     def _zone(self, request: stages.StageRequest) -> str:
         """Return where the least data has to be moved for a request."""
         results_bytes = request.result_bytes * len(request.items)
-        if request.input_bytes <= results_bytes and request.zone:
+        if request.input_bytes <= results_bytes:
             return request.zone
         makers = Counter(
             self._calls.maker_address(result)
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -197,6 +197,50 @@
         )
         self.assertEqual({'t1'}, {name for name, _ in self.replicas.calls})
 
+    @ddt.data(
+        ('large inputs', 10_000.0, 'b1', ['t1', 't1']),
+        ('small inputs', 10.0, 'b1', ['t0', 't0']),
+        ('small inputs, zone unknown', 10.0, '', ['t0', 't1']),
+    )
+    @ddt.unpack
+    async def test_items_go_where_least_data_moves(
+        self, _, input_bytes, zone, expected
+    ):
+        """Inputs lie at t1 in zone a2; t0 is in zone b1."""
+        owner = self.new_owner()
+        self.listed.update(
+            [
+                directory.Entry(
+                    f't{n}',
+                    build.target(
+                        f't{n}',
+                        service='desk',
+                        address=f'10.0.0.{n}:1',
+                        zone=('b1', 'a2')[n],
+                    ),
+                )
+                for n in range(2)
+            ],
+            0,
+        )
+        futures = [
+            owner.submit(
+                stage_request(
+                    f'r{n}',
+                    8,
+                    zone=zone,
+                    input_bytes=input_bytes,
+                    items=tuple(
+                        build.item(f'r{n}', i, inputs=('10.0.0.1:1/x',))
+                        for i in range(8)
+                    ),
+                )
+            )
+            for n in range(2)
+        ]
+        await asyncio.gather(*futures)
+        self.assertEqual(expected, [name for name, _ in self.replicas.calls])
+
     async def test_an_unknown_service_is_said_at_once(self):
         owner = self.new_owner()
         outcome = await owner.submit(stage_request('r', service='other'))
