Refuse new requests once the balancer should have noticed a stop

Now such requests get 503 and a time to return. Also: a caller that is gone is no error, and errors of streams nobody waits for are taken. The tests failed before.

--- a/sycamorebeam/forwarding/frontend.py
+++ b/sycamorebeam/forwarding/frontend.py
@@ -8,9 +8,11 @@
 from aiohttp import web
 
 from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
 from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import requests
 
+STOPPING_RETRY_MS = 100.0  # another instance serves the next attempt
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -103,6 +105,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._is_stopping = False
+        self._is_closed = False
 
     @property
     def in_progress(self) -> int:
@@ -113,6 +116,10 @@
         """Ask callers to leave: each answer closes its connection."""
         self._is_stopping = True
 
+    def close(self) -> None:
+        """Refuse new requests, since there is no time left to serve them."""
+        self._is_closed = True
+
     async def wait_idle(self) -> None:
         """Wait until no request is in progress."""
         await self._idle.wait()
@@ -130,6 +137,17 @@
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         reply = HttpReply(http, lambda: self._is_stopping)
+        try:
+            await self._answer(http, reply)
+        except ConnectionError:
+            telemetry.log_event('caller_gone', path=http.path)
+        if reply.response is None:
+            # The caller is gone, or the process stops.
+            reply.abort()
+            return web.Response(status=500)
+        return reply.response
+
+    async def _answer(self, http: web.BaseRequest, reply: HttpReply) -> None:
         arrived_ms = self._clock.monotonic_ms()
         if 'Expect' in http.headers and http.transport is not None:
             http.transport.write(CONTINUE)
@@ -148,13 +166,13 @@
         except ValueError as error:
             refusal = requests.Refusal(status=400, reason=str(error))
             await reply.refuse(refusal)
-        else:
-            await self._forward.handle(request, reply)
-        if reply.response is None:
-            # The caller is gone, or the process stops.
-            reply.abort()
-            return web.Response(status=500)
-        return reply.response
+            return
+        if self._is_closed:
+            await reply.refuse(
+                requests.unavailable('the instance stops', STOPPING_RETRY_MS)
+            )
+            return
+        await self._forward.handle(request, reply)
 
 
 def _copy_headers(
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -250,8 +250,12 @@
         self._owner.hand_over()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
-                await self._instances_follower.leave()
+                leaving = asyncio.create_task(self._instances_follower.leave())
+                self._tasks.append(leaving)
                 await self._clock.sleep_ms(BALANCER_LAG_MS)
+                # The balancer may still send callers here when most of the
+                # zone's instances stop.
+                self._frontend.close()
                 await self._frontend.wait_idle()
                 while self._owner.waiting:
                     await self._clock.sleep_ms(stage_owner.TICK_MS)
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -102,6 +102,8 @@
                     submitted.outcome.set_exception(
                         _OwnerLostError('the stream to the owner ended')
                     )
+                    # Who asked may have left: then nobody takes the error.
+                    submitted.outcome.exception()
 
     async def _ping(self) -> None:
         while True:
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -417,6 +417,36 @@
         self.assertEqual((200, b'served'), (found.status, found.body))
         self.assertEqual('close', found.headers['connection'])
 
+    async def test_a_closed_instance_refuses_at_once(self):
+        """Callers may be sent here until the process ends."""
+        async with (
+            wire.serving([300, *OK]) as target,
+            running([target.address]) as setup,
+        ):
+            early = asyncio.create_task(call(setup.address))
+            await asyncio.sleep(0.1)
+            setup.front.stop()
+            setup.front.close()
+            late = await call(setup.address)
+            found = await early
+        self.assertEqual(200, found.status)
+        self.assertEqual(503, late.status)
+        self.assertIn('retry-after', late.headers)
+        self.assertEqual(1, len(target.requests))
+
+    async def test_a_caller_that_is_gone_is_no_error(self):
+        """An answer of any kind may meet a connection that was reset."""
+
+        class Gone:
+            async def handle(self, request, reply):
+                raise ConnectionResetError
+
+        async with running([]) as setup:
+            setup.front._forward = Gone()
+            with self.assertNoLogs('aiohttp.server'):
+                found = await call(setup.address)
+        self.assertEqual(b'', found.body)
+
 
 EVENTS = [wire.event(n) for n in range(1, 5)]
 
