Own queues on strong machines, send inputs once a group, never block on logs

Owners handle the items of all instances; machines with 10 Mbit/s cannot. A group's items shared a copy of their inputs each: eight handles, sixteen times.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -72,6 +72,9 @@
                 settings.instance_id,
                 settings.addresses.peers,
                 settings.region,
+                instances_module.is_strong(
+                    settings.cpu_cores, settings.link_mbps
+                ),
                 self._clock.wall_ms(),
                 0,
             ),
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -14,6 +14,10 @@
 # A new instance owns no queue before all others have surely heard of it;
 # two owners of one queue fill its calls badly.
 SETTLING_MS = 8_000
+# An owner handles some thousand items a second, each named with its inputs,
+# and needs this for itself.
+OWNER_CORES = 0.4
+OWNER_LINK_MBPS = 50.0
 
 
 @attrs.frozen
@@ -23,6 +27,7 @@
     instance_id: str
     address: str
     region: str
+    is_strong: bool
     started_wall_ms: int
     renewal: int
 
@@ -33,6 +38,11 @@
     renewed_ms: int
 
 
+def is_strong(cpu_cores: float, link_mbps: float) -> bool:
+    """Return whether a machine should own queues."""
+    return cpu_cores >= OWNER_CORES and link_mbps >= OWNER_LINK_MBPS
+
+
 class Instances:
     """The instances that this one knows, and those it cannot reach."""
 
@@ -113,8 +123,8 @@
     def owners(self, service: str) -> list[str]:
         """Return the instances to ask for a service's items, best first.
 
-        Those of the region with most instances go first, since most items
-        come from there. The last one is always this instance.
+        Strong ones of the region with most instances go first, since most
+        items come from there. The last one is always this instance.
         """
         entries = [
             known.entry
@@ -130,6 +140,7 @@
         entries.sort(
             key=lambda entry: (
                 now_ms - entry.started_wall_ms >= SETTLING_MS,
+                entry.is_strong,
                 population[entry.region],
                 entry.region,
                 hashing.weight(service, entry.instance_id),
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -192,7 +192,6 @@
         accept_ms = times.useless_ms if stage.after else times.accept_ms
         return stages.StageRequest(
             service=stage.service,
-            attempt_id=self._request.attempt_id,
             rank=self._rank,
             objective_in_ms=times.objective_ms - later_ms - now_ms,
             accept_in_ms=accept_ms - later_ms - now_ms,
@@ -203,17 +202,14 @@
                 for index in stage.after
             ),
             result_bytes=stage.result_bytes,
-            items=tuple(
-                stages.Item(
-                    self._request.attempt_id,
-                    position,
-                    index,
-                    self._request.item_key,
-                    bool(stage.after),
-                    inputs,
-                )
-                for index in range(self._count(position))
+            work=stages.Work(
+                self._request.attempt_id,
+                position,
+                self._request.item_key,
+                bool(stage.after),
+                inputs,
             ),
+            positions=tuple(range(self._count(position))),
         )
 
     def _free_used(self) -> None:
--- a/sycamorebeam/forwarding/settings.py
+++ b/sycamorebeam/forwarding/settings.py
@@ -62,6 +62,8 @@
     instance_id: str
     availability_zone: str
     region: str
+    cpu_cores: float
+    link_mbps: float
     zones: tuple[Zone, ...]
     addresses: Addresses
     store: Store
@@ -77,6 +79,10 @@
 _ADDRESS = checking.Address()
 SCHEMA = checking.Schema(
     rules={
+        Settings: {
+            'cpu_cores': checking.Positive(),
+            'link_mbps': checking.Positive(),
+        },
         Addresses: {
             'callers': _ADDRESS,
             'readiness': _ADDRESS,
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -113,7 +113,8 @@
             useless_ms=now_ms + request.useless_in_ms,
             zone=self._zone(request),
             result_bytes=request.result_bytes,
-            items=request.items,
+            work=request.work,
+            positions=request.positions,
         )
         replicas = self._refresh(service)
         match service.queue.submit(group, replicas, now_ms):
@@ -173,12 +174,11 @@
 
     def _zone(self, request: stages.StageRequest) -> str:
         """Return where the least data has to be moved for a request."""
-        results_bytes = request.result_bytes * len(request.items)
+        results_bytes = request.result_bytes * len(request.positions)
         if request.input_bytes <= results_bytes:
             return request.zone
         makers = Counter(
-            self._calls.maker_address(result)
-            for result in request.items[0].inputs
+            self._calls.maker_address(result) for result in request.work.inputs
         )
         if not makers:
             return request.zone
@@ -366,7 +366,7 @@
             self.free(service.name, [result])
             return
         waiting.results[entry.index] = result
-        if len(waiting.results) == len(entry.group.items):
+        if len(waiting.results) == entry.group.size:
             ordered = [
                 waiting.results[index] for index in range(len(waiting.results))
             ]
@@ -501,4 +501,4 @@
 
 def _timed(entry: stage_queue.Entry, now_ms: int) -> stages.TimedItem:
     remaining_ms = max(1, entry.group.useless_ms - now_ms)
-    return stages.TimedItem(entry.item, remaining_ms)
+    return stages.TimedItem(entry.group.work, entry.position, remaining_ms)
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -41,7 +41,13 @@
     useless_ms: int
     zone: str
     result_bytes: float
-    items: tuple[stages.Item, ...]
+    work: stages.Work
+    positions: tuple[int, ...]
+
+    @property
+    def size(self) -> int:
+        """How many items the group has."""
+        return len(self.positions)
 
 
 @attrs.frozen
@@ -99,7 +105,7 @@
     @property
     def is_begun(self) -> bool:
         """Whether calls have taken some of the items."""
-        return len(self.left) < len(self.group.items)
+        return len(self.left) < self.group.size
 
 
 @attrs.frozen
@@ -110,9 +116,9 @@
     index: int
 
     @property
-    def item(self) -> stages.Item:
-        """The item."""
-        return self.group.items[self.index]
+    def position(self) -> int:
+        """The item's position in its stage."""
+        return self.group.positions[self.index]
 
 
 @attrs.frozen(order=True)
@@ -174,9 +180,9 @@
             return Rejected(max(SHORTEST_RETURN_MS, excess_ms))
         self._arrivals.setdefault(
             group.rank, rates.FadingRate(RATE_MEMORY_MS)
-        ).add(len(group.items), now_ms)
+        ).add(group.size, now_ms)
         self._pending[group.group_id] = _Pending(
-            group, list(range(len(group.items)))
+            group, list(range(group.size))
         )
         return Accepted(expected_ms)
 
@@ -294,8 +300,8 @@
     def _can_wait(self, group: Group, now_ms: int) -> bool:
         """Whether a group can wait for another call and lose nothing."""
         full_ms = self.call_ms(self._batching.items)
-        spent_ms = now_ms + full_ms + self.call_ms(len(group.items))
-        if now_ms + self.call_ms(len(group.items)) > group.objective_ms:
+        spent_ms = now_ms + full_ms + self.call_ms(group.size)
+        if now_ms + self.call_ms(group.size) > group.objective_ms:
             return spent_ms < group.useless_ms
         return spent_ms < group.objective_ms
 
@@ -311,7 +317,7 @@
         Within a rank, what misses its objective anyway earns little and
         must not make others miss theirs.
         """
-        due_ms = now_ms + self.call_ms(len(group.items))
+        due_ms = now_ms + self.call_ms(group.size)
         is_late = due_ms > group.objective_ms and not is_begun
         return Urgency(
             group.rank,
@@ -333,12 +339,12 @@
         """Return when the last result of a group is to be expected."""
         size = self._batching.items
         # Whatever else waits fills the call, which then takes longer.
-        own_ms = self.call_ms(min(size, self.items + len(group.items)))
+        own_ms = self.call_ms(min(size, self.items + group.size))
         if not replicas:
             return now_ms + own_ms + self._batching.call_ms
         own = self._urgency(group, False, now_ms)
         ahead = (
-            len(group.items)
+            group.size
             - 1
             + sum(
                 len(pending.left)
@@ -371,8 +377,8 @@
         return min(places, held / kept_ms)
 
     def _mean_result_bytes(self, group: Group) -> float:
-        total_bytes = group.result_bytes * len(group.items)
-        items = len(group.items)
+        total_bytes = group.result_bytes * group.size
+        items = group.size
         for pending in self._pending.values():
             total_bytes += pending.group.result_bytes * len(pending.left)
             items += len(pending.left)
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -336,34 +336,29 @@
 def _submission(
     call_id: int, request: stages.StageRequest
 ) -> messages.SubmitItems:
+    work = request.work
     return messages.SubmitItems(
-        call_id,
-        request.service,
-        request.attempt_id,
-        request.rank,
-        request.objective_in_ms,
-        request.accept_in_ms,
-        request.useless_in_ms,
-        request.zone,
-        request.input_bytes,
-        request.result_bytes,
-        [
-            [
-                item.stage,
-                item.position,
-                item.key,
-                item.takes_inputs,
-                list(item.inputs),
-            ]
-            for item in request.items
-        ],
+        call_id=call_id,
+        service=request.service,
+        attempt_id=work.attempt_id,
+        rank=request.rank,
+        objective_in_ms=request.objective_in_ms,
+        accept_in_ms=request.accept_in_ms,
+        useless_in_ms=request.useless_in_ms,
+        zone=request.zone,
+        input_bytes=request.input_bytes,
+        result_bytes=request.result_bytes,
+        stage=work.stage,
+        key=work.key,
+        takes_inputs=work.takes_inputs,
+        inputs=list(work.inputs),
+        positions=list(request.positions),
     )
 
 
 def _request(message: messages.SubmitItems) -> stages.StageRequest:
     return stages.StageRequest(
         service=message.service,
-        attempt_id=message.attempt_id,
         rank=message.rank,
         objective_in_ms=message.objective_in_ms,
         accept_in_ms=message.accept_in_ms,
@@ -371,10 +366,12 @@
         zone=message.zone,
         input_bytes=message.input_bytes,
         result_bytes=message.result_bytes,
-        items=tuple(
-            stages.Item(
-                message.attempt_id, stage, position, key, takes, tuple(inputs)
-            )
-            for stage, position, key, takes, inputs in message.items
+        work=stages.Work(
+            message.attempt_id,
+            message.stage,
+            message.key,
+            message.takes_inputs,
+            tuple(message.inputs),
         ),
+        positions=tuple(message.positions),
     )
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -7,12 +7,14 @@
 
 
 @attrs.frozen
-class Item:
-    """One piece of one request's stage; ``inputs`` are results it takes."""
+class Work:
+    """What all items of one request's stage have in common.
+
+    ``inputs`` are the results that each item takes.
+    """
 
     attempt_id: str
     stage: int
-    position: int
     key: str
     takes_inputs: bool
     inputs: tuple[str, ...]
@@ -22,7 +24,8 @@
 class TimedItem:
     """An item in a call and how much longer its result is of use."""
 
-    item: Item
+    work: Work
+    position: int
     remaining_ms: int
 
 
@@ -101,7 +104,6 @@
     """
 
     service: str
-    attempt_id: str
     rank: int
     objective_in_ms: int
     accept_in_ms: int
@@ -109,7 +111,8 @@
     zone: str
     input_bytes: float
     result_bytes: float
-    items: tuple[Item, ...]
+    work: Work
+    positions: tuple[int, ...]
 
 
 @attrs.frozen
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -67,8 +67,8 @@
 class SubmitItems:
     """Asks the owner of a stage service's queue for results.
 
-    Times are left from now, since instances share no clock. Each item is
-    an array of stage, position, key and input results.
+    Times are left from now, since instances share no clock. ``positions``
+    are those of the items within the stage; they share all else.
     """
 
     call_id: int
@@ -81,7 +81,11 @@
     zone: str
     input_bytes: float
     result_bytes: float
-    items: list[list[Any]]
+    stage: int
+    key: str
+    takes_inputs: bool
+    inputs: list[str]
+    positions: list[int]
 
 
 @attrs.frozen
--- a/sycamorebeam/platform/__main__.py
+++ b/sycamorebeam/platform/__main__.py
@@ -6,6 +6,7 @@
 import uvloop
 
 from sycamorebeam import errors
+from sycamorebeam import log_sink
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import instance
 from sycamorebeam.forwarding import settings as settings_module
@@ -37,7 +38,8 @@
     except (errors.SettingsError, KeyError) as error:
         print(f'event=settings_refused error={error!r}', flush=True)
         return EXIT_BAD_SETTINGS
-    telemetry.configure_logs(settings.instance_id, sys.stdout)
+    sink = log_sink.LogSink(sys.stdout.fileno())
+    telemetry.configure_logs(settings.instance_id, sink)
     uvloop.run(_run(settings))
     return 0
 
--- a/sycamorebeam/platform/exchange.py
+++ b/sycamorebeam/platform/exchange.py
@@ -185,18 +185,18 @@
 
 
 def _entry(timed: stages.TimedItem) -> dict[str, object]:
-    item = timed.item
+    work = timed.work
     # 'phase' is the stage, 'segment' the item's position in it.
     entry: dict[str, object] = {
-        'id': item.attempt_id,
-        'phase': item.stage,
-        'segment': item.position,
+        'id': work.attempt_id,
+        'phase': work.stage,
+        'segment': timed.position,
         'remaining_ms': timed.remaining_ms,
     }
-    if item.takes_inputs:
-        entry['input_handles'] = list(item.inputs)
+    if work.takes_inputs:
+        entry['input_handles'] = list(work.inputs)
     else:
-        entry['key'] = item.key
+        entry['key'] = work.key
     return entry
 
 
--- a/sycamorebeam/platform/followed.py
+++ b/sycamorebeam/platform/followed.py
@@ -57,6 +57,7 @@
         value = {
             'address': entry.address,
             'region': entry.region,
+            'strong': entry.is_strong,
             'started': entry.started_wall_ms,
             'renewal': entry.renewal,
         }
@@ -123,6 +124,7 @@
             record.key,
             str(value['address']),
             str(value['region']),
+            bool(value['strong']),
             int(value['started']),
             int(value['renewal']),
         )
--- a/sycamorebeam/telemetry.py
+++ b/sycamorebeam/telemetry.py
@@ -9,6 +9,7 @@
 import json
 import sys
 from typing import Any
+from typing import Protocol
 from typing import TextIO
 
 import loguru
@@ -22,7 +23,17 @@
     loguru.logger.bind(fields=fields).log(level, name)
 
 
-def configure_logs(instance_id: str, sink: TextIO = sys.stderr) -> None:
+class LineSink(Protocol):
+    """Takes log lines."""
+
+    def write(self, line: str, /) -> Any:
+        """Take a line."""
+        ...
+
+
+def configure_logs(
+    instance_id: str, sink: TextIO | LineSink = sys.stderr
+) -> None:
     """Send all events to ``sink`` as lines of key=value pairs."""
     loguru.logger.remove()
     loguru.logger.configure(extra={'instance': instance_id})
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -69,8 +69,8 @@
     )
 
 
-def item(name='r1', position=0, stage=0, inputs=()):
-    return stages.Item(name, stage, position, 'k', bool(inputs), inputs)
+def work(name='r1', stage=0, inputs=()):
+    return stages.Work(name, stage, 'k', bool(inputs), inputs)
 
 
 def group(group_id, items=1, **fields):
@@ -83,7 +83,8 @@
         'useless_ms': 10_000,
         'zone': '',
         'result_bytes': 1_000.0,
-        'items': tuple(item(f'r{group_id}', i) for i in range(items)),
+        'work': work(f'r{group_id}'),
+        'positions': tuple(range(items)),
     }
     return stage_queue.Group(**{**values, **fields})
 
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -270,8 +270,10 @@
         self.assertEqual(0.0, self.places.observed(old).failure_rate)
 
 
-def instance(name, region='north', started=0, renewal=0):
-    return instances.InstanceEntry(name, f'{name}:1', region, started, renewal)
+def instance(name, region='north', started=0, renewal=0, strong=True):
+    return instances.InstanceEntry(
+        name, f'{name}:1', region, strong, started, renewal
+    )
 
 
 @ddt.ddt
@@ -299,6 +301,20 @@
         owner = self.view(entries[4], entries).owners('s1')[0]
         self.assertTrue(owner.startswith('n'))
 
+    @ddt.data((0.5, 1_000.0, True), (0.25, 100.0, False), (2.0, 5.0, False))
+    @ddt.unpack
+    def test_strong_machines_have_cores_and_a_fast_link(
+        self, cores, mbps, expected
+    ):
+        self.assertEqual(expected, instances.is_strong(cores, mbps))
+
+    def test_strong_instances_own_queues(self):
+        entries = [instance(f'n{n}', strong=False) for n in range(4)]
+        entries += [instance(f's{n}', region='south') for n in range(2)]
+        for n in range(20):
+            owner = self.view(entries[0], entries).owners(f's{n}')[0]
+            self.assertTrue(owner.startswith('s'))
+
     def test_a_new_instance_owns_nothing_until_it_has_settled(self):
         entries = [instance('old'), instance('new', started=100_000)]
         subject = self.view(entries[1], entries)
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -221,7 +221,7 @@
     async def test_an_instance_renews_its_entry_until_it_leaves(self):
         platform = FakePlatform()
         clock = clocks.Clock()
-        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', 0, 0)
+        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', True, 0, 0)
         known = instances.Instances(own, clock)
         follower = followers.InstancesFollower(platform, clock, known)
         task = asyncio.create_task(follower.follow())
@@ -237,9 +237,11 @@
     async def test_entries_stay_while_the_store_is_away(self):
         platform = FakePlatform()
         clock = clocks.Clock()
-        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', 0, 0)
+        own = instances.InstanceEntry('i0', '127.0.0.1:1', 'north', True, 0, 0)
         known = instances.Instances(own, clock)
-        other = instances.InstanceEntry('i1', '127.0.0.1:2', 'north', 0, 0)
+        other = instances.InstanceEntry(
+            'i1', '127.0.0.1:2', 'north', True, 0, 0
+        )
         platform.instances['i1'] = other
         follower = followers.InstancesFollower(platform, clock, known)
         task = asyncio.create_task(follower.follow())
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -49,7 +49,7 @@
         if self.failure is not None:
             return self.failure
         return stages.Results(
-            tuple(f'{request.service}/{n}' for n in range(len(request.items)))
+            tuple(f'{request.service}/{n}' for n in request.positions)
         )
 
     def free(self, service, results):
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -374,8 +374,8 @@
 @ddt.ddt
 class StageCallTest(base.TestCase):
     ITEMS = (
-        stages.TimedItem(stages.Item('r1', 0, 2, 'k', False, ()), 900),
-        stages.TimedItem(stages.Item('r2', 2, 0, 'k', True, ('h1',)), 800),
+        stages.TimedItem(stages.Work('r1', 0, 'k', False, ()), 2, 900),
+        stages.TimedItem(stages.Work('r2', 2, 'k', True, ('h1',)), 0, 800),
     )
 
     async def call(self, answer):
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -81,6 +81,8 @@
         'instance_id': name,
         'availability_zone': 'a1',
         'region': 'north',
+        'cpu_cores': 0.5,
+        'link_mbps': 1_000.0,
         'zones': [{'name': 'a1', 'region': 'north'}],
         'addresses': dict(
             zip(
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -30,7 +30,7 @@
         self.duration_ms = 200
 
     async def run(self, address, target_id, items):
-        self.calls.append((target_id, [timed.item for timed in items]))
+        self.calls.append((target_id, items))
         script = self.scripts.get(target_id)
         step = script.pop(0) if script else None
         self.running[target_id] = self.running.get(target_id, 0) + 1
@@ -52,7 +52,7 @@
         return stages.Ran(
             tuple(
                 stages.Produced(
-                    f'{address}/{item.item.attempt_id}.{item.item.position}'
+                    f'{address}/{item.work.attempt_id}.{item.position}'
                 )
                 for item in items
             )
@@ -68,7 +68,6 @@
 def stage_request(name, count=1, **fields):
     values = {
         'service': 'desk',
-        'attempt_id': name,
         'rank': 1,
         'objective_in_ms': 2_000,
         'accept_in_ms': 10_000,
@@ -76,7 +75,8 @@
         'zone': '',
         'input_bytes': 0.0,
         'result_bytes': 100.0,
-        'items': tuple(build.item(name, i) for i in range(count)),
+        'work': build.work(name),
+        'positions': tuple(range(count)),
     }
     return stages.StageRequest(**{**values, **fields})
 
@@ -230,10 +230,7 @@
                     8,
                     zone=zone,
                     input_bytes=input_bytes,
-                    items=tuple(
-                        build.item(f'r{n}', i, inputs=('10.0.0.1:1/x',))
-                        for i in range(8)
-                    ),
+                    work=build.work(f'r{n}', inputs=('10.0.0.1:1/x',)),
                 )
             )
             for n in range(2)
@@ -257,7 +254,7 @@
         self.requests = {}
 
     async def produce(self, request):
-        stage = request.items[0].stage
+        stage = request.work.stage
         self.requests[stage] = request
         self.log.append(f'begin {stage}')
         await asyncio.sleep(self.durations_ms.get(stage, 200) / 1_000)
@@ -265,7 +262,7 @@
             return stages.Failure(stages.Reason.OVERLOADED, 300.0)
         self.log.append(f'end {stage}')
         return stages.Results(
-            tuple(f'{stage}.{n}' for n in range(len(request.items)))
+            tuple(f'{stage}.{n}' for n in range(len(request.positions)))
         )
 
     def free(self, service, results):
@@ -321,8 +318,8 @@
 
     async def test_inputs_are_all_results_of_the_stages_before(self):
         await self.prepare(chain((), (), (0, 1)), (1, 2, 1))
-        item = self.producer.requests[2].items[0]
-        self.assertEqual(('0.0', '1.0', '1.1'), item.inputs)
+        work = self.producer.requests[2].work
+        self.assertEqual(('0.0', '1.0', '1.1'), work.inputs)
 
     async def test_inner_results_are_freed_when_they_were_used(self):
         await self.prepare(chain((), (0,), (1,)), (1, 1, 1))
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -37,7 +37,9 @@
     def answer(self, future, request):
         if not future.done():
             default = stages.Results(
-                tuple(f'{i.attempt_id}.{i.position}' for i in request.items)
+                tuple(
+                    f'{request.work.attempt_id}.{n}' for n in request.positions
+                )
             )
             future.set_result(self.outcome or default)
 
@@ -74,7 +76,9 @@
 
     server = await asyncio.start_server(accept, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
-    own = instances.InstanceEntry(name, f'127.0.0.1:{port}', 'north', 0, 0)
+    own = instances.InstanceEntry(
+        name, f'127.0.0.1:{port}', 'north', True, 0, 0
+    )
     known = instances.Instances(own, clock)
     streams = stage_streams.StageStreams(clock, known, owner)
     node = Node(name, known, owner, streams, server)
@@ -126,7 +130,8 @@
         async with fleet(2) as nodes:
             owner, asker = split(nodes)
             sent = request(
-                items=(stages.Item('r', 2, 5, 'k', True, ('x', 'y')),),
+                work=stages.Work('r', 2, 'k', True, ('x', 'y')),
+                positions=(5,),
                 zone='b1',
                 input_bytes=7.0,
             )
