--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -10,27 +10,23 @@
 from collections.abc import Callable
 import itertools
 
-import attrs
-
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import directory as directories
-from sycamorebeam.forwarding import held_results
 from sycamorebeam.forwarding import metrics as metrics_module
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_service
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding import waiting_groups
 
 # A call may take this many times its stated length before it is given up;
 # replicas are known to turn some times slower.
 CALL_PATIENCE = 8
 MIN_CALL_TIMEOUT_MS = 2_000
-PACE_WEIGHT = 0.4  # of the newest call in the average of a replica's pace
 DECLINED_PAUSE_MS = 60  # a declined call is tried again after this
-BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
-LONGEST_PAUSE_MS = 4_000
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
 # Of a replica's memory: above it, results are freed at the next tick.
@@ -38,25 +34,6 @@
 TICK_MS = 30  # the shortest pause after which queues are looked at again
 
 
-@attrs.define
-class _Waiting:
-    group: stage_queue.Group
-    future: asyncio.Future[stages.Outcome]
-    results: dict[int, str] = attrs.field(factory=dict)
-    is_begun: bool = False
-
-
-@attrs.define
-class _Service:
-    name: str
-    queue: stage_queue.StageQueue
-    replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
-    pauses: dict[str, int] = attrs.field(factory=dict)
-    held: held_results.HeldResults = attrs.field(
-        factory=held_results.HeldResults
-    )
-
-
 class StageOwner:
     """Owns queues of stage services and runs their calls."""
 
@@ -77,8 +54,8 @@
         self._calls = calls
         self._budgets = budgets
         self._metrics = metrics
-        self._services: dict[str, _Service] = {}
-        self._waiting: dict[int, _Waiting] = {}
+        self._services: dict[str, stage_service.StageService] = {}
+        self._waiting = waiting_groups.WaitingGroups()
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -116,7 +93,7 @@
             work=request.work,
             positions=request.positions,
         )
-        replicas = self._refresh(service)
+        replicas = self._replicas(service)
         match service.queue.submit(group, replicas, now_ms):
             case stage_queue.Rejected(retry_after_ms):
                 future.set_result(
@@ -124,9 +101,9 @@
                 )
             case stage_queue.Accepted():
                 self._budgets.count_request(service.name, now_ms)
-                self._waiting[group.group_id] = _Waiting(group, future)
+                self._waiting.add(group, future)
                 future.add_done_callback(
-                    lambda done: self._forget(service, group, done)
+                    lambda _: self._forget(service, group)
                 )
                 self._pump(service)
         return future
@@ -136,9 +113,8 @@
 
         Who asked for them asks the next owner.
         """
-        for waiting in list(self._waiting.values()):
-            if not waiting.is_begun:
-                self._fail(waiting.group, stages.Reason.OWNER_LOST, 0)
+        for group in self._waiting.untouched():
+            self._waiting.fail(group, stages.Reason.OWNER_LOST, 0)
 
     def free(self, service_name: str, results: list[str]) -> None:
         """Give up results that were used or are not wanted any more."""
@@ -161,14 +137,16 @@
             if elapsed_ms >= FREE_INTERVAL_MS:
                 elapsed_ms = 0
 
-    def _service(self, name: str) -> _Service | None:
+    def _service(self, name: str) -> stage_service.StageService | None:
         described = self._service_of(name)
         if described is None or described.batching is None:
             return None
         found = self._services.get(name)
         if found is None:
             queue = stage_queue.StageQueue(described.batching)
-            found = self._services[name] = _Service(name, queue)
+            found = self._services[name] = stage_service.StageService(
+                name, queue
+            )
         found.queue.batching = described.batching
         return found
 
@@ -185,21 +163,12 @@
         ((address, _),) = makers.most_common(1)
         return self._directory.zone_of_address(address) or request.zone
 
-    def _refresh(self, service: _Service) -> list[stage_queue.Replica]:
-        targets = {
-            target.target_id: target
-            for target in self._directory.usable(service.name)
-        }
-        for target_id in service.replicas.keys() - targets.keys():
-            if not service.replicas[target_id].calls:
-                del service.replicas[target_id]
-        for target_id, target in targets.items():
-            if target_id not in service.replicas:
-                zone = target.availability_zone
-                service.replicas[target_id] = stage_queue.Replica(
-                    target_id, zone, lead_ms=self._lead_ms(zone)
-                )
-        return [service.replicas[target_id] for target_id in targets]
+    def _replicas(
+        self, service: stage_service.StageService
+    ) -> list[stage_queue.Replica]:
+        return service.refresh(
+            self._directory.usable(service.name), self._lead_ms
+        )
 
     def _lead_ms(self, zone: str) -> int:
         """Return how far ahead calls to a zone are sent.
@@ -209,74 +178,63 @@
         lead_ms = 2 * self._round_trip_ms(zone)
         return int(lead_ms) if lead_ms > TICK_MS else 0
 
-    def _pump(self, service: _Service) -> None:
+    def _pump(self, service: stage_service.StageService) -> None:
         """Start a call on each free replica that has items to run."""
         if not service.queue.items:
             return
         now_ms = self._clock.monotonic_ms()
         for group in service.queue.drop_useless(now_ms):
-            self._fail(group, stages.Reason.TOO_LATE, 0)
-        replicas = self._refresh(service)
+            self._waiting.fail(group, stages.Reason.TOO_LATE, 0)
+        replicas = self._replicas(service)
         slots = service.queue.batching.slots
         for replica in sorted(replicas, key=lambda item: item.slowness):
             if not replica.is_free(slots, now_ms):
                 continue
             entries = service.queue.next_call(replica, replicas, now_ms)
             if entries:
-                for entry in entries:
-                    self._waiting[entry.group.group_id].is_begun = True
-                # Reserved here: the task begins only after this function.
-                replica.calls += 1
-                call_ms = service.queue.call_ms(len(entries))
-                begin_ms = max(now_ms, replica.busy_until_ms)
-                replica.busy_until_ms = begin_ms + int(
-                    call_ms * replica.slowness
-                )
-                replica.held_bytes += _result_bytes(entries)
+                self._waiting.begin(entries)
+                # Counted here: the task begins only after this function.
+                service.begin_call(replica, entries, now_ms)
                 self._start(self._call(service, replica, entries))
 
     async def _call(
         self,
-        service: _Service,
+        service: stage_service.StageService,
         replica: stage_queue.Replica,
         entries: list[stage_queue.Entry],
     ) -> None:
         target = self._directory.get(replica.target_id)
         if target is None:
-            replica.calls -= 1
-            replica.held_bytes -= _result_bytes(entries)
+            service.end_call(replica, entries, has_run=False)
             self._put_back(service, entries)
             return
         began_ms = self._clock.monotonic_ms()
+        timeout_ms = max(
+            MIN_CALL_TIMEOUT_MS,
+            CALL_PATIENCE * service.queue.call_ms(len(entries)),
+        )
         try:
-            async with asyncio.timeout(
-                self._timeout_ms(service, entries, began_ms) / 1000
-            ):
+            async with asyncio.timeout(timeout_ms / 1000):
                 result = await self._calls.run(
                     target.address,
                     target.target_id,
                     [_timed(entry, began_ms) for entry in entries],
                 )
         except upstream.NotSentError as error:
-            replica.calls -= 1
-            replica.held_bytes -= _result_bytes(entries)
+            service.end_call(replica, entries, has_run=False)
             self._pause_broken(service, replica, error)
             self._put_back(service, entries)
         except (upstream.BrokenError, TimeoutError) as error:
-            replica.calls -= 1
-            replica.held_bytes -= _result_bytes(entries)
+            service.end_call(replica, entries, has_run=False)
             self._pause_broken(service, replica, error)
             self._repeat(service, entries)
         else:
-            replica.calls -= 1
-            if not replica.calls:
-                replica.busy_until_ms = 0
             self._take_call(service, replica, entries, result, began_ms)
         self._pump(service)
 
     def _take_call(
         self,
-        service: _Service,
+        service: stage_service.StageService,
         replica: stage_queue.Replica,
         entries: list[stage_queue.Entry],
         result: stages.CallResult,
@@ -285,25 +243,27 @@
         now_ms = self._clock.monotonic_ms()
         match result:
             case stages.Declined(is_gone):
-                for entry in entries:
-                    replica.held_bytes -= entry.group.result_bytes
-                pause_ms = BROKEN_PAUSE_MS if is_gone else DECLINED_PAUSE_MS
+                service.end_call(replica, entries, has_run=False)
+                pause_ms = (
+                    stage_service.BROKEN_PAUSE_MS
+                    if is_gone
+                    else DECLINED_PAUSE_MS
+                )
                 replica.paused_until_ms = now_ms + pause_ms
                 self._metrics.stage_calls.labels(
                     service.name, 'declined'
                 ).inc()
                 self._put_back(service, entries)
             case stages.Ran(results):
-                service.pauses.pop(replica.target_id, None)
-                self._learn_pace(service, replica, len(entries), began_ms)
-                replica.ended_ms = now_ms
+                service.end_call(replica, entries, has_run=True)
+                service.learn_pace(replica, len(entries), began_ms, now_ms)
                 self._note_call(service, replica, entries, began_ms)
                 for entry, item in zip(entries, results, strict=True):
                     self._take_result(service, replica, entry, item)
 
     def _note_call(
         self,
-        service: _Service,
+        service: stage_service.StageService,
         replica: stage_queue.Replica,
         entries: list[stage_queue.Entry],
         began_ms: int,
@@ -329,7 +289,7 @@
 
     def _take_result(
         self,
-        service: _Service,
+        service: stage_service.StageService,
         replica: stage_queue.Replica,
         entry: stage_queue.Entry,
         result: stages.ItemResult,
@@ -344,7 +304,8 @@
                     now_ms,
                     int(service.queue.batching.result_ttl_ms),
                 )
-                self._take_product(service, entry, name)
+                if not self._waiting.take_result(entry, name):
+                    self.free(service.name, [name])
                 return
             case stages.NotProduced(reason):
                 pass
@@ -356,24 +317,12 @@
             case stages.Reason.FAILED:
                 self._repeat(service, [entry])
             case _:
-                self._fail(entry.group, reason, 0)
-
-    def _take_product(
-        self, service: _Service, entry: stage_queue.Entry, result: str
-    ) -> None:
-        waiting = self._waiting.get(entry.group.group_id)
-        if waiting is None or waiting.future.done():
-            self.free(service.name, [result])
-            return
-        waiting.results[entry.index] = result
-        if len(waiting.results) == entry.group.size:
-            ordered = [
-                waiting.results[index] for index in range(len(waiting.results))
-            ]
-            waiting.future.set_result(stages.Results(tuple(ordered)))
+                self._waiting.fail(entry.group, reason, 0)
 
     def _repeat(
-        self, service: _Service, entries: list[stage_queue.Entry]
+        self,
+        service: stage_service.StageService,
+        entries: list[stage_queue.Entry],
     ) -> None:
         """Run items again that may have run, as far as the budget allows."""
         now_ms = self._clock.monotonic_ms()
@@ -381,63 +330,35 @@
             if self._budgets.spend(service.name, now_ms):
                 self._put_back(service, [entry])
             else:
-                self._fail(entry.group, stages.Reason.FAILED, BROKEN_PAUSE_MS)
+                self._waiting.fail(
+                    entry.group,
+                    stages.Reason.FAILED,
+                    stage_service.BROKEN_PAUSE_MS,
+                )
 
     def _put_back(
-        self, service: _Service, entries: list[stage_queue.Entry]
+        self,
+        service: stage_service.StageService,
+        entries: list[stage_queue.Entry],
     ) -> None:
         for entry in entries:
-            waiting = self._waiting.get(entry.group.group_id)
-            if waiting is not None and not waiting.future.done():
+            if self._waiting.is_waiting(entry.group):
                 service.queue.put_back(entry)
 
-    def _fail(
-        self,
-        group: stage_queue.Group,
-        reason: stages.Reason,
-        retry_after_ms: float,
-    ) -> None:
-        waiting = self._waiting.get(group.group_id)
-        if waiting is not None and not waiting.future.done():
-            waiting.future.set_result(stages.Failure(reason, retry_after_ms))
-
     def _forget(
-        self,
-        service: _Service,
-        group: stage_queue.Group,
-        future: asyncio.Future[stages.Outcome],
+        self, service: stage_service.StageService, group: stage_queue.Group
     ) -> None:
         service.queue.cancel(group.group_id)
-        waiting = self._waiting.pop(group.group_id, None)
-        if waiting is None:
-            return
-        if future.cancelled() or isinstance(future.result(), stages.Failure):
-            self.free(service.name, list(waiting.results.values()))
-
-    def _learn_pace(
-        self,
-        service: _Service,
-        replica: stage_queue.Replica,
-        items: int,
-        began_ms: int,
-    ) -> None:
-        # A call that was sent ahead began when the one before it ended.
-        began_ms = max(began_ms, replica.ended_ms)
-        took_ms = self._clock.monotonic_ms() - began_ms
-        # Items cheaper than stated say nothing about the replica's pace.
-        sample = max(1.0, took_ms / service.queue.call_ms(items))
-        replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
+        self.free(service.name, self._waiting.forget(group))
 
     def _pause_broken(
         self,
-        service: _Service,
+        service: stage_service.StageService,
         replica: stage_queue.Replica,
         error: BaseException,
     ) -> None:
-        pause_ms = service.pauses.get(replica.target_id, BROKEN_PAUSE_MS)
-        service.pauses[replica.target_id] = min(LONGEST_PAUSE_MS, pause_ms * 2)
-        now_ms = self._clock.monotonic_ms()
-        replica.paused_until_ms = now_ms + pause_ms
+        pause_ms = service.pause_broken(replica, self._clock.monotonic_ms())
+        self._metrics.stage_calls.labels(service.name, 'broken').inc()
         telemetry.log_event(
             'stage_call_broken',
             'WARNING',
@@ -447,23 +368,19 @@
             pause_ms=pause_ms,
         )
 
-    def _timeout_ms(
-        self,
-        service: _Service,
-        entries: list[stage_queue.Entry],
-        now_ms: int,
-    ) -> float:
-        stated_ms = service.queue.call_ms(len(entries))
-        return max(MIN_CALL_TIMEOUT_MS, CALL_PATIENCE * stated_ms)
-
-    def _flush_freed(self, service: _Service, flush_all: bool) -> None:
+    def _flush_freed(
+        self, service: stage_service.StageService, flush_all: bool
+    ) -> None:
         limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
         due = service.held.take_due(0.0 if flush_all else limit_bytes)
         for address, results in due.items():
             self._start(self._free(service, address, results))
 
     async def _free(
-        self, service: _Service, address: str, results: list[str]
+        self,
+        service: stage_service.StageService,
+        address: str,
+        results: list[str],
     ) -> None:
         try:
             async with asyncio.timeout(MIN_CALL_TIMEOUT_MS / 1000):
@@ -495,10 +412,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _result_bytes(entries: list[stage_queue.Entry]) -> float:
-    return sum(entry.group.result_bytes for entry in entries)
-
-
 def _timed(entry: stage_queue.Entry, now_ms: int) -> stages.TimedItem:
     remaining_ms = max(1, entry.group.useless_ms - now_ms)
     return stages.TimedItem(entry.group.work, entry.position, remaining_ms)
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -0,0 +1,103 @@
+"""One stage service as the owner of its queue sees it."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from sycamorebeam.forwarding import held_results
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import stage_queue
+
+PACE_WEIGHT = 0.4  # of the newest call in the average of a replica's pace
+BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
+LONGEST_PAUSE_MS = 4_000
+
+
+@attrs.define
+class StageService:
+    """The queue of a service, its replicas, and the results they hold."""
+
+    name: str
+    queue: stage_queue.StageQueue
+    held: held_results.HeldResults = attrs.field(
+        factory=held_results.HeldResults
+    )
+    _replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
+    _pauses_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def refresh(
+        self, targets: Iterable[model.Target], lead_ms: Callable[[str], int]
+    ) -> list[stage_queue.Replica]:
+        """Return the replicas that may get calls.
+
+        ``lead_ms`` says how far ahead calls to a zone are sent.
+        """
+        usable = {target.target_id: target for target in targets}
+        for target_id in self._replicas.keys() - usable.keys():
+            if not self._replicas[target_id].calls:
+                del self._replicas[target_id]
+        for target_id, target in usable.items():
+            if target_id not in self._replicas:
+                zone = target.availability_zone
+                self._replicas[target_id] = stage_queue.Replica(
+                    target_id, zone, lead_ms=lead_ms(zone)
+                )
+        return [self._replicas[target_id] for target_id in usable]
+
+    def begin_call(
+        self,
+        replica: stage_queue.Replica,
+        entries: list[stage_queue.Entry],
+        now_ms: int,
+    ) -> None:
+        """Count a call against its replica."""
+        replica.calls += 1
+        replica.held_bytes += result_bytes(entries)
+        call_ms = self.queue.call_ms(len(entries))
+        begin_ms = max(now_ms, replica.busy_until_ms)
+        replica.busy_until_ms = begin_ms + int(call_ms * replica.slowness)
+
+    def end_call(
+        self,
+        replica: stage_queue.Replica,
+        entries: list[stage_queue.Entry],
+        *,
+        has_run: bool,
+    ) -> None:
+        """Count the end of a call, and its memory unless it ran."""
+        replica.calls -= 1
+        if not replica.calls:
+            replica.busy_until_ms = 0
+        if not has_run:
+            replica.held_bytes -= result_bytes(entries)
+
+    def learn_pace(
+        self,
+        replica: stage_queue.Replica,
+        items: int,
+        began_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Note how long a call took against what the service states."""
+        self._pauses_ms.pop(replica.target_id, None)
+        # A call that was sent ahead began when the one before it ended.
+        took_ms = now_ms - max(began_ms, replica.ended_ms)
+        replica.ended_ms = now_ms
+        # Items cheaper than stated say nothing about the replica's pace.
+        sample = max(1.0, took_ms / self.queue.call_ms(items))
+        replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
+
+    def pause_broken(self, replica: stage_queue.Replica, now_ms: int) -> int:
+        """Pause a replica that broke a call, longer each time."""
+        pause_ms = self._pauses_ms.get(replica.target_id, BROKEN_PAUSE_MS)
+        self._pauses_ms[replica.target_id] = min(
+            LONGEST_PAUSE_MS, pause_ms * 2
+        )
+        replica.paused_until_ms = now_ms + pause_ms
+        return pause_ms
+
+
+def result_bytes(entries: list[stage_queue.Entry]) -> float:
+    """Return the memory that the results of a call take."""
+    return sum(entry.group.result_bytes for entry in entries)
--- /dev/null
+++ b/sycamorebeam/forwarding/waiting_groups.py
@@ -0,0 +1,89 @@
+"""Who waits for the results of which group of stage items."""
+
+import asyncio
+
+import attrs
+
+from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stages
+
+
+@attrs.define
+class _Waiting:
+    group: stage_queue.Group
+    future: asyncio.Future[stages.Outcome]
+    results: dict[int, str] = attrs.field(factory=dict)
+    is_begun: bool = False
+
+
+class WaitingGroups:
+    """Collects the results of groups until they are whole or fail."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, _Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(
+        self,
+        group: stage_queue.Group,
+        future: asyncio.Future[stages.Outcome],
+    ) -> None:
+        """Wait for the results of a group."""
+        self._waiting[group.group_id] = _Waiting(group, future)
+
+    def is_waiting(self, group: stage_queue.Group) -> bool:
+        """Whether anybody still waits for a group."""
+        waiting = self._waiting.get(group.group_id)
+        return waiting is not None and not waiting.future.done()
+
+    def begin(self, entries: list[stage_queue.Entry]) -> None:
+        """Note that a call has taken some items."""
+        for entry in entries:
+            waiting = self._waiting.get(entry.group.group_id)
+            if waiting is not None:
+                waiting.is_begun = True
+
+    def untouched(self) -> list[stage_queue.Group]:
+        """Return the groups of which no call has taken anything."""
+        return [
+            waiting.group
+            for waiting in self._waiting.values()
+            if not waiting.is_begun
+        ]
+
+    def take_result(self, entry: stage_queue.Entry, result: str) -> bool:
+        """Take an item's result; return whether anybody waits for it."""
+        waiting = self._waiting.get(entry.group.group_id)
+        if waiting is None or waiting.future.done():
+            return False
+        waiting.results[entry.index] = result
+        if len(waiting.results) == entry.group.size:
+            ordered = [
+                waiting.results[index] for index in range(len(waiting.results))
+            ]
+            waiting.future.set_result(stages.Results(tuple(ordered)))
+        return True
+
+    def fail(
+        self,
+        group: stage_queue.Group,
+        reason: stages.Reason,
+        retry_after_ms: float,
+    ) -> None:
+        """Tell who waits that there will be no results."""
+        waiting = self._waiting.get(group.group_id)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(stages.Failure(reason, retry_after_ms))
+
+    def forget(self, group: stage_queue.Group) -> list[str]:
+        """Drop a group that ended; return results that nobody will use."""
+        waiting = self._waiting.pop(group.group_id, None)
+        if waiting is None:
+            return []
+        if not waiting.future.cancelled() and isinstance(
+            waiting.future.result(), stages.Results
+        ):
+            return []
+        return list(waiting.results.values())
