--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -17,9 +17,10 @@
 # A read of the desired state renews the freshness lease, so that several
 # fit into the shortest lease; each call to the store is billed.
 STATE_WAIT_MS = 1_500
-# A target that leaves must get nothing more within two and a half seconds.
-TARGETS_INTERVAL_MS = 800
-INSTANCES_INTERVAL_MS = 2_500
+# A leaving target must get nothing more after the drain bound; two reads fit
+# into it with time to spare, and each call to the store is billed.
+TARGETS_SHARE = 0.45
+INSTANCES_INTERVAL_MS = 4_000
 RETRY_MS = 150  # after a failed read; the store answers in a few ms
 LONGEST_RETRY_MS = 600
 
@@ -174,11 +175,13 @@
         clock: clocks.Clock,
         directory: directories.Directory,
         places: placement.Placement,
+        drain_timeout_ms: float,
     ) -> None:
         self._platform = platform
         self._clock = clock
         self._directory = directory
         self._places = places
+        self._interval_ms = drain_timeout_ms * TARGETS_SHARE
 
     async def follow(self) -> None:
         """Follow until cancelled."""
@@ -210,7 +213,7 @@
                 telemetry.log_event(
                     'targets_changed', changes=' '.join(changes)
                 )
-            await self._clock.sleep_ms(TARGETS_INTERVAL_MS)
+            await self._clock.sleep_ms(self._interval_ms)
 
 
 class InstancesFollower:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -158,7 +158,11 @@
                 platform, self._clock, self._state, self._lease
             ).follow,
             'targets': followers.TargetsFollower(
-                platform, self._clock, self._directory, self._places
+                platform,
+                self._clock,
+                self._directory,
+                self._places,
+                self._settings.bounds.drain_timeout_ms,
             ).follow,
             'instances': self._instances_follower.follow,
             'stages': self._owner.run_forever,
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -9,8 +9,8 @@
 from sycamorebeam import hashing
 
 # An instance that did not renew its entry for this long is gone.
-EXPIRY_MS = 16_000
-RENEWAL_MS = 5_000  # three renewals may be lost before an entry expires
+EXPIRY_MS = 26_000
+RENEWAL_MS = 8_000  # three renewals may be lost before an entry expires
 # A new instance owns no queue before all others have surely heard of it;
 # two owners of one queue fill its calls badly.
 SETTLING_MS = 8_000
--- a/sycamorebeam/forwarding/settings.py
+++ b/sycamorebeam/forwarding/settings.py
@@ -40,6 +40,7 @@
     """The bounds that the operator of the platform sets."""
 
     grace_period_s: float
+    drain_timeout_ms: float
     strict_revocation: bool
     revocation_ms: int
     retry_budget_ratio: float
@@ -95,6 +96,7 @@
         },
         Bounds: {
             'grace_period_s': checking.Positive(),
+            'drain_timeout_ms': checking.Positive(),
             'revocation_ms': checking.Positive(),
             'retry_budget_ratio': checking.Range(0, 10),
             'retry_budget_extra': checking.Range(0, 1_000_000),
