--- /dev/null
+++ b/tests/forwarding/processes.py
@@ -0,0 +1,145 @@
+"""Starts instances as processes, and sends requests to them."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+
+import attrs
+
+from tests.forwarding import test_forwarding
+
+START_TIMEOUT_S = 20
+POLL_S = 0.05
+
+
+def free_ports(count):
+    opened = [socket.socket() for _ in range(count)]
+    for item in opened:
+        item.bind(('127.0.0.1', 0))
+    ports = [item.getsockname()[1] for item in opened]
+    for item in opened:
+        item.close()
+    return ports
+
+
+async def until(condition, timeout_s=3.0):
+    """Wait until ``condition`` holds."""
+    for _ in range(int(timeout_s / POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError('the condition did not come to hold')
+
+
+@attrs.define
+class Process:
+    name: str
+    address: str
+    ready: str
+    metrics: str
+    log_path: pathlib.Path
+    store_address: str
+    ports: list
+    log_start: int
+    popen: subprocess.Popen
+
+    def log(self):
+        """Return what this process has logged."""
+        return self.log_path.read_text()[self.log_start :]
+
+    def has_started(self):
+        return 'event=started' in self.log()
+
+    async def is_ready(self):
+        with contextlib.suppress(OSError):
+            return (await get(self.ready, '/')).status == 200
+        return False
+
+    async def wait_ready(self):
+        for _ in range(int(START_TIMEOUT_S / POLL_S)):
+            if await self.is_ready():
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f'{self.name} is not ready: {self.log()}')
+
+    async def wait_exit(self, timeout_s=10):
+        await until(lambda: self.popen.poll() is not None, timeout_s)
+        return self.popen.returncode
+
+
+async def get(address, path):
+    raw = f'GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    return await test_forwarding.call(address, raw=raw.encode())
+
+
+def start(folder, name, store_address, ports=None):
+    ports = ports or free_ports(4)
+    addresses = [f'127.0.0.1:{port}' for port in ports]
+    settings = {
+        'instance_id': name,
+        'availability_zone': 'a1',
+        'region': 'north',
+        'cpu_cores': 0.5,
+        'link_mbps': 1_000.0,
+        'zones': [{'name': 'a1', 'region': 'north'}],
+        'addresses': dict(
+            zip(
+                ('callers', 'readiness', 'peers', 'metrics'),
+                addresses,
+                strict=True,
+            )
+        ),
+        'store': {
+            'address': store_address,
+            'heartbeat_interval_ms': 1_200,
+        },
+        'bounds': {
+            'grace_period_s': 8,
+            'drain_timeout_ms': 2_500,
+            'strict_revocation': True,
+            'revocation_ms': 5_000,
+            'retry_budget_ratio': 0.2,
+            'retry_budget_extra': 50,
+            'budget_window_s': 10,
+        },
+        'caller_limits': {'header_bytes': 16_384, 'idle_timeout_ms': 15_000},
+    }
+    path = pathlib.Path(folder, f'{name}.json')
+    path.write_text(json.dumps(settings))
+    log_path = pathlib.Path(folder, f'{name}.log')
+    log_start = len(log_path.read_text()) if log_path.exists() else 0
+    with log_path.open('a') as log:
+        popen = subprocess.Popen(
+            [sys.executable, '-m', 'sycamorebeam.platform'],
+            env={**os.environ, 'SYCAMOREBEAM_NODE_FILE': str(path)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+    return Process(
+        name,
+        addresses[0],
+        addresses[1],
+        addresses[3],
+        log_path,
+        store_address,
+        ports,
+        log_start,
+        popen,
+    )
+
+
+async def send(process, name, path='/stream/x', key='k1'):
+    return await test_forwarding.call(
+        process.address,
+        raw=(
+            f'POST {path} HTTP/1.1\r\nHost: h.example\r\n'
+            f'X-Attempt-Id: {name}\r\nX-Deadline-Ms: 5000\r\n'
+            f'X-Credential: {key}\r\nX-Chunks: 2\r\nX-Chunk-Key: k\r\n'
+            'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        ).encode(),
+    )
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -167,7 +167,8 @@
         is_reset = False
     except ConnectionError:
         data, is_reset = bytes(reader._buffer), True
-    writer.close()
+    finally:
+        writer.close()
     if not data:
         return Response(0, {}, b'', False)
     top, _, body = data.partition(b'\r\n\r\n')
@@ -281,6 +282,7 @@
         ('no HTTP once', NON_IDEMPOTENT, [[b'\x00\r\n\r\n'], OK], 502, 1),
         ('full', NON_IDEMPOTENT, [FULL, OK], 200, 2),
         ('full twice', NON_IDEMPOTENT, [FULL, FULL], 503, 2),
+        ('a reset, then full', IDEMPOTENT, [[wire.RESET], FULL], 502, 2),
         ('another target', NON_IDEMPOTENT, [OTHER_TARGET, OK], 200, 2),
         ('other targets', NON_IDEMPOTENT, [OTHER_TARGET], 503, 2),
         (
--- a/tests/forwarding/test_store.py
+++ b/tests/forwarding/test_store.py
@@ -17,6 +17,7 @@
 
     def __init__(self, *script):
         self.script = list(script)
+        self.after_wait = None
         self.requests = []
         self.connections = set()
 
@@ -27,6 +28,7 @@
         step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         if isinstance(step, asyncio.Event):
             await step.wait()
+            step = self.after_wait
         status, data = step
         if isinstance(data, bytes):
             return web.Response(status=status, body=data)
@@ -134,6 +136,23 @@
             await client.read('keyed.op', 7)
             self.assertEqual(2, len(fake.connections))
 
+    async def test_a_failure_casts_doubt_on_all_connections(self):
+        """What made one connection silent may have made others so, too."""
+        gate = asyncio.Event()
+        script = [gate, gate, asyncio.Event(), (200, OFFSETS)]
+        async with serving(*script) as (fake, client):
+            fake.after_wait = (200, OFFSETS)
+            both = asyncio.gather(
+                client.read('keyed.op', 7), client.read('keyed.op', 8)
+            )
+            await asyncio.sleep(0.1)
+            gate.set()
+            await both
+            with self.assertRaises(store.StoreError):
+                await client.read('keyed.op', 7)
+            await client.read('keyed.op', 7)
+            self.assertEqual(3, len(fake.connections))
+
     async def test_a_record_is_appended(self):
         async with serving((200, {'offset': 1})) as (fake, client):
             await client.put('keyed.instances', 'i0', b'v')
