--- a/sycamorebeam/forwarding/calls.py
+++ b/sycamorebeam/forwarding/calls.py
@@ -109,6 +109,7 @@
     may_have_run: bool = False
     splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
     last_target: str = ''
+    detail: str = ''
     stages_ms: dict[int, int] = attrs.field(factory=dict)
     sent_ms: int | None = None
     begun_ms: int | None = None
--- a/sycamorebeam/forwarding/directory.py
+++ b/sycamorebeam/forwarding/directory.py
@@ -1,5 +1,6 @@
 """Which targets there are, from what they report to the platform's store."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -52,10 +53,11 @@
                     found.append(target)
         return self._by_service.get(service, [])
 
-    def zone_of_address(self, address: str) -> str | None:
-        """Return the availability zone of the target at an address."""
+    def zone_with_most(self, addresses: Iterable[str]) -> str | None:
+        """Return the zone of the target that most of the addresses name."""
+        counted = Counter(addresses).most_common(1)
         for target in self._targets.values():
-            if target.address == address:
+            if counted and target.address == counted[0][0]:
                 return target.availability_zone
         return None
 
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -144,7 +144,10 @@
                 call.connect_failures += 1
                 if call.connect_failures < MAX_CONNECT_FAILURES:
                     return None
-                return await self._give_up(call, error, NO_TARGET_RETRY_MS)
+                call.detail = error
+                return await self._give_up(
+                    call, 'no target could be reached', NO_TARGET_RETRY_MS
+                )
             case calls.Declined(status):
                 if call.may_send_again and self._spend(call):
                     return None
@@ -158,7 +161,8 @@
                 if answer is not None and not call.has_begun:
                     await call.reply.whole(*answer)
                     return f'status_{answer[0].status}'
-                await self._fail(call, 502, error)
+                call.detail = error
+                await self._fail(call, 502, 'no whole answer came')
                 return 'broken'
 
     def _preparation(self, call: calls.Call) -> preparation.Preparation | None:
@@ -198,6 +202,10 @@
             return await prepared.run(target.availability_zone, times)
         finally:
             call.stages_ms = dict(prepared.took_ms)
+            for position, took_ms in call.stages_ms.items():
+                service = route.stages[position].service
+                observed = self._metrics.stage_seconds.labels(service)
+                observed.observe(took_ms / 1000)
 
     def _spend(self, call: calls.Call) -> bool:
         allowed = self._budgets.spend(call.service, self._clock.monotonic_ms())
@@ -251,7 +259,9 @@
         arrived_ms = call.request.arrived_ms
         took_ms = self._clock.monotonic_ms() - arrived_ms
         kind = call.route.kind.value
-        self._metrics.requests.labels(kind, result).inc()
+        # Without the reason, so that the number of labels is bounded.
+        outcome = result.partition(':')[0]
+        self._metrics.requests.labels(kind, outcome).inc()
         self._metrics.request_seconds.labels(kind).observe(took_ms / 1000)
         if call.begun_ms is not None:
             begun_s = (call.begun_ms - arrived_ms) / 1000
@@ -261,6 +271,7 @@
             request=call.request.attempt_id,
             route=call.route.name,
             result=result,
+            detail=call.detail,
             target=call.last_target,
             sends=call.sends,
             connect_failures=call.connect_failures,
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -77,7 +77,6 @@
     """How a replica of a stage's service works through calls."""
 
     slots: int
-    queue: int
     items: int
     call_ms: float
     item_ms: float
@@ -90,7 +89,6 @@
     """A service of targets; ``batching`` is set where stages run on it."""
 
     name: str
-    connection_limit: int
     batching: Batching | None = None
     has_engine: bool = False
 
@@ -125,4 +123,3 @@
     is_draining: bool
     incarnation: int
     slots: int
-    warms_up_ms: float = 0.0
--- a/sycamorebeam/forwarding/requests.py
+++ b/sycamorebeam/forwarding/requests.py
@@ -74,18 +74,13 @@
 class Refusal:
     """An answer of this instance's own.
 
-    ``has_not_run`` promises that no target ran the request or will.
+    Status 503 promises that no target ran the request or ever will.
     """
 
     status: int
     reason: str
     retry_after_ms: float | None = None
 
-    @property
-    def has_not_run(self) -> bool:
-        """Whether the status promises that the request has not run."""
-        return self.status == 503
-
 
 def unavailable(reason: str, retry_after_ms: float) -> Refusal:
     """Return the refusal of a request that has not run."""
--- a/sycamorebeam/forwarding/settings.py
+++ b/sycamorebeam/forwarding/settings.py
@@ -29,10 +29,9 @@
 
 @attrs.frozen(kw_only=True)
 class Store:
-    """The platform's store, and how often targets report to it."""
+    """The platform's store."""
 
     address: str
-    heartbeat_interval_ms: int
 
 
 @attrs.frozen(kw_only=True)
@@ -92,7 +91,6 @@
         },
         Store: {
             'address': _ADDRESS,
-            'heartbeat_interval_ms': checking.Positive(),
         },
         Bounds: {
             'grace_period_s': checking.Positive(),
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 import itertools
 
@@ -22,10 +21,7 @@
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding import waiting_groups
 
-# A call may take this many times its stated length before it is given up;
-# replicas are known to turn some times slower.
-CALL_PATIENCE = 8
-MIN_CALL_TIMEOUT_MS = 2_000
+FREE_TIMEOUT_MS = 2_000  # results drop by themselves a little later
 DECLINED_PAUSE_MS = 60  # a declined call is tried again after this
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
@@ -155,13 +151,8 @@
         results_bytes = request.result_bytes * len(request.positions)
         if request.input_bytes <= results_bytes:
             return request.zone
-        makers = Counter(
-            self._calls.maker_address(result) for result in request.work.inputs
-        )
-        if not makers:
-            return request.zone
-        ((address, _),) = makers.most_common(1)
-        return self._directory.zone_of_address(address) or request.zone
+        makers = map(self._calls.maker_address, request.work.inputs)
+        return self._directory.zone_with_most(makers) or request.zone
 
     def _replicas(
         self, service: stage_service.StageService
@@ -209,16 +200,13 @@
             self._put_back(service, entries)
             return
         began_ms = self._clock.monotonic_ms()
-        timeout_ms = max(
-            MIN_CALL_TIMEOUT_MS,
-            CALL_PATIENCE * service.queue.call_ms(len(entries)),
-        )
+        timeout_ms = service.call_timeout_ms(entries)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 result = await self._calls.run(
                     target.address,
                     target.target_id,
-                    [_timed(entry, began_ms) for entry in entries],
+                    stage_service.timed(entries, began_ms),
                 )
         except upstream.NotSentError as error:
             service.end_call(replica, entries, has_run=False)
@@ -383,7 +371,7 @@
         results: list[str],
     ) -> None:
         try:
-            async with asyncio.timeout(MIN_CALL_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
                 await self._calls.free(address, results)
         except (
             upstream.NotSentError,
@@ -410,8 +398,3 @@
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _timed(entry: stage_queue.Entry, now_ms: int) -> stages.TimedItem:
-    remaining_ms = max(1, entry.group.useless_ms - now_ms)
-    return stages.TimedItem(entry.group.work, entry.position, remaining_ms)
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -8,7 +8,12 @@
 from sycamorebeam.forwarding import held_results
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stages
 
+# A call may take this many times its stated length before it is given up;
+# replicas are known to turn some times slower.
+CALL_PATIENCE = 8
+MIN_CALL_TIMEOUT_MS = 2_000
 PACE_WEIGHT = 0.4  # of the newest call in the average of a replica's pace
 BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
 LONGEST_PAUSE_MS = 4_000
@@ -72,6 +77,11 @@
         if not has_run:
             replica.held_bytes -= result_bytes(entries)
 
+    def call_timeout_ms(self, entries: list[stage_queue.Entry]) -> float:
+        """Return after what time a call is given up."""
+        stated_ms = self.queue.call_ms(len(entries))
+        return max(MIN_CALL_TIMEOUT_MS, CALL_PATIENCE * stated_ms)
+
     def learn_pace(
         self,
         replica: stage_queue.Replica,
@@ -101,3 +111,17 @@
 def result_bytes(entries: list[stage_queue.Entry]) -> float:
     """Return the memory that the results of a call take."""
     return sum(entry.group.result_bytes for entry in entries)
+
+
+def timed(
+    entries: list[stage_queue.Entry], now_ms: int
+) -> list[stages.TimedItem]:
+    """Return the items of a call with the time that is left for each."""
+    return [
+        stages.TimedItem(
+            entry.group.work,
+            entry.position,
+            max(1, entry.group.useless_ms - now_ms),
+        )
+        for entry in entries
+    ]
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -80,7 +80,6 @@
 def _service(item: dict[str, Any]) -> model.Service:
     return model.Service(
         name=item['name'],
-        connection_limit=int(item.get('connection_limit', 0)),
         # 'segments' describes batch processing, not parts of anything.
         batching=_batching(item.get('segments')),
         has_engine='inference_engine' in item,
@@ -92,7 +91,6 @@
         return None
     return model.Batching(
         slots=int(item['slots']),
-        queue=int(item['queue']),
         items=int(item['batch']),
         call_ms=float(item['call_duration_ms']),
         item_ms=float(item['item_duration_ms']),
--- a/sycamorebeam/platform/exchange.py
+++ b/sycamorebeam/platform/exchange.py
@@ -7,7 +7,6 @@
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 
-READY_PATH = '/sycamorebeam/readyz'
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
 STAGE_FREE_PATH = '/sycamorebeam/stage-free'
 
--- a/sycamorebeam/platform/target_records.py
+++ b/sycamorebeam/platform/target_records.py
@@ -21,7 +21,6 @@
             # 'born' is the time of the start, which tells incarnations apart.
             incarnation=_whole(body.get('born', 0)),
             slots=_whole(body['slots']),
-            warms_up_ms=float(body.get('cold_remaining_ms') or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -43,7 +43,6 @@
 def batching(**fields):
     values = {
         'slots': 1,
-        'queue': 2,
         'items': 8,
         'call_ms': 150.0,
         'item_ms': 10.0,
@@ -54,7 +53,7 @@
 
 
 def service(name='engine', **fields):
-    return model.Service(name=name, connection_limit=10, **fields)
+    return model.Service(name=name, **fields)
 
 
 def desired(version=1, routes=(), services=(), keys=(), has_teams=False):
--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -94,10 +94,7 @@
                 strict=True,
             )
         ),
-        'store': {
-            'address': store_address,
-            'heartbeat_interval_ms': 1_200,
-        },
+        'store': {'address': store_address},
         'bounds': {
             'grace_period_s': 8,
             'drain_timeout_ms': 2_500,
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -142,11 +142,17 @@
         subject.expire(5_000)
         self.assertEqual(1, len(subject.usable('engine')))
 
-    def test_the_zone_of_an_address_is_known(self):
+    @ddt.data(
+        (['1.2.3.4:5'], 'b1'),
+        (['1.2.3.4:5', '1.2.3.4:6', '1.2.3.4:5'], 'b1'),
+        (['1.2.3.4:6'], None),
+        ([], None),
+    )
+    @ddt.unpack
+    def test_the_zone_that_holds_most_is_known(self, addresses, expected):
         subject = directory.Directory()
         subject.replace([entry('t1', zone='b1', address='1.2.3.4:5')], 0)
-        self.assertEqual('b1', subject.zone_of_address('1.2.3.4:5'))
-        self.assertIsNone(subject.zone_of_address('1.2.3.4:6'))
+        self.assertEqual(expected, subject.zone_with_most(addresses))
 
 
 @ddt.ddt
