Let one instance of a region read the store for the others

Streams between instances move to peer_links, since stage work and reads share them; a stream that cannot keep up is closed rather than dropping messages that nobody repeats.

--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -17,9 +17,9 @@
 # A read of the desired state renews the freshness lease, so that several
 # fit into the shortest lease; each call to the store is billed.
 STATE_WAIT_MS = 1_500
-# A leaving target must get nothing more after the drain bound; two reads fit
-# into it with time to spare, and each call to the store is billed.
-TARGETS_SHARE = 0.45
+# A leaving target must get nothing more after the drain bound. Two reads fit
+# into it, where the first fails and is repeated by another instance.
+TARGETS_SHARE = 0.3
 INSTANCES_INTERVAL_MS = 4_000
 RETRY_MS = 150  # after a failed read; the store answers in a few ms
 LONGEST_RETRY_MS = 600
@@ -35,18 +35,29 @@
 
 @attrs.frozen
 class StateRead:
-    """A read of the desired state; None where nothing is new."""
+    """A read of the desired state; None where nothing is new.
+
+    ``record`` is the state as the platform writes it. ``began_ms`` is set
+    where the read began at another time than the call for it.
+    """
 
     state: model.DesiredState | None
     position: int
+    record: bytes = b''
+    began_ms: int | None = None
 
 
 @attrs.frozen
 class TargetsRead:
-    """A read of targets' entries."""
+    """A read of targets' entries: changes, or all that there are.
+
+    The next read of a reader that ``is_paced`` waits by itself.
+    """
 
     entries: tuple[directories.Entry, ...]
     position: int
+    is_whole: bool = False
+    is_paced: bool = False
 
 
 class Platform(Protocol):
@@ -68,6 +79,10 @@
         """Return the entries that changed after a position."""
         ...
 
+    def decode_state(self, record: bytes) -> model.DesiredState | None:
+        """Return the desired state in a record, None if it has none."""
+        ...
+
     async def read_instances(
         self,
     ) -> Iterable[instances_module.InstanceEntry]:
@@ -151,6 +166,8 @@
                 contact.succeeded()
                 position = read.position
                 self._take(read.state)
+                if read.began_ms is not None:
+                    began_ms = read.began_ms
                 if self._state.desired is not None:
                     self._lease.renew(began_ms)
 
@@ -175,13 +192,13 @@
         clock: clocks.Clock,
         directory: directories.Directory,
         places: placement.Placement,
-        drain_timeout_ms: float,
+        interval_ms: float,
     ) -> None:
         self._platform = platform
         self._clock = clock
         self._directory = directory
         self._places = places
-        self._interval_ms = drain_timeout_ms * TARGETS_SHARE
+        self._interval_ms = interval_ms
 
     async def follow(self) -> None:
         """Follow until cancelled."""
@@ -202,7 +219,7 @@
             now_ms = self._clock.monotonic_ms()
             if contact.succeeded():
                 self._directory.store_returned(now_ms)
-            if position is None:
+            if read.is_whole:
                 changes = self._directory.replace(read.entries, now_ms)
             else:
                 changes = self._directory.update(read.entries, now_ms)
@@ -213,7 +230,8 @@
                 telemetry.log_event(
                     'targets_changed', changes=' '.join(changes)
                 )
-            await self._clock.sleep_ms(self._interval_ms)
+            if not read.is_paced:
+                await self._clock.sleep_ms(self._interval_ms)
 
 
 class InstancesFollower:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -21,9 +21,11 @@
 from sycamorebeam.forwarding import frontend
 from sycamorebeam.forwarding import instances as instances_module
 from sycamorebeam.forwarding import metrics as metrics_module
+from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import settings as settings_module
+from sycamorebeam.forwarding import shared_reads
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_streams
 from sycamorebeam.forwarding import stages
@@ -96,8 +98,19 @@
             self._metrics,
             self._places.round_trip_ms,
         )
+        self._links = peer_links.PeerLinks(self._clock, self._instances)
         self._streams = stage_streams.StageStreams(
-            self._clock, self._instances, self._owner
+            self._instances, self._owner, self._links
+        )
+        self._targets_interval_ms = (
+            bounds.drain_timeout_ms * followers.TARGETS_SHARE
+        )
+        self._platform = shared_reads.SharedReads(
+            adapter.platform,
+            self._clock,
+            self._instances,
+            self._links,
+            self._targets_interval_ms,
         )
         self._frontend = frontend.Frontend(
             self._clock,
@@ -122,7 +135,7 @@
             adapter.decode,
         )
         self._instances_follower = followers.InstancesFollower(
-            adapter.platform, self._clock, self._instances
+            self._platform, self._clock, self._instances
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._asked_to_stop = asyncio.Event()
@@ -152,7 +165,7 @@
         await self._stop()
 
     def _start_tasks(self) -> None:
-        platform = self._adapter.platform
+        platform = self._platform
         works: dict[str, supervision.Work] = {
             'state': followers.StateFollower(
                 platform, self._clock, self._state, self._lease
@@ -162,7 +175,7 @@
                 self._clock,
                 self._directory,
                 self._places,
-                self._settings.bounds.drain_timeout_ms,
+                self._targets_interval_ms,
             ).follow,
             'instances': self._instances_follower.follow,
             'stages': self._owner.run_forever,
@@ -190,7 +203,7 @@
         metrics = web.Server(self._answer_metrics, access_log=None)
         await self._serve(metrics, addresses.metrics)
         host, port = checking.split_address(addresses.peers)
-        await asyncio.start_server(self._streams.accept, host, port)
+        await asyncio.start_server(self._links.accept, host, port)
 
     async def _serve(self, server: web.Server, address: str) -> None:
         runner = web.ServerRunner(server)
@@ -253,7 +266,7 @@
         end_s = loop.time() + (grace_ms - EXIT_MARGIN_MS) / 1000
         self._frontend.stop()
         self._instances.leave()
-        self._streams.stop()
+        self._links.stop()
         self._owner.hand_over()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -18,6 +18,7 @@
 # and needs this for itself.
 OWNER_CORES = 0.4
 OWNER_LINK_MBPS = 50.0
+READING = 'reading'  # the duty that readers of the store are ranked for
 
 
 @attrs.frozen
@@ -154,6 +155,36 @@
             return [*ranked, own]
         return ranked[: ranked.index(own) + 1]
 
+    def readers(self) -> list[str]:
+        """Return the instances of this region to ask for reads, best first.
+
+        None where this instance is the one that reads for the others.
+        """
+        entries = [
+            known.entry
+            for instance_id, known in self._known.items()
+            if known.entry.region == self._own.region
+            and instance_id not in self._unreachable
+        ]
+        now_ms = self._clock.wall_ms()
+        own = self._reading_order(self._own, now_ms)
+        before = [
+            (order, entry.instance_id)
+            for entry in entries
+            if (order := self._reading_order(entry, now_ms)) > own
+            or self._is_leaving
+        ]
+        return [instance_id for _, instance_id in sorted(before, reverse=True)]
+
+    def _reading_order(
+        self, entry: InstanceEntry, now_ms: int
+    ) -> tuple[bool, bool, int]:
+        return (
+            now_ms - entry.started_wall_ms >= SETTLING_MS,
+            entry.is_strong,
+            hashing.weight(READING, entry.instance_id),
+        )
+
     def _forget(self, instance_id: str) -> None:
         del self._known[instance_id]
         self._unreachable.discard(instance_id)
--- /dev/null
+++ b/sycamorebeam/forwarding/read_cache.py
@@ -0,0 +1,99 @@
+"""What an instance last read of one part of the store, kept for others.
+
+Pure: rows and times in, rows out. A row is a key and a packed record, empty
+where the key was dropped.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+# Dropped keys that are remembered; who missed more reads the whole.
+MAX_DROPPED = 256
+
+
+@attrs.frozen
+class Row:
+    """The newest record of a key; empty when the key was dropped."""
+
+    key: str
+    record: bytes
+
+
+@attrs.frozen
+class Found:
+    """Rows that changed after a position, or all where ``is_whole``."""
+
+    rows: tuple[Row, ...]
+    position: int
+    is_whole: bool
+
+
+@attrs.define
+class _Kept:
+    record: bytes
+    changed_at: int
+
+
+class ReadCache:
+    """The newest rows of one part of the store.
+
+    Positions are the store's, so those of different readers compare.
+    """
+
+    def __init__(self) -> None:
+        self._kept: dict[str, _Kept] = {}
+        self._position: int | None = None
+        self._complete_from = 0
+        self._newest_change = -1
+        self.began_ms: int | None = None
+
+    def put(
+        self,
+        rows: Iterable[Row],
+        position: int,
+        is_whole: bool,
+        began_ms: int,
+    ) -> None:
+        """Take a read that reached a position and began at a time."""
+        if self._position is None:
+            self._complete_from = position
+        if is_whole:
+            rows = self._with_dropped(rows)
+        for row in rows:
+            kept = self._kept.get(row.key)
+            if kept is None or kept.record != row.record:
+                # Set anew, so that the last key is the latest change.
+                self._kept.pop(row.key, None)
+                self._kept[row.key] = _Kept(row.record, position)
+                self._newest_change = position
+        self._position = max(position, self._position or 0)
+        if self.began_ms is None or began_ms > self.began_ms:
+            self.began_ms = began_ms
+        self._forget_dropped()
+
+    def has_news(self, position: int) -> bool:
+        """Whether anything changed after a position."""
+        return self._position is not None and self._newest_change > position
+
+    def since(self, position: int) -> Found:
+        """Return what changed after a position, or all if that is unknown."""
+        assert self._position is not None
+        is_whole = position < self._complete_from
+        rows = tuple(
+            Row(key, kept.record)
+            for key, kept in self._kept.items()
+            if (kept.record if is_whole else kept.changed_at > position)
+        )
+        return Found(rows, self._position, is_whole)
+
+    def _with_dropped(self, rows: Iterable[Row]) -> list[Row]:
+        listed = list(rows)
+        keys = {row.key for row in listed}
+        dropped = [Row(key, b'') for key in self._kept if key not in keys]
+        return [*listed, *dropped]
+
+    def _forget_dropped(self) -> None:
+        dropped = [key for key, kept in self._kept.items() if not kept.record]
+        for key in dropped[: max(0, len(dropped) - MAX_DROPPED)]:
+            self._complete_from = self._kept.pop(key).changed_at
--- /dev/null
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -0,0 +1,361 @@
+"""Reads of the store that the instances of a region make for each other.
+
+The load answered here is many instances that all follow the same records:
+calls to the store are billed and bounded, and a large desired state that
+each instance fetches by itself fills the link between regions. One instance
+of a region reads, and the others ask it. The pick is an optimisation: who
+gets no answer reads by itself.
+"""
+
+from collections.abc import Iterable
+import enum
+import zlib
+
+import attrs
+import msgpack
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import instances as instances_module
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import peer_links
+from sycamorebeam.forwarding import read_cache
+from sycamorebeam.peering import messages
+
+# What an answer may take beyond the reader's own wait: a read of the store
+# and the way between zones.
+ANSWER_SLACK_MS = 400
+# A reader that gave no answer is asked again after this.
+SHUN_MS = 3_000
+TRIED_READERS = 2
+WHOLE = -1  # the position of an asker that knows nothing
+STATE_KEY = 'state'
+
+
+class Topic(enum.Enum):
+    """A part of the store."""
+
+    STATE = 'state'
+    TARGETS = 'targets'
+    INSTANCES = 'instances'
+
+
+@attrs.frozen
+class _Asked:
+    served: peer_links.Served
+    call_id: int
+    position: int
+    received_ms: int
+
+
+@attrs.frozen
+class _Answer:
+    """Rows from another instance; the read began on this one's clock."""
+
+    rows: tuple[read_cache.Row, ...]
+    position: int
+    is_whole: bool
+    began_ms: int
+
+
+class SharedReads:
+    """The store as its records reach this instance, read or asked for.
+
+    A record read for another instance proves what the read proves: each
+    answer says how long before the question its read began.
+    """
+
+    def __init__(
+        self,
+        platform: followers.Platform,
+        clock: clocks.Clock,
+        instances: instances_module.Instances,
+        links: peer_links.PeerLinks,
+        targets_interval_ms: float,
+    ) -> None:
+        self._targets_interval_ms = targets_interval_ms
+        self._platform = platform
+        self._clock = clock
+        self._instances = instances
+        self._links = links
+        self._caches = {topic: read_cache.ReadCache() for topic in Topic}
+        self._asked: dict[Topic, list[_Asked]] = {item: [] for item in Topic}
+        self._is_away = dict.fromkeys(Topic, False)
+        self._shunned_until_ms: dict[tuple[Topic, str], int] = {}
+        links.add_handler(self._serve)
+
+    async def read_state(self) -> followers.StateRead:
+        """Return the newest desired state."""
+        answer = await self._ask(Topic.STATE, WHOLE, ANSWER_SLACK_MS)
+        if answer is not None and answer.rows:
+            return self._state_read(answer)
+        began_ms = self._clock.boottime_ms()
+        try:
+            read = await self._platform.read_state()
+        except followers.ReadError as error:
+            self._fail(Topic.STATE, error)
+            raise
+        self._publish_state(read, began_ms)
+        return read
+
+    async def wait_state(
+        self, position: int, wait_ms: int
+    ) -> followers.StateRead:
+        """Return what came after a position, waiting for it."""
+        timeout_ms = wait_ms + ANSWER_SLACK_MS
+        asked_ms = self._clock.boottime_ms()
+        answer = await self._ask(Topic.STATE, position, timeout_ms)
+        if answer is not None:
+            return self._state_read(answer)
+        began_ms = self._clock.boottime_ms()
+        # What was spent on asking is not waited for again: the freshness
+        # lease runs meanwhile.
+        left_ms = max(0, wait_ms - (began_ms - asked_ms))
+        try:
+            read = await self._platform.wait_state(position, left_ms)
+        except followers.ReadError as error:
+            self._fail(Topic.STATE, error)
+            raise
+        self._publish_state(read, began_ms)
+        return read
+
+    async def read_targets(self) -> followers.TargetsRead:
+        """Return all targets' entries."""
+        answer = await self._ask(Topic.TARGETS, WHOLE, ANSWER_SLACK_MS)
+        if answer is not None and answer.is_whole:
+            return _targets_read(answer)
+        began_ms = self._clock.boottime_ms()
+        try:
+            read = await self._platform.read_targets()
+        except followers.ReadError as error:
+            self._fail(Topic.TARGETS, error)
+            raise
+        self._publish_targets(read, began_ms)
+        return read
+
+    async def read_target_changes(
+        self, position: int
+    ) -> followers.TargetsRead:
+        """Return the entries that changed after a position.
+
+        The answer of another instance comes when that one has read.
+        """
+        timeout_ms = self._targets_interval_ms + ANSWER_SLACK_MS
+        answer = await self._ask(Topic.TARGETS, position, timeout_ms)
+        if answer is not None:
+            return _targets_read(answer)
+        began_ms = self._clock.boottime_ms()
+        try:
+            read = await self._platform.read_target_changes(position)
+        except followers.ReadError as error:
+            self._fail(Topic.TARGETS, error)
+            raise
+        self._publish_targets(read, began_ms)
+        return read
+
+    async def read_instances(
+        self,
+    ) -> Iterable[instances_module.InstanceEntry]:
+        """Return the entries of the system's instances."""
+        answer = await self._ask(Topic.INSTANCES, WHOLE, ANSWER_SLACK_MS)
+        if answer is not None and answer.rows:
+            return [
+                instances_module.InstanceEntry(**msgpack.unpackb(row.record))
+                for row in answer.rows
+            ]
+        began_ms = self._clock.boottime_ms()
+        try:
+            entries = list(await self._platform.read_instances())
+        except followers.ReadError as error:
+            self._fail(Topic.INSTANCES, error)
+            raise
+        rows = [
+            read_cache.Row(
+                entry.instance_id, msgpack.packb(attrs.asdict(entry))
+            )
+            for entry in entries
+        ]
+        self._publish(Topic.INSTANCES, rows, 0, True, began_ms)
+        return entries
+
+    async def renew_instance(
+        self, entry: instances_module.InstanceEntry
+    ) -> None:
+        """Write this instance's entry."""
+        await self._platform.renew_instance(entry)
+
+    async def remove_instance(self, instance_id: str) -> None:
+        """Remove this instance's entry."""
+        await self._platform.remove_instance(instance_id)
+
+    def decode_state(self, record: bytes) -> model.DesiredState | None:
+        """Return the desired state in a record, None if it has none."""
+        return self._platform.decode_state(record)
+
+    async def _ask(
+        self, topic: Topic, position: int, timeout_ms: float
+    ) -> _Answer | None:
+        """Ask the readers of this region; None when none answers.
+
+        A reader without contact to the store says so, and the next one is
+        asked. One that is silent is not worth another wait.
+        """
+        for instance_id in self._instances.readers()[:TRIED_READERS]:
+            now_ms = self._clock.monotonic_ms()
+            shunned_ms = self._shunned_until_ms.get((topic, instance_id), 0)
+            if now_ms < shunned_ms or self._links.is_stopping(instance_id):
+                continue
+            asked_ms = self._clock.boottime_ms()
+            try:
+                answer = await self._exchange(
+                    instance_id, topic, position, timeout_ms
+                )
+            except peer_links.LinkLostError as error:
+                self._shun(topic, instance_id, str(error))
+                return None
+            if isinstance(answer, messages.SharedRead):
+                return self._take(topic, answer, position, asked_ms)
+            self._shun(topic, instance_id, 'it does not reach the store')
+        return None
+
+    def _take(
+        self,
+        topic: Topic,
+        answer: messages.SharedRead,
+        position: int,
+        asked_ms: int,
+    ) -> _Answer:
+        """Return an answer, and keep its rows for those who ask here."""
+        rows = tuple(
+            read_cache.Row(key, record) for key, record in answer.rows
+        )
+        reached = max(position, answer.position)
+        began_ms = asked_ms - answer.age_ms
+        self._publish(topic, rows, reached, answer.is_whole, began_ms)
+        return _Answer(rows, reached, answer.is_whole, began_ms)
+
+    async def _exchange(
+        self, instance_id: str, topic: Topic, position: int, timeout_ms: float
+    ) -> messages.Message:
+        link = await self._links.link(instance_id)
+        if link is None:
+            raise peer_links.LinkLostError('it cannot be reached')
+        with link.exchange() as exchange:
+            link.send(
+                messages.AskSharedRead(exchange.call_id, topic.value, position)
+            )
+            return await exchange.next(timeout_ms)
+
+    def _shun(self, topic: Topic, instance_id: str, reason: str) -> None:
+        until_ms = self._clock.monotonic_ms() + SHUN_MS
+        self._shunned_until_ms[(topic, instance_id)] = until_ms
+        telemetry.log_event(
+            'reader_passed_over',
+            'WARNING',
+            part=topic.value,
+            peer=instance_id,
+            reason=reason,
+        )
+
+    def _serve(
+        self, served: peer_links.Served, message: messages.Message
+    ) -> None:
+        match message:
+            case messages.AskSharedRead(call_id, name, position):
+                topic = Topic(name)
+                asked = _Asked(
+                    served, call_id, position, self._clock.boottime_ms()
+                )
+                if self._is_away[topic]:
+                    served.stream.send(messages.NoSharedRead(call_id))
+                elif self._caches[topic].has_news(position):
+                    self._answer(topic, asked)
+                else:
+                    self._asked[topic].append(asked)
+
+    def _answer(self, topic: Topic, asked: _Asked) -> None:
+        cache = self._caches[topic]
+        assert cache.began_ms is not None
+        found = cache.since(asked.position)
+        asked.served.stream.send(
+            messages.SharedRead(
+                asked.call_id,
+                found.position,
+                found.is_whole,
+                [[row.key, row.record] for row in found.rows],
+                asked.received_ms - cache.began_ms,
+            )
+        )
+
+    def _publish(
+        self,
+        topic: Topic,
+        rows: Iterable[read_cache.Row],
+        position: int,
+        is_whole: bool,
+        began_ms: int,
+    ) -> None:
+        """Keep what was read, and answer those who wait for it."""
+        self._is_away[topic] = False
+        self._caches[topic].put(rows, position, is_whole, began_ms)
+        waiting, self._asked[topic] = self._asked[topic], []
+        for asked in waiting:
+            self._answer(topic, asked)
+
+    def _fail(self, topic: Topic, error: followers.ReadError) -> None:
+        """Tell those who wait that this instance cannot read."""
+        if isinstance(error, followers.HistoryGoneError):
+            return
+        self._is_away[topic] = True
+        waiting, self._asked[topic] = self._asked[topic], []
+        for asked in waiting:
+            asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+
+    def _publish_state(self, read: followers.StateRead, began_ms: int) -> None:
+        rows = []
+        if read.record:
+            packed = zlib.compress(read.record, 1)
+            rows = [read_cache.Row(STATE_KEY, packed)]
+        self._publish(Topic.STATE, rows, read.position, False, began_ms)
+
+    def _publish_targets(
+        self, read: followers.TargetsRead, began_ms: int
+    ) -> None:
+        rows = [_target_row(entry) for entry in read.entries]
+        self._publish(
+            Topic.TARGETS, rows, read.position, read.is_whole, began_ms
+        )
+
+    def _state_read(self, answer: _Answer) -> followers.StateRead:
+        state = None
+        for row in answer.rows:
+            state = self.decode_state(zlib.decompress(row.record))
+        return followers.StateRead(
+            state, answer.position, began_ms=answer.began_ms
+        )
+
+
+def _target_row(entry: directories.Entry) -> read_cache.Row:
+    record = b''
+    if entry.target is not None:
+        record = msgpack.packb(attrs.asdict(entry.target))
+    return read_cache.Row(entry.target_id, record)
+
+
+def _targets_read(answer: _Answer) -> followers.TargetsRead:
+    return followers.TargetsRead(
+        tuple(
+            directories.Entry(
+                row.key,
+                model.Target(**msgpack.unpackb(row.record))
+                if row.record
+                else None,
+            )
+            for row in answer.rows
+        ),
+        answer.position,
+        answer.is_whole,
+        is_paced=True,
+    )
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -127,6 +127,42 @@
     results: list[str]
 
 
+@attrs.frozen
+class AskSharedRead:
+    """Asks for what the other instance reads of the store.
+
+    ``topic`` names a part of the store; ``position`` is how far the asker
+    has read it, negative when it wants the whole.
+    """
+
+    call_id: int
+    topic: str
+    position: int
+
+
+@attrs.frozen
+class SharedRead:
+    """Answers ``AskSharedRead`` with rows of keys and packed records.
+
+    The read began ``age_ms`` before the question arrived; the age is
+    negative when it began after that. ``is_whole`` says that the rows are
+    all there are, not changes.
+    """
+
+    call_id: int
+    position: int
+    is_whole: bool
+    rows: list[list[Any]]
+    age_ms: int
+
+
+@attrs.frozen
+class NoSharedRead:
+    """The other instance cannot read the store itself."""
+
+    call_id: int
+
+
 @attrs.frozen
 class Stopping:
     """The sender stops and takes no new items."""
@@ -145,6 +181,9 @@
     | ItemsFailed
     | CancelItems
     | FreeResults
+    | AskSharedRead
+    | SharedRead
+    | NoSharedRead
     | Stopping
 )
 
@@ -161,6 +200,9 @@
     'failed': ItemsFailed,
     'cancel': CancelItems,
     'free': FreeResults,
+    'ask_read': AskSharedRead,
+    'read': SharedRead,
+    'no_read': NoSharedRead,
     'stopping': Stopping,
 }
 _NAMES = {kind: name for name, kind in _TYPES.items()}
--- a/sycamorebeam/peering/stream.py
+++ b/sycamorebeam/peering/stream.py
@@ -13,6 +13,8 @@
 NONCE_BYTES = 16
 READ_BYTES = 65_536
 MAX_QUEUED_MESSAGES = 256
+# Some seconds of a burst's messages between two instances.
+MAX_KEPT_MESSAGES = 4_096
 HANDSHAKE_TIMEOUT_S = 2.0
 # A peer pings several times in this period; silence means a dead stream.
 IDLE_TIMEOUT_S = 15.0
@@ -26,7 +28,9 @@
     """Sends and receives messages; never blocks the sender.
 
     Messages beyond ``MAX_QUEUED_MESSAGES`` are dropped and counted: every
-    message is repeated or asked for again by its protocol.
+    message is repeated or asked for again by its protocol. Where that does
+    not hold (``may_drop`` is false) the stream is closed instead, so that
+    both ends know.
     """
 
     def __init__(
@@ -34,14 +38,19 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        *,
+        may_drop: bool = True,
     ) -> None:
         self._idle_timeout_s = idle_timeout_s
+        self._may_drop = may_drop
         self._reader = reader
         self._writer = writer
         self._unpacker = msgpack.Unpacker(
             max_buffer_size=messages.MAX_MESSAGE_BYTES
         )
-        self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(
+            MAX_QUEUED_MESSAGES if may_drop else MAX_KEPT_MESSAGES
+        )
         self._sender: asyncio.Task[None] | None = None
         self._peer_id = ''
         self._sent_bytes = 0
@@ -79,6 +88,8 @@
             self._queue.put_nowait(messages.pack(message))
         except asyncio.QueueFull:
             self._dropped += 1
+            if not self._may_drop:
+                self.abort()
 
     async def receive(self) -> AsyncIterator[messages.Message]:
         """Yield messages until the stream ends or falls silent."""
--- a/sycamorebeam/platform/followed.py
+++ b/sycamorebeam/platform/followed.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import json
 
+import attrs
+
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import directory as directories
 from sycamorebeam.forwarding import followers
@@ -23,18 +25,19 @@
 
     async def read_state(self) -> followers.StateRead:
         """Return the newest desired state."""
-        return _state(await self._newest(stores.OPERATOR_TOPIC))
+        return self._state(await self._newest(stores.OPERATOR_TOPIC))
 
     async def wait_state(
         self, position: int, wait_ms: int
     ) -> followers.StateRead:
         """Return what came after a position, waiting for it."""
         topic = stores.OPERATOR_TOPIC
-        return _state(await self._read(topic, position, wait_ms))
+        return self._state(await self._read(topic, position, wait_ms))
 
     async def read_targets(self) -> followers.TargetsRead:
         """Return all targets' entries."""
-        return _targets(await self._newest(stores.TARGETS_TOPIC))
+        records = await self._newest(stores.TARGETS_TOPIC)
+        return attrs.evolve(_targets(records), is_whole=True)
 
     async def read_target_changes(
         self, position: int
@@ -42,6 +45,15 @@
         """Return the entries that changed after a position."""
         return _targets(await self._read(stores.TARGETS_TOPIC, position, 0))
 
+    def decode_state(self, record: bytes) -> model.DesiredState | None:
+        """Return the desired state in a record, None if it has none."""
+        try:
+            return desired_state.decode(record)
+        except desired_state.UndecodableError as error:
+            # The last good state stays in force.
+            telemetry.log_event('state_undecodable', 'ERROR', error=str(error))
+            return None
+
     async def read_instances(
         self,
     ) -> Iterable[instances_module.InstanceEntry]:
@@ -67,6 +79,18 @@
         """Remove this instance's entry."""
         await self._put(instance_id, b'')
 
+    def _state(self, records: stores.Records) -> followers.StateRead:
+        """Return the newest state that can be read."""
+        for record in reversed(records.items):
+            if record.key != STATE_KEY or not record.value:
+                continue
+            state = self.decode_state(record.value)
+            if state is not None:
+                return followers.StateRead(
+                    state, records.next_offset, record.value
+                )
+        return followers.StateRead(None, records.next_offset)
+
     async def _put(self, key: str, value: bytes) -> None:
         try:
             await self._store.put(stores.INSTANCES_TOPIC, key, value)
@@ -90,19 +114,6 @@
             raise followers.ReadError(str(error)) from error
 
 
-def _state(records: stores.Records) -> followers.StateRead:
-    newest: model.DesiredState | None = None
-    for record in records.items:
-        if record.key != STATE_KEY or not record.value:
-            continue
-        try:
-            newest = desired_state.decode(record.value)
-        except desired_state.UndecodableError as error:
-            # The last good state stays in force.
-            telemetry.log_event('state_undecodable', 'ERROR', error=str(error))
-    return followers.StateRead(newest, records.next_offset)
-
-
 def _targets(records: stores.Records) -> followers.TargetsRead:
     entries = tuple(
         directories.Entry(
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -39,17 +39,27 @@
     def _state(self):
         return build.desired(version=self.versions[-1])
 
+    def _record(self):
+        return str(self.versions[-1]).encode()
+
+    def decode_state(self, record):
+        return build.desired(version=int(record))
+
     async def read_state(self):
         await self._call()
         return followers.StateRead(
-            self._state() if self.versions else None, len(self.versions)
+            self._state() if self.versions else None,
+            len(self.versions),
+            self._record() if self.versions else b'',
         )
 
     async def wait_state(self, position, wait_ms):
         await self._call()
         self._lose_history()
         if len(self.versions) > position:
-            return followers.StateRead(self._state(), len(self.versions))
+            return followers.StateRead(
+                self._state(), len(self.versions), self._record()
+            )
         await asyncio.sleep(wait_ms / 1_000)
         await self._call()
         return followers.StateRead(None, position)
@@ -60,7 +70,7 @@
             directory.Entry(name, target)
             for name, target in self.entries.items()
         )
-        return followers.TargetsRead(entries, len(self.changes))
+        return followers.TargetsRead(entries, len(self.changes), is_whole=True)
 
     async def read_target_changes(self, position):
         await self._call()
@@ -180,7 +190,7 @@
             clocks.Clock(),
             self.directory,
             placement.Placement('a1', build.ZONES),
-            DRAIN_MS,
+            DRAIN_MS * followers.TARGETS_SHARE,
         )
         return asyncio.create_task(follower.follow())
 
--- /dev/null
+++ b/tests/forwarding/test_shared_reads.py
@@ -0,0 +1,318 @@
+"""Instances that read the store for each other, over loopback."""
+
+import asyncio
+import contextlib
+
+import attrs
+import ddt
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import peer_links
+from sycamorebeam.forwarding import read_cache
+from sycamorebeam.forwarding import shared_reads
+from tests import base
+from tests.forwarding import build
+from tests.forwarding import test_followers
+
+INTERVAL_MS = 200.0
+WAIT_MS = 200
+
+
+class WaitingPlatform(test_followers.FakePlatform):
+    """Answers a waiting read as soon as there is something new."""
+
+    async def wait_state(self, position, wait_ms):
+        for _ in range(0, wait_ms, 10):
+            if len(self.versions) > position or self.is_away:
+                break
+            await asyncio.sleep(0.01)
+        return await super().wait_state(position, 0)
+
+
+@attrs.define
+class Node:
+    known: instances.Instances
+    links: peer_links.PeerLinks
+    platform: WaitingPlatform
+    reads: shared_reads.SharedReads
+    server: asyncio.Server
+    connections: list = attrs.field(factory=list)
+
+    @property
+    def name(self):
+        return self.known.own.instance_id
+
+    def kill(self):
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
+
+async def new_node(name, region):
+    clock = clocks.Clock()
+    node = None
+
+    async def accept(reader, writer):
+        node.connections.append(writer)
+        await node.links.accept(reader, writer)
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    own = instances.InstanceEntry(
+        name, f'127.0.0.1:{port}', region, True, 0, 0
+    )
+    known = instances.Instances(own, clock)
+    links = peer_links.PeerLinks(clock, known)
+    platform = WaitingPlatform()
+    reads = shared_reads.SharedReads(
+        platform, clock, known, links, INTERVAL_MS
+    )
+    node = Node(known, links, platform, reads, server)
+    return node
+
+
+@contextlib.asynccontextmanager
+async def fleet(*regions):
+    """Yield nodes, those of each region in the order in which they read."""
+    nodes = [
+        await new_node(f'i{index}', region)
+        for index, region in enumerate(regions)
+    ]
+    for node in nodes:
+        node.known.update([other.known.own for other in nodes])
+    nodes.sort(key=lambda node: len(node.known.readers()))
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(0)
+
+
+def row(key, record=b'x'):
+    return read_cache.Row(key, record)
+
+
+@ddt.ddt
+class ReadCacheTest(base.TestCase):
+    @ddt.data(
+        (-1, {'a', 'b'}, True),
+        (4, {'a', 'b'}, True),
+        (5, {'b', 'c'}, False),
+        (7, {'c'}, False),
+        (9, set(), False),
+    )
+    @ddt.unpack
+    def test_changes_after_a_position_are_found(
+        self, position, keys, is_whole
+    ):
+        cache = read_cache.ReadCache()
+        cache.put([row('a'), row('c')], 5, True, 0)
+        cache.put([row('a'), row('b')], 7, False, 0)
+        cache.put([row('c', b'')], 9, False, 0)
+        found = cache.since(position)
+        self.assertEqual(keys, {item.key for item in found.rows})
+        self.assertEqual((9, is_whole), (found.position, found.is_whole))
+        self.assertEqual(bool(keys), cache.has_news(position))
+
+    def test_what_a_whole_read_lacks_was_dropped(self):
+        cache = read_cache.ReadCache()
+        cache.put([row('a'), row('b')], 5, True, 0)
+        cache.put([row('b')], 8, True, 0)
+        self.assertEqual((row('a', b''),), cache.since(5).rows)
+
+    def test_a_read_never_makes_the_known_older(self):
+        cache = read_cache.ReadCache()
+        cache.put([], 5, True, 100)
+        cache.put([], 4, False, 50)
+        self.assertEqual(5, cache.since(5).position)
+        self.assertEqual(100, cache.began_ms)
+
+    def test_dropped_keys_are_bounded_and_the_whole_stands_for_them(self):
+        cache = read_cache.ReadCache()
+        cache.put([], 0, True, 0)
+        count = read_cache.MAX_DROPPED + 10
+        for position in range(1, count + 1):
+            cache.put([row(str(position), b'')], position, False, 0)
+        self.assertTrue(cache.since(9).is_whole)
+        self.assertFalse(cache.since(10).is_whole)
+        self.assertEqual(read_cache.MAX_DROPPED, len(cache.since(10).rows))
+
+
+@ddt.ddt
+class ReadersTest(base.NetworkTestCase):
+    def order(self, *changes):
+        entries = {
+            name: instances.InstanceEntry(name, 'x:1', 'north', True, 0, 0)
+            for name in ('a', 'b', 'c', 'd')
+        }
+        for name, fields in changes:
+            entries[name] = attrs.evolve(entries[name], **fields)
+        ranked = []
+        for entry in entries.values():
+            known = instances.Instances(entry, clocks.Clock())
+            known.update(entries.values())
+            ranked.append((len(known.readers()), entry.instance_id))
+        return [name for _, name in sorted(ranked)]
+
+    async def test_all_agree_on_one_order(self):
+        self.assertEqual(4, len(set(self.order())))
+
+    @ddt.data({'is_strong': False}, {'started_wall_ms': 2**50})
+    async def test_weak_and_new_instances_read_last(self, fields):
+        first = self.order()[0]
+        self.assertEqual(first, self.order((first, fields))[-1])
+
+    async def test_each_region_has_readers_of_its_own(self):
+        first, second, *_ = self.order()
+        order = self.order((first, {'region': 'south'}))
+        self.assertEqual({first, second}, set(order[:2]))
+
+    async def test_a_leaving_instance_asks_all_others_first(self):
+        own = instances.InstanceEntry('a', 'x:1', 'north', True, 0, 0)
+        known = instances.Instances(own, clocks.Clock())
+        known.update([attrs.evolve(own, instance_id=name) for name in 'bcd'])
+        known.leave()
+        self.assertEqual(3, len(known.readers()))
+
+
+@ddt.ddt
+class SharedReadsTest(base.NetworkTestCase):
+    async def test_one_instance_of_a_region_reads_the_state(self):
+        async with fleet(*['north'] * 4, *['south'] * 2) as nodes:
+            reads = await asyncio.gather(
+                *(node.reads.read_state() for node in nodes)
+            )
+            for _ in range(3):
+                reads = await asyncio.gather(
+                    *(
+                        node.reads.wait_state(read.position, WAIT_MS)
+                        for node, read in zip(nodes, reads, strict=True)
+                    )
+                )
+            callers = [node for node in nodes if node.platform.calls]
+            self.assertEqual(
+                {'north', 'south'}, {node.known.own.region for node in callers}
+            )
+            self.assertEqual(2, len(callers))
+
+    async def test_a_new_version_reaches_all_at_once(self):
+        async with fleet(*['north'] * 3) as nodes:
+            reader = nodes[0]
+            positions = [
+                (await node.reads.read_state()).position for node in nodes
+            ]
+            waits = [
+                asyncio.create_task(node.reads.wait_state(position, 2_000))
+                for node, position in zip(nodes, positions, strict=True)
+            ]
+            await asyncio.sleep(0.1)
+            reader.platform.versions.append(7)
+            async with asyncio.timeout(0.3):
+                reads = await asyncio.gather(*waits)
+            self.assertEqual([7] * 3, [read.state.version for read in reads])
+
+    async def test_an_answer_is_as_old_as_its_read(self):
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            before_ms = clocks.Clock().boottime_ms()
+            await reader.reads.read_state()
+            after_ms = clocks.Clock().boottime_ms()
+            await asyncio.sleep(0.2)
+            read = await asker.reads.read_state()
+            self.assertIsNotNone(read.state)
+            # Times are cut to whole milliseconds, three of them here.
+            self.assertGreaterEqual(read.began_ms, before_ms - 2)
+            self.assertLessEqual(read.began_ms, after_ms + 1)
+
+    @ddt.data('away', 'silent', 'killed', 'stopping')
+    async def test_without_the_reader_the_next_one_reads(self, fault):
+        async with fleet(*['north'] * 3) as nodes:
+            reader, _, asker = nodes
+            read = await asker.reads.read_state()
+            reader.platform.versions.append(9)
+            if fault == 'away':
+                reader.platform.is_away = True
+                with contextlib.suppress(followers.ReadError):
+                    await reader.reads.read_state()
+            elif fault == 'silent':
+                reader.links._handlers.clear()
+            elif fault == 'killed':
+                reader.kill()
+            else:
+                reader.links.stop()
+                await asyncio.sleep(0.05)
+            for node in nodes[1:]:
+                node.platform.versions.append(9)
+            limit_ms = WAIT_MS + shared_reads.ANSWER_SLACK_MS + WAIT_MS
+            async with asyncio.timeout(limit_ms / 1_000 + 0.2):
+                read = await asker.reads.wait_state(read.position, WAIT_MS)
+            self.assertEqual(9, read.state.version)
+
+    async def test_who_reads_alone_for_a_while_asks_again(self):
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            handlers, reader.links._handlers = reader.links._handlers, []
+            await asker.reads.read_state()
+            reader.links._handlers = handlers
+            calls = asker.platform.calls
+            asker.reads._shunned_until_ms.clear()
+            await reader.reads.read_state()
+            await asker.reads.read_state()
+            self.assertEqual(calls, asker.platform.calls)
+
+    async def test_targets_arrive_whole_and_then_as_changes(self):
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            reader.platform.change('t1', build.target('t1'))
+            first = await reader.reads.read_targets()
+            whole = await asker.reads.read_targets()
+            self.assertTrue(whole.is_whole)
+            self.assertEqual(first.entries, whole.entries)
+            waiting = asyncio.create_task(
+                asker.reads.read_target_changes(whole.position)
+            )
+            await asyncio.sleep(0.05)
+            draining = build.target('t1', is_draining=True)
+            reader.platform.change('t1', draining)
+            await reader.reads.read_target_changes(first.position)
+            read = await waiting
+            self.assertEqual([draining], [e.target for e in read.entries])
+            self.assertEqual((False, True), (read.is_whole, read.is_paced))
+            self.assertEqual(0, asker.platform.calls)
+
+    async def test_unchanged_entries_are_not_sent_again(self):
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            reader.platform.change('t1', build.target('t1'))
+            first = await reader.reads.read_targets()
+            whole = await asker.reads.read_targets()
+            waiting = asyncio.create_task(
+                asker.reads.read_target_changes(whole.position)
+            )
+            await asyncio.sleep(0.05)
+            reader.platform.change('t1', build.target('t1'))
+            await reader.reads.read_target_changes(first.position)
+            read = await waiting
+            self.assertEqual((), read.entries)
+            self.assertEqual(2, read.position)
+
+    async def test_instances_are_read_for_each_other(self):
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            for node in nodes:
+                reader.platform.instances[node.name] = node.known.own
+            entries = await reader.reads.read_instances()
+            self.assertEqual(entries, list(await asker.reads.read_instances()))
+            self.assertEqual(0, asker.platform.calls)
+
+    async def test_lost_history_is_read_whole(self):
+        async with fleet('north') as nodes:
+            (reader,) = nodes
+            read = await reader.reads.read_targets()
+            reader.platform.lost_history = 1
+            with contextlib.suppress(followers.HistoryGoneError):
+                await reader.reads.read_target_changes(read.position)
+            self.assertTrue((await reader.reads.read_targets()).is_whole)
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -9,9 +9,9 @@
 
 from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_streams
 from sycamorebeam.forwarding import stages
-from sycamorebeam.peering import messages
 from tests import base
 from tests.forwarding import test_stage_owner
 
@@ -57,6 +57,7 @@
     known: instances.Instances
     owner: FakeOwner
     streams: stage_streams.StageStreams
+    links: peer_links.PeerLinks
     server: asyncio.Server
     connections: list = attrs.field(factory=list)
 
@@ -73,7 +74,7 @@
 
     async def accept(reader, writer):
         node.connections.append(writer)
-        await node.streams.accept(reader, writer)
+        await node.links.accept(reader, writer)
 
     server = await asyncio.start_server(accept, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
@@ -81,8 +82,9 @@
         name, f'127.0.0.1:{port}', 'north', True, 0, 0
     )
     known = instances.Instances(own, clock)
-    streams = stage_streams.StageStreams(clock, known, owner)
-    node = Node(name, known, owner, streams, server)
+    links = peer_links.PeerLinks(clock, known)
+    streams = stage_streams.StageStreams(known, owner, links)
+    node = Node(name, known, owner, streams, links, server)
     return node
 
 
@@ -175,14 +177,10 @@
                 asyncio.get_running_loop().call_later(0.2, owner.kill)
             elif fault == 'mute':
                 # It answers pings, but takes no items.
-                serve = owner.streams._serve
-                owner.streams._serve = lambda stream, asked, message: (
-                    isinstance(message, messages.Ping)
-                    and serve(stream, asked, message)
-                )
+                owner.links._handlers.clear()
             else:
                 # It accepts connections and reads, but never answers.
-                owner.streams.accept = asyncio.Event().wait
+                owner.links.accept = asyncio.Event().wait
             async with asyncio.timeout(2):
                 outcome = await asker.streams.produce(request())
             self.assertEqual(('r.0', 'r.1'), outcome.results)
@@ -191,11 +189,11 @@
     async def test_a_lost_owner_is_asked_again_when_it_is_back(self):
         async with fleet(3) as nodes:
             owner, _, asker = split(nodes)
-            accept = owner.streams.accept
-            owner.streams.accept = asyncio.Event().wait
+            accept = owner.links.accept
+            owner.links.accept = asyncio.Event().wait
             await asker.streams.produce(request('r0'))
             self.assertEqual([], owner.owner.asked)
-            owner.streams.accept = accept
+            owner.links.accept = accept
             async with asyncio.timeout(3):
                 while not owner.owner.asked:
                     await asyncio.sleep(0.1)
@@ -215,7 +213,7 @@
             owner, following, asker = split(nodes)
             await asker.streams.produce(request('r0'))
             owner.known.leave()
-            owner.streams.stop()
+            owner.links.stop()
             await asyncio.sleep(0.1)
             await asker.streams.produce(request('r1'))
             self.assertEqual(1, len(owner.owner.asked))
@@ -230,7 +228,7 @@
 
             def stop():
                 owner.known.leave()
-                owner.streams.stop()
+                owner.links.stop()
 
             asyncio.get_running_loop().call_later(0.05, stop)
             outcome = await asker.streams.produce(request())
