--- a/sycamorebeam/forwarding/held_results.py
+++ b/sycamorebeam/forwarding/held_results.py
@@ -71,7 +71,7 @@
     def _memory_at(self, results: list[str]) -> float:
         """Return the memory in use at the replica that made some results."""
         held = self._held.get(results[0])
-        return 0.0 if held is None else held.replica.used_bytes
+        return 0.0 if held is None else held.replica.held_bytes
 
 
 def _release(held: _Held) -> None:
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -22,7 +22,6 @@
 from sycamorebeam.forwarding import waiting_groups
 
 FREE_TIMEOUT_MS = 2_000  # results drop by themselves a little later
-REPORT_TIMEOUT_MS = 500  # a few round trips between regions
 DECLINED_PAUSE_MS = 60  # a declined call is tried again after this
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
@@ -158,14 +157,9 @@
     def _replicas(
         self, service: stage_service.StageService
     ) -> list[stage_queue.Replica]:
-        replicas = service.refresh(
-            self._directory.usable(service.name),
-            self._lead_ms,
-            self._clock.monotonic_ms(),
+        return service.refresh(
+            self._directory.usable(service.name), self._lead_ms
         )
-        for replica in service.take_due_reports(self._clock.monotonic_ms()):
-            self._start(self._report(service, replica))
-        return replicas
 
     def _lead_ms(self, zone: str) -> int:
         """Return how far ahead calls to a zone are sent.
@@ -183,8 +177,6 @@
         for group in service.queue.drop_useless(now_ms):
             self._waiting.fail(group, stages.Reason.TOO_LATE, 0)
         replicas = self._replicas(service)
-        if service.is_adopting(now_ms):
-            return
         slots = service.queue.batching.slots
         for replica in sorted(replicas, key=lambda item: item.slowness):
             if not replica.is_free(slots, now_ms):
@@ -196,39 +188,6 @@
                 service.begin_call(replica, entries, now_ms)
                 self._start(self._call(service, replica, entries))
 
-    async def _report(
-        self, service: stage_service.StageService, replica: stage_queue.Replica
-    ) -> None:
-        """Ask a replica what its memory holds beyond what is known."""
-        target = self._directory.get(replica.target_id)
-        if target is None:
-            return
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000):
-                report = await self._calls.report(
-                    target.address, target.target_id
-                )
-        except (
-            upstream.NotSentError,
-            upstream.BrokenError,
-            TimeoutError,
-        ) as error:
-            # The next call shows whether the replica works.
-            telemetry.log_event(
-                'no_report', target=replica.target_id, error=repr(error)
-            )
-            return
-        service.take_report(replica, report, self._clock.monotonic_ms())
-        if replica.unaccounted_bytes or report.is_busy:
-            telemetry.log_event(
-                'replica_reported',
-                service=service.name,
-                target=replica.target_id,
-                unaccounted_bytes=int(replica.unaccounted_bytes),
-                is_busy=report.is_busy,
-            )
-        self._pump(service)
-
     async def _call(
         self,
         service: stage_service.StageService,
@@ -279,7 +238,6 @@
                     else DECLINED_PAUSE_MS
                 )
                 replica.paused_until_ms = now_ms + pause_ms
-                replica.is_doubtful = True
                 self._metrics.stage_calls.labels(
                     service.name, 'declined'
                 ).inc()
@@ -343,7 +301,6 @@
         match reason:
             case stages.Reason.NO_MEMORY:
                 replica.paused_until_ms = now_ms + MEMORY_PAUSE_MS
-                replica.is_doubtful = True
                 self._put_back(service, [entry])
             case stages.Reason.FAILED:
                 self._repeat(service, [entry])
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -66,32 +66,18 @@
 
 @attrs.define
 class Replica:
-    """What the owner of the queue knows of one replica.
-
-    ``unaccounted_bytes`` are of results that another owner asked for. While
-    ``is_doubtful``, the replica's own report is due; it ``is_new`` until the
-    first one.
-    """
+    """What the owner of the queue knows of one replica."""
 
     target_id: str
     zone: str
     calls: int = 0
     slowness: float = 1.0
     held_bytes: float = 0.0
-    unaccounted_bytes: float = 0.0
-    is_new: bool = True
-    is_doubtful: bool = True
-    reported_ms: int | None = None
     paused_until_ms: int = 0
     busy_until_ms: int = 0
     lead_ms: int = 0
     ended_ms: int = 0
 
-    @property
-    def used_bytes(self) -> float:
-        """The memory that results take."""
-        return self.held_bytes + self.unaccounted_bytes
-
     def is_free(self, slots: int, now_ms: int) -> bool:
         """Whether the replica should get a call now.
 
@@ -230,7 +216,7 @@
         ordered = self._ordered(now_ms)
         allowed = self._allowed(ordered, replica, replicas, now_ms)
         places = self._batching.items
-        room = self._batching.memory_bytes - replica.used_bytes
+        room = self._batching.memory_bytes - replica.held_bytes
         taken: list[Entry] = []
         split: _Pending | None = None
         for pending in allowed:
@@ -273,7 +259,7 @@
         for other in replicas:
             if other.slowness <= SLOW_FACTOR:
                 places[other.zone] += self._batching.items
-                free_bytes = self._batching.memory_bytes - other.used_bytes
+                free_bytes = self._batching.memory_bytes - other.held_bytes
                 room[other.zone] += max(0, int(free_bytes))
         allowed = []
         for pending in ordered:
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -17,10 +17,6 @@
 PACE_WEIGHT = 0.4  # of the newest call in the average of a replica's pace
 BROKEN_PAUSE_MS = 500  # first pause of a replica that broke a call
 LONGEST_PAUSE_MS = 4_000
-# A new owner waits so long for the first report of a replica, which another
-# owner may have filled; a few round trips between regions.
-FIRST_REPORT_MS = 60
-REPORT_INTERVAL_MS = 200  # reports are some hundred ms old
 
 
 @attrs.define
@@ -32,22 +28,16 @@
     held: held_results.HeldResults = attrs.field(
         factory=held_results.HeldResults
     )
-    _adopted_by_ms: int | None = None
     _replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
     _pauses_ms: dict[str, int] = attrs.field(factory=dict)
 
     def refresh(
-        self,
-        targets: Iterable[model.Target],
-        lead_ms: Callable[[str], int],
-        now_ms: int,
+        self, targets: Iterable[model.Target], lead_ms: Callable[[str], int]
     ) -> list[stage_queue.Replica]:
         """Return the replicas that may get calls.
 
         ``lead_ms`` says how far ahead calls to a zone are sent.
         """
-        if self._adopted_by_ms is None:
-            self._adopted_by_ms = now_ms + FIRST_REPORT_MS
         usable = {target.target_id: target for target in targets}
         for target_id in self._replicas.keys() - usable.keys():
             if not self._replicas[target_id].calls:
@@ -56,52 +46,10 @@
             if target_id not in self._replicas:
                 zone = target.availability_zone
                 self._replicas[target_id] = stage_queue.Replica(
-                    target_id,
-                    zone,
-                    lead_ms=lead_ms(zone),
-                    paused_until_ms=now_ms + FIRST_REPORT_MS,
+                    target_id, zone, lead_ms=lead_ms(zone)
                 )
         return [self._replicas[target_id] for target_id in usable]
 
-    def is_adopting(self, now_ms: int) -> bool:
-        """Whether the first reports of a queue's replicas are due."""
-        if self._adopted_by_ms is None or now_ms >= self._adopted_by_ms:
-            return False
-        return any(replica.is_new for replica in self._replicas.values())
-
-    def take_due_reports(self, now_ms: int) -> list[stage_queue.Replica]:
-        """Return the replicas whose report is to be asked for now."""
-        due = [
-            replica
-            for replica in self._replicas.values()
-            if replica.is_doubtful
-            and (
-                replica.reported_ms is None
-                or now_ms - replica.reported_ms >= REPORT_INTERVAL_MS
-            )
-        ]
-        for replica in due:
-            replica.reported_ms = now_ms
-        return due
-
-    def take_report(
-        self,
-        replica: stage_queue.Replica,
-        report: stages.Report,
-        now_ms: int,
-    ) -> None:
-        """Count memory that results of another owner's calls take."""
-        used_bytes = self.queue.batching.memory_bytes - report.free_bytes
-        replica.unaccounted_bytes = max(0.0, used_bytes - replica.held_bytes)
-        replica.is_doubtful = replica.unaccounted_bytes > 0
-        if replica.is_new:
-            replica.is_new = False
-            pause_ms = 0
-            if report.is_busy:
-                batching = self.queue.batching
-                pause_ms = int(self.queue.call_ms(batching.items) / 2)
-            replica.paused_until_ms = now_ms + pause_ms
-
     def begin_call(
         self,
         replica: stage_queue.Replica,
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -75,17 +75,6 @@
 CallResult = Ran | Declined
 
 
-@attrs.frozen
-class Report:
-    """What a replica says of itself: whether calls run, and its memory.
-
-    At most ``free_bytes`` are free.
-    """
-
-    free_bytes: float
-    is_busy: bool
-
-
 class StageCalls(Protocol):
     """Calls to replicas that run stages."""
 
@@ -99,10 +88,6 @@
         """Give up results."""
         ...
 
-    async def report(self, address: str, target_id: str) -> Report:
-        """Return what a replica says of itself."""
-        ...
-
     def maker_address(self, result: str) -> str:
         """Return the address of the replica that holds a result."""
         ...
--- a/sycamorebeam/platform/exchange.py
+++ b/sycamorebeam/platform/exchange.py
@@ -6,10 +6,8 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
-from sycamorebeam.platform import desired_state
 
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
-REPORT_PATH = '/sycamorebeam/report'
 STAGE_FREE_PATH = '/sycamorebeam/stage-free'
 
 # Headers that concern one connection only.
@@ -180,32 +178,6 @@
         finally:
             answer.close()
 
-    async def report(self, address: str, target_id: str) -> stages.Report:
-        """Return what a replica says of itself.
-
-        Raises upstream.NotSentError and upstream.BrokenError.
-        """
-        headers = [('X-Expected-Instance', target_id)]
-        answer = await self._client.open(
-            address, 'GET', REPORT_PATH, headers, None
-        )
-        try:
-            data = await answer.whole_body()
-        finally:
-            answer.close()
-        if answer.status != 200:
-            raise upstream.BrokenError(f'{address}: status {answer.status}')
-        try:
-            found = json.loads(data)
-            # Whole megabytes, cut: up to one more is free.
-            free_mb = float(found['free_memory_mb']) + 1
-            return stages.Report(
-                free_mb * desired_state.MB,
-                bool(found['busy']) or int(found['queued']) > 0,
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            raise upstream.BrokenError(f'{address}: {error!r}') from error
-
     def maker_address(self, result: str) -> str:
         """Return the address of the replica that holds a result."""
         return result.partition('/')[0]
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -17,8 +17,6 @@
 
 BATCHING = build.batching(memory_bytes=8_000.0)
 
-IDLE = stages.Report(BATCHING.memory_bytes, is_busy=False)
-
 
 class Replicas:
     """Replicas that work one call at a time, and may be told to fail."""
@@ -26,9 +24,6 @@
     def __init__(self):
         self.calls = []
         self.freed = []
-        self.reports = []
-        self.reported = {}
-        self.report_error = None
         self.running = {}
         self.most = 0
         self.scripts = {}
@@ -66,12 +61,6 @@
     async def free(self, address, results):
         self.freed.extend(results)
 
-    async def report(self, address, target_id):
-        self.reports.append(target_id)
-        if self.report_error is not None:
-            raise self.report_error
-        return self.reported.get(target_id, IDLE)
-
     def maker_address(self, result):
         return result.partition('/')[0]
 
@@ -123,11 +112,6 @@
         self.ticking = asyncio.create_task(owner.run_forever())
         return owner
 
-    async def adopt(self, owner):
-        """Let the owner take in the first reports of the replicas."""
-        owner._replicas(owner._service('desk'))
-        await asyncio.sleep(0.01)
-
     async def test_items_that_come_together_are_joined(self):
         owner = self.new_owner()
         futures = [owner.submit(stage_request(f'r{n}', 2)) for n in range(20)]
@@ -195,7 +179,6 @@
 
     async def test_a_stopping_owner_hands_over_what_waits(self):
         owner = self.new_owner(targets=1)
-        await self.adopt(owner)
         running = owner.submit(stage_request('r0'))
         waiting = owner.submit(stage_request('r1'))
         await asyncio.sleep(0.05)
@@ -240,7 +223,6 @@
             ],
             0,
         )
-        await self.adopt(owner)
         futures = [
             owner.submit(
                 stage_request(
@@ -256,57 +238,6 @@
         await asyncio.gather(*futures)
         self.assertEqual(expected, [name for name, _ in self.replicas.calls])
 
-    async def test_memory_that_another_owner_filled_is_not_used(self):
-        """Three results of 2,700 bytes fill a replica."""
-        owner = self.new_owner()
-        full = stages.Report(2_000.0, is_busy=False)
-        self.replicas.reported['t0'] = full
-        await asyncio.gather(
-            *(
-                owner.submit(stage_request(f'r{n}', result_bytes=2_700.0))
-                for n in range(3)
-            )
-        )
-        self.assertEqual({'t1'}, {name for name, _ in self.replicas.calls})
-        self.replicas.reported['t0'] = IDLE
-        await asyncio.sleep(0.3)
-        for n in range(2):
-            await owner.submit(stage_request(f's{n}'))
-        self.assertEqual('t0', self.replicas.calls[-1][0])
-
-    @ddt.data(
-        (stages.Report(BATCHING.memory_bytes, is_busy=True), 100),
-        (IDLE, 0),
-    )
-    @ddt.unpack
-    async def test_a_new_owner_lets_a_call_of_another_one_end(
-        self, report, least_ms
-    ):
-        owner = self.new_owner(targets=1)
-        self.replicas.reported['t0'] = report
-        began_s = asyncio.get_running_loop().time()
-        await owner.submit(stage_request('r'))
-        ended_s = asyncio.get_running_loop().time()
-        took_ms = round(1_000 * (ended_s - began_s))
-        self.assertGreaterEqual(took_ms, self.replicas.duration_ms + least_ms)
-        self.assertLessEqual(took_ms, self.replicas.duration_ms + 200)
-
-    async def test_a_replica_without_a_report_is_used_all_the_same(self):
-        owner = self.new_owner(targets=1)
-        self.replicas.report_error = upstream.NotSentError('refused')
-        async with asyncio.timeout(0.5):
-            await owner.submit(stage_request('r'))
-
-    @ddt.data('declined', stages.Reason.NO_MEMORY)
-    async def test_reports_are_asked_for_only_when_in_doubt(self, step):
-        owner = self.new_owner(targets=1)
-        for n in range(10):
-            await owner.submit(stage_request(f'r{n}'))
-        self.assertEqual(1, len(self.replicas.reports))
-        self.replicas.scripts = {'t0': [step]}
-        await owner.submit(stage_request('r'))
-        self.assertEqual(2, len(self.replicas.reports))
-
     async def test_an_unknown_service_is_said_at_once(self):
         owner = self.new_owner()
         outcome = await owner.submit(stage_request('r', service='other'))
