--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -245,7 +245,7 @@
             case stages.Ran(results):
                 service.end_call(replica, entries, has_run=True)
                 service.learn_pace(replica, len(entries), began_ms, now_ms)
-                self._note_call(service, replica, entries, began_ms)
+                self._note_call(service, replica, entries, results, began_ms)
                 for entry, item in zip(entries, results, strict=True):
                     self._take_result(service, replica, entry, item)
 
@@ -254,6 +254,7 @@
         service: stage_service.StageService,
         replica: stage_queue.Replica,
         entries: list[stage_queue.Entry],
+        results: tuple[stages.ItemResult, ...],
         began_ms: int,
     ) -> None:
         self._metrics.stage_calls.labels(service.name, 'ran').inc()
@@ -264,6 +265,7 @@
             service=service.name,
             target=replica.target_id,
             items=len(entries),
+            made=sum(isinstance(item, stages.Produced) for item in results),
             took_ms=self._clock.monotonic_ms() - began_ms,
             waited_ms=began_ms
             - min(entry.group.queued_ms for entry in entries),
