--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -48,7 +48,6 @@
         self._attempts = attempts
         self._metrics = metrics
         self._stage_times = preparation.StageTimes()
-        self._engine_starts = preparation.EngineStarts()
         self._elapsed = patience.ElapsedTimes()
 
     async def handle(
@@ -177,7 +176,6 @@
             self._state.service,
             self._stage_times,
             call.rank,
-            self._engine_starts.expected_ms(call.route.name),
         )
 
     async def _prepare(
@@ -268,9 +266,6 @@
         if call.begun_ms is not None:
             begun_s = (call.begun_ms - arrived_ms) / 1000
             self._metrics.first_event_seconds.observe(begun_s)
-            if call.sent_ms is not None and call.sends == 1:
-                started_ms = call.begun_ms - call.sent_ms
-                self._engine_starts.note(call.route.name, started_ms)
         telemetry.log_event(
             'request_ended',
             request=call.request.attempt_id,
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -13,9 +13,8 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 
-# What an engine needs from the request to its first event, until it is known.
-ENGINE_START_MS = 150.0
-START_WEIGHT = 0.1  # of the newest start in its average and deviation
+# What an engine needs from the request to its first event, at a usual load.
+ENGINE_START_MS = 150
 # Stages that took long lately are expected to do so for about this time.
 MEMORY_MS = 1_500.0
 NEW_WEIGHT = 0.3  # of the newest stage in the expectation
@@ -70,34 +69,6 @@
         return 0.0 if found is None else found.value_ms(now_ms)
 
 
-@attrs.define
-class _Start:
-    mean_ms: float
-    deviation_ms: float = 0.0
-
-
-class EngineStarts:
-    """How long engines took to the first event lately, by route."""
-
-    def __init__(self) -> None:
-        self._starts: dict[str, _Start] = {}
-
-    def note(self, route: str, took_ms: float) -> None:
-        """Take the time from sending a request to its first event."""
-        start = self._starts.setdefault(route, _Start(ENGINE_START_MS))
-        error_ms = took_ms - start.mean_ms
-        start.mean_ms += START_WEIGHT * error_ms
-        spread_ms = abs(error_ms) - start.deviation_ms
-        start.deviation_ms += START_WEIGHT * spread_ms
-
-    def expected_ms(self, route: str) -> int:
-        """Return a time that most requests of a route start within."""
-        start = self._starts.get(route)
-        if start is None:
-            return int(ENGINE_START_MS)
-        return int(start.mean_ms + start.deviation_ms)
-
-
 class Preparation:
     """The stages of one request: what is produced and what is held."""
 
@@ -110,9 +81,7 @@
         service_of: ServiceOf,
         stage_times: StageTimes,
         rank: int,
-        start_ms: int = int(ENGINE_START_MS),
     ) -> None:
-        self._start_ms = start_ms
         self._producer = producer
         self._clock = clock
         self._request = request
@@ -268,7 +237,7 @@
 
     def _later_ms(self, position: int, now_ms: int) -> int:
         """Return what the longest chain of stages after one needs."""
-        return self._start_ms + max(
+        return ENGINE_START_MS + max(
             (
                 self._chain_ms(index, now_ms)
                 for index, stage in enumerate(self._stages)
@@ -279,7 +248,7 @@
 
     def _chain_ms(self, position: int, now_ms: int) -> int:
         """Return what a stage and the longest chain after it need."""
-        later_ms = self._later_ms(position, now_ms) - self._start_ms
+        later_ms = self._later_ms(position, now_ms) - ENGINE_START_MS
         if not self._count(position):
             return later_ms
         service = self._stages[position].service
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -317,7 +317,7 @@
         Within a rank, what misses its objective anyway earns little and
         must not make others miss theirs.
         """
-        due_ms = now_ms + self._next_call_ms(group)
+        due_ms = now_ms + self.call_ms(group.size)
         is_late = due_ms > group.objective_ms and not is_begun
         return Urgency(
             group.rank,
@@ -327,11 +327,6 @@
             group.group_id,
         )
 
-    def _next_call_ms(self, group: Group) -> float:
-        """Return how long a call with a group takes; others fill it up."""
-        waiting = max(group.size, self.items)
-        return self.call_ms(min(self._batching.items, waiting))
-
     def _take(self, pending: _Pending, count: int) -> list[Entry]:
         taken, pending.left = pending.left[:count], pending.left[count:]
         if not pending.left:
