Leave stages to others while no other instance is reached

Cause: while single machines are cut off from the others, each of them owns its queues alone.

An instance that hears nothing of others for 1.5 s and has failed to reach them is not ready and refuses first attempts that need stages, at once and with a time to come back; a caller that has come back is served, since all may be cut off.

--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -22,6 +22,9 @@
 NOT_READY_RETRY_MS = 500.0  # another instance answers sooner
 NO_TARGET_RETRY_MS = 300.0  # a replaced target is listed within a second
 FULL_RETRY_MS = 200.0
+# Another instance joins the work with that of others. More than the time
+# that tells a caller's second attempt from its first.
+ISOLATED_RETRY_MS = 150.0
 # Callers honour a time to return up to a third of the time they have left.
 RETURN_SHARE = 1 / 3
 
@@ -110,6 +113,10 @@
 
     async def _serve(self, call: calls.Call) -> str:
         """Send the request until it is answered; return how it ended."""
+        if self._should_leave_to_others(call):
+            return await self._give_up(
+                call, 'no other instance is reached', ISOLATED_RETRY_MS
+            )
         while True:
             target = self._attempts.pick(call)
             if target is None:
@@ -133,6 +140,18 @@
             if ended is not None:
                 return ended
 
+    def _should_leave_to_others(self, call: calls.Call) -> bool:
+        """Whether another instance serves a request much better.
+
+        Calls of an instance that is cut off from all others are not joined
+        with theirs, and take up most of a stage service's capacity. A caller
+        that has come back is served: all instances may be cut off.
+        """
+        if call.is_return or not self._producer.is_isolated:
+            return False
+        counts = call.request.item_counts[: len(call.route.stages)]
+        return any(counts)
+
     async def _after(
         self, call: calls.Call, outcome: calls.Outcome
     ) -> str | None:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -146,6 +146,8 @@
         """Whether callers' requests can be served."""
         if self._asked_to_stop.is_set() or self._state.desired is None:
             return False
+        if self._links.is_isolated:
+            return False
         return self._lease.is_valid(self._clock.boottime_ms())
 
     async def run(self) -> None:
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -59,6 +59,11 @@
         """The entry of this instance."""
         return self._own
 
+    @property
+    def unreachable(self) -> int:
+        """How many known instances are passed over."""
+        return len(self._unreachable)
+
     def count(self) -> int:
         """Return how many instances there are, this one included."""
         return len(self._known) + 1
--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -30,6 +30,9 @@
 # platform hands out no secret for them to share.
 NO_SECRET = b''
 REGAIN_INTERVAL_MS = 500  # between tries to reach a lost instance
+# Each stream carries pings, so that an instance which hears nothing for this
+# long, and has failed to reach others, is cut off from them.
+ISOLATED_MS = 1_500
 
 
 class LinkLostError(Exception):
@@ -66,10 +69,14 @@
     """A stream to another instance, and what was asked on it."""
 
     def __init__(
-        self, stream: streams.PeerStream, clock: clocks.Clock
+        self,
+        stream: streams.PeerStream,
+        clock: clocks.Clock,
+        on_heard: Callable[[], None],
     ) -> None:
         self._stream = stream
         self._clock = clock
+        self._on_heard = on_heard
         self._call_ids = itertools.count(1)
         self._exchanges: dict[int, Exchange] = {}
         self._heard_ms = clock.monotonic_ms()
@@ -102,6 +109,7 @@
         try:
             async for message in self._stream.receive():
                 self._heard_ms = self._clock.monotonic_ms()
+                self._on_heard()
                 self._take(message)
         finally:
             pings.cancel()
@@ -182,6 +190,26 @@
         self._served: set[streams.PeerStream] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
+        self._heard_ms = clock.monotonic_ms()
+        self._was_isolated = False
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no other instance can be reached, though some are known."""
+        silent_ms = self._clock.monotonic_ms() - self._heard_ms
+        is_isolated = silent_ms > ISOLATED_MS and bool(
+            self._instances.unreachable
+        )
+        if is_isolated != self._was_isolated:
+            self._was_isolated = is_isolated
+            telemetry.log_event(
+                'peers_lost' if is_isolated else 'peers_regained',
+                'WARNING' if is_isolated else 'INFO',
+                silent_ms=silent_ms,
+                unreachable=self._instances.unreachable,
+                known=self._instances.count() - 1,
+            )
+        return is_isolated
 
     def add_handler(self, handler: Handler) -> None:
         """Let a part of the instance serve messages of others."""
@@ -214,6 +242,7 @@
             if self._is_stopping:
                 stream.send(messages.Stopping())
             async for message in stream.receive():
+                self._note_heard()
                 if isinstance(message, messages.Ping):
                     stream.send(message)
                 for handler in self._handlers:
@@ -270,12 +299,15 @@
         except (OSError, TimeoutError, streams.HandshakeError) as error:
             self.lose(instance_id, error)
             return None
-        link = Link(stream, self._clock)
+        link = Link(stream, self._clock, self._note_heard)
         self._links[instance_id] = link
         self._start(self._receive(instance_id, link))
         telemetry.log_event('peer_connected', peer=instance_id)
         return link
 
+    def _note_heard(self) -> None:
+        self._heard_ms = self._clock.monotonic_ms()
+
     def _new_stream(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> streams.PeerStream:
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -26,7 +26,15 @@
 
 
 class Producer(Protocol):
-    """Gets results of stages."""
+    """Gets results of stages.
+
+    One that ``is_isolated`` cannot join items with those of others.
+    """
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no other instance can be reached."""
+        ...
 
     async def produce(self, request: stages.StageRequest) -> stages.Outcome:
         """Return the results of a request, or why there are none."""
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -27,6 +27,11 @@
         self._links = links
         links.add_handler(self._serve)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no owner but this instance can be reached."""
+        return self._links.is_isolated
+
     async def produce(self, request: stages.StageRequest) -> stages.Outcome:
         """Return the results of a request, or why there are none."""
         own_id = self._instances.own.instance_id
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -15,6 +15,7 @@
 from sycamorebeam.forwarding import frontend
 from sycamorebeam.forwarding import metrics
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import patience
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stages
@@ -43,6 +44,7 @@
         self.asked = []
         self.freed = []
         self.failure = None
+        self.is_isolated = False
 
     async def produce(self, request):
         self.asked.append(request)
@@ -581,6 +583,37 @@
         self.assertEqual('0.400', found.headers['retry-after'])
         self.assertEqual([], target.requests)
 
+    @ddt.data(
+        ('stages', '2', (2_000,), [503]),
+        ('nothing to produce', '0', (2_000,), [200]),
+        ('a caller that came back', '2', (2_000, 1_800), [503, 200]),
+        ('first attempts', '2', (2_000, 2_000), [503, 503]),
+    )
+    @ddt.unpack
+    async def test_an_isolated_instance_leaves_stages_to_others(
+        self, _, counts, deadlines_ms, statuses
+    ):
+        stage = model.Stage(service='desk', after=(), result_bytes=1.0)
+        found = []
+        async with (
+            wire.serving(stream(1)) as target,
+            running([target.address], kind=STREAM, stages=(stage,)) as setup,
+        ):
+            setup.producer.is_isolated = True
+            for deadline_ms in deadlines_ms:
+                found.append(
+                    await call(
+                        setup.address,
+                        f'X-Chunks: {counts}',
+                        f'X-Deadline-Ms: {deadline_ms}',
+                    )
+                )
+        self.assertEqual(statuses, [answer.status for answer in found])
+        if found[0].status == 503:
+            # Then the second attempt is known to be one.
+            returned_ms = 1_000 * float(found[0].headers['retry-after'])
+            self.assertGreater(returned_ms, patience.CERTAIN_ELAPSED_MS)
+
     async def test_inputs_that_are_gone_are_produced_again(self):
         stage = model.Stage(service='desk', after=(), result_bytes=1.0)
         async with (
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -235,6 +235,29 @@
             self.assertEqual(('r.0', 'r.1'), outcome.results)
             self.assertEqual(1, len(following.owner.asked))
 
+    @ddt.data((0, False), (1, False), (2, True))
+    @ddt.unpack
+    async def test_an_instance_knows_that_it_is_cut_off(
+        self, killed, is_isolated
+    ):
+        async with fleet(3) as nodes:
+            *others, asker = split(nodes)
+            await asker.streams.produce(request('r0'))
+            for node in others[:killed]:
+                node.kill()
+            await asker.streams.produce(request('r1'))
+            await asyncio.sleep(peer_links.ISOLATED_MS / 1_000 + 0.1)
+            self.assertEqual(is_isolated, asker.streams.is_isolated)
+
+    async def test_an_instance_that_is_asked_is_not_cut_off(self):
+        async with fleet(3) as nodes:
+            owner, other, asker = split(nodes)
+            other.kill()
+            owner.known.lost(other.name)
+            await asker.streams.produce(request('r0'))
+            await asyncio.sleep(peer_links.ISOLATED_MS / 1_000 + 0.1)
+            self.assertFalse(owner.streams.is_isolated)
+
     @ddt.data(1, 2, 3)
     async def test_garbage_on_the_port_does_no_harm(self, seed):
         generator = random.Random(seed)
