--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -165,6 +165,22 @@
         await asyncio.sleep(followers.STATE_WAIT_MS / 1_000 + 0.6)
         self.assertEqual(9, self.state.desired.version)
 
+    async def test_the_lease_runs_from_when_the_read_began(self):
+        """Another instance read the store some time before."""
+        clock = build.LoopClock()
+
+        async def wait_state(position, wait_ms):
+            await asyncio.sleep(wait_ms / 1_000)
+            began_ms = clock.boottime_ms() - 4_000
+            return followers.StateRead(None, position, began_ms=began_ms)
+
+        self.platform.wait_state = wait_state
+        self.follow()
+        await asyncio.sleep(10.1)
+        age_ms = self.lease.age_ms(clock.boottime_ms())
+        self.assertGreaterEqual(age_ms, 4_000)
+        self.assertLess(age_ms, 4_000 + followers.STATE_WAIT_MS)
+
     async def test_calls_to_the_store_are_bounded(self):
         self.follow()
         await asyncio.sleep(30)
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -251,6 +251,33 @@
                 read = await asker.reads.wait_state(read.position, WAIT_MS)
             self.assertEqual(9, read.state.version)
 
+    @ddt.data(
+        ('one silent reader', 1, WAIT_MS + shared_reads.ANSWER_SLACK_MS),
+        ('two silent readers', 2, WAIT_MS + shared_reads.ANSWER_SLACK_MS),
+        ('a reader without the store', 0, WAIT_MS),
+    )
+    @ddt.unpack
+    async def test_a_read_is_not_held_up_by_readers(
+        self, _, silent, limit_ms
+    ):
+        """Nothing new comes; the freshness lease runs meanwhile."""
+        async with fleet(*['north'] * 3) as nodes:
+            reader, _, asker = nodes
+            read = await asker.reads.read_state()
+            for node in nodes[:silent]:
+                node.links._handlers.clear()
+            if not silent:
+                reader.platform.is_away = True
+                with contextlib.suppress(followers.ReadError):
+                    await reader.reads.read_state()
+                # The next reader does not wait for anybody either.
+                nodes[1].platform.is_away = True
+                with contextlib.suppress(followers.ReadError):
+                    await nodes[1].reads.read_state()
+            async with asyncio.timeout(limit_ms / 1_000 + 0.15):
+                read = await asker.reads.wait_state(read.position, WAIT_MS)
+            self.assertIsNone(read.state)
+
     async def test_who_reads_alone_for_a_while_asks_again(self):
         async with fleet(*['north'] * 2) as nodes:
             reader, asker = nodes
