Wait for a zone as long as its replicas need, not for a full call

Cause: a group waits for a replica in the zone of its data only while it can afford a whole call and its own. The owner knows when the zone's replica is free.

--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -256,8 +256,12 @@
             return self._beyond_others(ordered, replica, replicas)
         places: Counter[str] = Counter()
         room: Counter[str] = Counter()
+        free_in_ms: dict[str, int] = {}
         for other in replicas:
             if other.slowness <= SLOW_FACTOR:
+                other_ms = other.free_in_ms(now_ms)
+                soonest_ms = free_in_ms.get(other.zone, other_ms)
+                free_in_ms[other.zone] = min(soonest_ms, other_ms)
                 places[other.zone] += self._batching.items
                 free_bytes = self._batching.memory_bytes - other.held_bytes
                 room[other.zone] += max(0, int(free_bytes))
@@ -269,7 +273,7 @@
                 zone != replica.zone
                 and places[zone] >= len(pending.left)
                 and room[zone] >= needed_bytes
-                and self._can_wait(pending.group, now_ms)
+                and self._can_wait(pending.group, free_in_ms[zone], now_ms)
             ):
                 places[zone] -= len(pending.left)
                 room[zone] -= needed_bytes
@@ -297,10 +301,9 @@
             places -= len(pending.left)
         return beyond
 
-    def _can_wait(self, group: Group, now_ms: int) -> bool:
-        """Whether a group can wait for another call and lose nothing."""
-        full_ms = self.call_ms(self._batching.items)
-        spent_ms = now_ms + full_ms + self.call_ms(group.size)
+    def _can_wait(self, group: Group, wait_ms: float, now_ms: int) -> bool:
+        """Whether a group can wait for a full call and lose nothing."""
+        spent_ms = now_ms + wait_ms + self.call_ms(self._batching.items)
         if now_ms + self.call_ms(group.size) > group.objective_ms:
             return spent_ms < group.useless_ms
         return spent_ms < group.objective_ms
