Read the store through one instance also when many are cut off from it

Up to twelve readers are asked in turn, since one without the store answers at once; a reader that is turned away asks the others; a read that makes progress may take 6 s.

--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -160,10 +160,11 @@
             return [*ranked, own]
         return ranked[: ranked.index(own) + 1]
 
-    def readers(self) -> list[str]:
+    def readers(self, *, is_away: bool = False) -> list[str]:
         """Return the instances of this region to ask for reads, best first.
 
-        None where this instance is the one that reads for the others.
+        None where this instance is the one that reads for the others. One
+        that ``is_away`` from the store may ask all.
         """
         entries = [
             known.entry
@@ -178,6 +179,7 @@
             for entry in entries
             if (order := self._reading_order(entry, now_ms)) > own
             or self._is_leaving
+            or is_away
         ]
         return [instance_id for _, instance_id in sorted(before, reverse=True)]
 
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -29,7 +29,9 @@
 ANSWER_SLACK_MS = 400
 # A reader that gave no answer is asked again after this.
 SHUN_MS = 3_000
-TRIED_READERS = 2
+# Readers without contact to the store answer at once. If all read for
+# themselves after a few of them, the link between regions would be full.
+TRIED_READERS = 12
 WHOLE = -1  # the position of an asker that knows nothing
 STATE_KEY = 'state'
 
@@ -202,7 +204,9 @@
         A reader without contact to the store says so, and the next one is
         asked. One that is silent is not worth another wait.
         """
-        for instance_id in self._instances.readers()[:TRIED_READERS]:
+        is_away = self._is_away[topic]
+        readers = self._instances.readers(is_away=is_away)
+        for instance_id in readers[:TRIED_READERS]:
             now_ms = self._clock.monotonic_ms()
             shunned_ms = self._shunned_until_ms.get((topic, instance_id), 0)
             if now_ms < shunned_ms or self._links.is_stopping(instance_id):
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -267,11 +267,8 @@
             items=len(entries),
             made=sum(isinstance(item, stages.Produced) for item in results),
             took_ms=self._clock.monotonic_ms() - began_ms,
-            waited_ms=began_ms
-            - min(entry.group.queued_ms for entry in entries),
-            in_zone=sum(
-                entry.group.zone in ('', replica.zone) for entry in entries
-            ),
+            waited_ms=began_ms - stage_service.oldest_ms(entries),
+            in_zone=stage_service.count_in_zone(entries, replica.zone),
             waiting=service.queue.items,
             held_share=round(replica.held_bytes / memory_bytes, 2),
             slowness=round(replica.slowness, 2),
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -113,6 +113,16 @@
     return sum(entry.group.result_bytes for entry in entries)
 
 
+def oldest_ms(entries: list[stage_queue.Entry]) -> int:
+    """Return when the first group of a call was queued."""
+    return min(entry.group.queued_ms for entry in entries)
+
+
+def count_in_zone(entries: list[stage_queue.Entry], zone: str) -> int:
+    """Return how many items of a call need no data from other zones."""
+    return sum(entry.group.zone in ('', zone) for entry in entries)
+
+
 def timed(
     entries: list[stage_queue.Entry], now_ms: int
 ) -> list[stages.TimedItem]:
--- a/sycamorebeam/platform/store.py
+++ b/sycamorebeam/platform/store.py
@@ -8,7 +8,10 @@
 import aiohttp
 import attrs
 
-CALL_TIMEOUT_S = 1.5  # well below the shortest bound that a read serves
+SILENCE_TIMEOUT_S = 1.5  # well below the shortest bound that a read serves
+# A large desired state on a full link takes seconds; beginning again would
+# only add to the load.
+CALL_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 0.6  # a few round trips between regions
 MAX_READ_BYTES = 4 * 1024 * 1024  # above the store's largest record
 OPERATOR_TOPIC = 'keyed.op'
@@ -121,6 +124,7 @@
     ) -> bytes:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + wait_ms / 1000,
+            sock_read=SILENCE_TIMEOUT_S + wait_ms / 1000,
             sock_connect=CONNECT_TIMEOUT_S,
         )
         if self._session is None:
