Let the soak's faults overlap, cut instances from each other, drain targets

Streams between instances go through the fault proxy, two series of faults run at once, and a draining target must get nothing more well after the last fault.

--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -15,6 +15,7 @@
 
 START_TIMEOUT_S = 20
 POLL_S = 0.05
+PEERS = 2  # the position of the port for other instances
 
 
 def free_ports(count):
--- a/tests/forwarding/soak.py
+++ b/tests/forwarding/soak.py
@@ -21,6 +21,8 @@
 FAULT_SECONDS = 12.0
 RECOVERY_S = 12.0  # the platform's bound for serving again after a fault
 REVOCATION_S = 5.0  # the platform's bound for keys that were taken away
+DRAIN_S = 2.5  # the platform's bound for leaving a target that drains
+DRAINED = ('e0', 'p0', 'd0')  # each has another one beside it
 CALLERS = 6
 READ_BYTES = 65_536
 MODES = ('delay', 'silent', 'one_way', 'reset')
@@ -107,6 +109,8 @@
         self.proxies = []
         self.sent = []
         self.revoked_at_s = None
+        self.drained = None
+        self.busy = set()
         self.problems = []
         self.log = []
         self._names = itertools.count(1)
@@ -120,8 +124,13 @@
                     asyncio.create_task(self._call_forever())
                     for _ in range(CALLERS)
                 ]
-                await self._inject(folder)
+                # Two series of faults, so that they overlap.
+                await asyncio.gather(
+                    self._inject(folder), self._inject(folder)
+                )
+                self._heal()
                 await self._check_recovery()
+                await self._check_drained()
                 for caller in callers:
                     caller.cancel()
                 await asyncio.gather(*callers, return_exceptions=True)
@@ -152,7 +161,12 @@
         self.platform.configure(1, list(KEYS))
         for number in range(3):
             store = await self._proxy(self.platform.store_address)
-            self.instances.append(processes.start(folder, f'i{number}', store))
+            ports = processes.free_ports(4)
+            peers = f'127.0.0.1:{ports[processes.PEERS]}'
+            self.platform.store.aliases[peers] = await self._proxy(peers)
+            self.instances.append(
+                processes.start(folder, f'i{number}', store, ports)
+            )
         for process in self.instances:
             await process.wait_ready()
 
@@ -195,11 +209,14 @@
                     self._terminate,
                     self._store_away,
                     self._revoke,
+                    self._drain,
                 )
             )
             self.log.append(fault.__name__)
             await fault(folder)
             await asyncio.sleep(self.faults.uniform(0.0, 1.0))
+
+    def _heal(self):
         for proxy in self.proxies:
             proxy.mode = 'pass'
             proxy.reset()
@@ -213,28 +230,50 @@
         await asyncio.sleep(self.faults.uniform(0.2, 2.0))
         proxy.mode = 'pass'
 
+    @contextlib.contextmanager
+    def _reserved(self):
+        """Yield an instance that no other fault of its process holds."""
+        free = sorted(set(range(len(self.instances))) - self.busy)
+        index = self.faults.choice(free)
+        self.busy.add(index)
+        try:
+            yield index
+        finally:
+            self.busy.remove(index)
+
     async def _pause(self, folder):
-        process = self.faults.choice(self.instances)
-        process.popen.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.faults.uniform(0.2, 3.0))
-        process.popen.send_signal(signal.SIGCONT)
+        with self._reserved() as index:
+            process = self.instances[index]
+            process.popen.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.faults.uniform(0.2, 3.0))
+            process.popen.send_signal(signal.SIGCONT)
 
     async def _kill(self, folder):
-        index = self.faults.randrange(len(self.instances))
-        self.instances[index].popen.kill()
-        self.instances[index].popen.wait()
-        self._restart(folder, index)
+        with self._reserved() as index:
+            self.instances[index].popen.kill()
+            self.instances[index].popen.wait()
+            self._restart(folder, index)
 
     async def _terminate(self, folder):
-        index = self.faults.randrange(len(self.instances))
-        process = self.instances[index]
-        # Before it serves, a process has nothing to finish and simply ends.
-        had_started = process.has_started()
-        process.popen.send_signal(signal.SIGTERM)
-        code = await process.wait_exit()
-        if code != 0 and had_started:
-            self.problems.append(f'{process.name} stopped with {code}')
-        self._restart(folder, index)
+        with self._reserved() as index:
+            process = self.instances[index]
+            # Before it serves, a process has nothing to finish and ends.
+            had_started = process.has_started()
+            process.popen.send_signal(signal.SIGTERM)
+            code = await process.wait_exit()
+            if code != 0 and had_started:
+                self.problems.append(f'{process.name} stopped with {code}')
+            self._restart(folder, index)
+
+    async def _drain(self, folder):
+        if self.drained is None:
+            name = self.faults.choice(DRAINED)
+            self.drained = next(
+                target
+                for target in self.platform.targets
+                if target.target_id == name
+            )
+            self.platform.announce(self.drained, 'draining')
 
     def _restart(self, folder, index):
         old = self.instances[index]
@@ -263,6 +302,18 @@
         if served < 20:
             self.problems.append('not serving again in time')
 
+    async def _check_drained(self):
+        """Well after the faults, a draining target gets nothing more."""
+        if self.drained is None:
+            return
+        await asyncio.sleep(DRAIN_S)
+        seen = len(self.drained.ran) + len(self.drained.calls)
+        for path in ('/stream/x', '/plain/x') * 5:
+            process = self.callers.choice(self.instances)
+            await self._call(process, path, KEYS[0])
+        if len(self.drained.ran) + len(self.drained.calls) > seen:
+            self.problems.append(f'{self.drained.target_id} got work late')
+
     def _check_answers(self):
         runs = {}
         for target in self.platform.targets:
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -22,6 +22,8 @@
     def __init__(self):
         self.topics = collections.defaultdict(list)
         self.is_away = False
+        # Other addresses for those that instances give of themselves.
+        self.aliases = {}
 
     def put(self, topic, key, value):
         data = b'' if value is None else json.dumps(value).encode()
@@ -34,12 +36,20 @@
         if request.path.endswith('/log-append'):
             content = (await request.read())[4:]
             end = 1 + content[0]
-            records.append((content[1:end].decode(), content[end:]))
+            value = self.with_alias(content[end:])
+            records.append((content[1:end].decode(), value))
             return web.json_response({'offset': len(records) - 1})
         if request.path.endswith('/log-newest'):
             return web.json_response(self.newest(records))
         return await self.read(request, records)
 
+    def with_alias(self, value):
+        if not value:
+            return value
+        fields = json.loads(value)
+        alias = self.aliases.get(fields['address'], fields['address'])
+        return json.dumps({**fields, 'address': alias}).encode()
+
     def newest(self, records):
         newest = dict(records)
         return {
