--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -18,14 +19,34 @@
 PEERS = 2  # the position of the port for other instances
 
 
+# Below the ports that the kernel gives to connections and to servers that
+# ask for any, so that nobody takes those of a process that is down.
+FIRST_PORT = 22_000
+LAST_PORT = 32_000
+BLOCK = 10
+# Datagram sockets that keep blocks of ports from other test runs.
+_guards = []
+
+
 def free_ports(count):
-    opened = [socket.socket() for _ in range(count)]
-    for item in opened:
-        item.bind(('127.0.0.1', 0))
-    ports = [item.getsockname()[1] for item in opened]
-    for item in opened:
-        item.close()
-    return ports
+    """Return ports that are this test run's until it ends."""
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        ports = range(first, first + count)
+        try:
+            guard.bind(('127.0.0.1', first))
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(('127.0.0.1', port))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        return list(ports)
+    raise OSError('no block of ports is free')
 
 
 async def until(condition, timeout_s=3.0):
