--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from unittest import mock
 
 import attrs
 import ddt
@@ -12,6 +13,8 @@
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_streams
 from sycamorebeam.forwarding import stages
+from sycamorebeam.peering import messages
+from sycamorebeam.peering import stream
 from tests import base
 from tests.forwarding import test_stage_owner
 
@@ -258,6 +261,23 @@
             await asyncio.sleep(peer_links.ISOLATED_MS / 1_000 + 0.1)
             self.assertFalse(owner.streams.is_isolated)
 
+    @ddt.data(
+        (True, stream.MAX_QUEUED_MESSAGES, False),
+        (False, stream.MAX_KEPT_MESSAGES, True),
+    )
+    @ddt.unpack
+    async def test_a_full_stream_drops_or_closes(
+        self, may_drop, places, is_closed
+    ):
+        """Results of stages are sent once: nobody asks for them again."""
+        writer = mock.Mock()
+        full = stream.PeerStream(None, writer, may_drop=may_drop)
+        for _ in range(places):
+            full.send(messages.Stopping())
+        self.assertFalse(writer.transport.abort.called)
+        full.send(messages.Stopping())
+        self.assertEqual(is_closed, writer.transport.abort.called)
+
     @ddt.data(1, 2, 3)
     async def test_garbage_on_the_port_does_no_harm(self, seed):
         generator = random.Random(seed)
--- a/tests/forwarding/test_store.py
+++ b/tests/forwarding/test_store.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import ddt
 
+from sycamorebeam.platform import followed
 from sycamorebeam.platform import store
 from tests import base
 
@@ -125,6 +126,14 @@
             with self.assertRaises(expected):
                 await client.read('keyed.op', 7)
 
+    async def test_a_listing_of_targets_says_that_it_is_whole(self):
+        listing = {'entries': [], 'has_more': False, 'end_offset': 4}
+        async with serving((200, listing), (200, OFFSETS)) as (_, client):
+            platform = followed.StorePlatform(client)
+            listed = await platform.read_targets()
+            changes = await platform.read_target_changes(4)
+        self.assertEqual((True, False), (listed.is_whole, changes.is_whole))
+
     async def test_a_silent_connection_is_replaced(self):
         """A connection can go silent for good while new ones work."""
         script = [(200, OFFSETS), asyncio.Event(), (200, OFFSETS)]
