--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -83,6 +83,8 @@
     target_id: str
     service: str
     duration_ms: int = 30
+    # Breaks the connection off after so many events, or before any answer.
+    breaks_after: int | None = None
     ran: list = attrs.field(factory=list)
     calls: list = attrs.field(factory=list)
     held: set = attrs.field(factory=set)
@@ -121,6 +123,8 @@
     async def run(self, request):
         attempt_id = request.headers['X-Attempt-Id']
         self.ran.append((attempt_id, dict(request.headers)))
+        if self.breaks_after == 0:
+            request.transport.abort()
         headers = {'X-Attempt-Id': attempt_id, 'X-Server-Signature': 's'}
         if 'X-Input-Items' not in request.headers:
             await asyncio.sleep(self.duration_ms / 1000)
@@ -134,6 +138,10 @@
                 await response.write(
                     f'id: {number}\ndata: {attempt_id}\n\n'.encode()
                 )
+                if number == self.breaks_after:
+                    # The event is to arrive before the reset.
+                    await asyncio.sleep(WAIT_STEP_S)
+                    request.transport.abort()
             await response.write_eof()
         except ConnectionError:
             self.left.append(attempt_id)
