Read the store in one way, and rank instances in one way

From reading the change again; behaviour stays as it is. A failed read of the store was handled in five copies, now by one context manager; the two orders of instances share who is reachable, who is settled, and the cut at this instance; what only forwards (decode_state), only copies (store._key) or nobody reads (Accepted.expected_ms) goes.

--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -79,10 +79,6 @@
         """Return the entries that changed after a position."""
         ...
 
-    def decode_state(self, record: bytes) -> model.DesiredState | None:
-        """Return the desired state in a record, None if it has none."""
-        ...
-
     async def read_instances(
         self,
     ) -> Iterable[instances_module.InstanceEntry]:
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -44,7 +44,7 @@
 class Adapter:
     """The platform, as the parts of an instance see it."""
 
-    platform: followers.Platform
+    platform: shared_reads.Platform
     decode: frontend.Decoder
     codec: calls.Codec
     stage_calls: stages.StageCalls
--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -132,20 +132,15 @@
         Strong ones of the region with most instances go first, since most
         items come from there. The last one is always this instance.
         """
-        entries = [
-            known.entry
-            for known in self._known.values()
-            if known.entry.instance_id not in self._unreachable
-        ]
         population = Counter(
             known.entry.region for known in self._known.values()
         )
         population[self._own.region] += 1
-        entries.append(self._own)
         now_ms = self._clock.wall_ms()
-        entries.sort(
+        ranked = sorted(
+            self._reachable(),
             key=lambda entry: (
-                now_ms - entry.started_wall_ms >= SETTLING_MS,
+                _is_settled(entry, now_ms),
                 entry.is_strong,
                 population[entry.region],
                 entry.region,
@@ -153,12 +148,7 @@
             ),
             reverse=True,
         )
-        ranked = [entry.instance_id for entry in entries]
-        own = self._own.instance_id
-        if self._is_leaving:
-            ranked.remove(own)
-            return [*ranked, own]
-        return ranked[: ranked.index(own) + 1]
+        return self._up_to_own(ranked, self._is_leaving)
 
     def readers(self, *, is_away: bool = False) -> list[str]:
         """Return the instances of this region to ask for reads, best first.
@@ -166,32 +156,47 @@
         None where this instance is the one that reads for the others. One
         that ``is_away`` from the store may ask all.
         """
-        entries = [
+        now_ms = self._clock.wall_ms()
+        ranked = sorted(
+            (
+                entry
+                for entry in self._reachable()
+                if entry.region == self._own.region
+            ),
+            key=lambda entry: (
+                _is_settled(entry, now_ms),
+                entry.is_strong,
+                hashing.weight(READING, entry.instance_id),
+            ),
+            reverse=True,
+        )
+        return self._up_to_own(ranked, self._is_leaving or is_away)[:-1]
+
+    def _reachable(self) -> list[InstanceEntry]:
+        """Return the instances that are not passed over, this one too."""
+        others = [
             known.entry
             for instance_id, known in self._known.items()
-            if known.entry.region == self._own.region
-            and instance_id not in self._unreachable
+            if instance_id not in self._unreachable
         ]
-        now_ms = self._clock.wall_ms()
-        own = self._reading_order(self._own, now_ms)
-        before = [
-            (order, entry.instance_id)
-            for entry in entries
-            if (order := self._reading_order(entry, now_ms)) > own
-            or self._is_leaving
-            or is_away
-        ]
-        return [instance_id for _, instance_id in sorted(before, reverse=True)]
-
-    def _reading_order(
-        self, entry: InstanceEntry, now_ms: int
-    ) -> tuple[bool, bool, int]:
-        return (
-            now_ms - entry.started_wall_ms >= SETTLING_MS,
-            entry.is_strong,
-            hashing.weight(READING, entry.instance_id),
-        )
+        return [*others, self._own]
+
+    def _up_to_own(
+        self, ranked: list[InstanceEntry], own_is_last: bool
+    ) -> list[str]:
+        """Return the ids of those ranked before this instance, and its own."""
+        ids = [entry.instance_id for entry in ranked]
+        own = self._own.instance_id
+        if own_is_last:
+            ids.remove(own)
+            return [*ids, own]
+        return ids[: ids.index(own) + 1]
 
     def _forget(self, instance_id: str) -> None:
         del self._known[instance_id]
         self._unreachable.discard(instance_id)
+
+
+def _is_settled(entry: InstanceEntry, now_ms: int) -> bool:
+    """Return whether all others have surely heard of an instance."""
+    return now_ms - entry.started_wall_ms >= SETTLING_MS
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -8,7 +8,10 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import enum
+from typing import Protocol
 import zlib
 
 import attrs
@@ -62,6 +65,14 @@
     began_ms: int
 
 
+class Platform(followers.Platform, Protocol):
+    """The platform's store, whose records can be passed on."""
+
+    def decode_state(self, record: bytes) -> model.DesiredState | None:
+        """Return the desired state in a record, None if it has none."""
+        ...
+
+
 class SharedReads:
     """The store as its records reach this instance, read or asked for.
 
@@ -71,7 +82,7 @@
 
     def __init__(
         self,
-        platform: followers.Platform,
+        platform: Platform,
         clock: clocks.Clock,
         instances: instances_module.Instances,
         links: peer_links.PeerLinks,
@@ -94,11 +105,8 @@
         if answer is not None and answer.rows:
             return self._state_read(answer)
         began_ms = self._clock.boottime_ms()
-        try:
+        with self._reading(Topic.STATE):
             read = await self._platform.read_state()
-        except followers.ReadError as error:
-            self._fail(Topic.STATE, error)
-            raise
         self._publish_state(read, began_ms)
         return read
 
@@ -115,11 +123,8 @@
         # What was spent on asking is not waited for again: the freshness
         # lease runs meanwhile.
         left_ms = max(0, wait_ms - (began_ms - asked_ms))
-        try:
+        with self._reading(Topic.STATE):
             read = await self._platform.wait_state(position, left_ms)
-        except followers.ReadError as error:
-            self._fail(Topic.STATE, error)
-            raise
         self._publish_state(read, began_ms)
         return read
 
@@ -129,11 +134,8 @@
         if answer is not None and answer.is_whole:
             return _targets_read(answer)
         began_ms = self._clock.boottime_ms()
-        try:
+        with self._reading(Topic.TARGETS):
             read = await self._platform.read_targets()
-        except followers.ReadError as error:
-            self._fail(Topic.TARGETS, error)
-            raise
         self._publish_targets(read, began_ms)
         return read
 
@@ -149,11 +151,8 @@
         if answer is not None:
             return _targets_read(answer)
         began_ms = self._clock.boottime_ms()
-        try:
+        with self._reading(Topic.TARGETS):
             read = await self._platform.read_target_changes(position)
-        except followers.ReadError as error:
-            self._fail(Topic.TARGETS, error)
-            raise
         self._publish_targets(read, began_ms)
         return read
 
@@ -168,11 +167,8 @@
                 for row in answer.rows
             ]
         began_ms = self._clock.boottime_ms()
-        try:
+        with self._reading(Topic.INSTANCES):
             entries = list(await self._platform.read_instances())
-        except followers.ReadError as error:
-            self._fail(Topic.INSTANCES, error)
-            raise
         rows = [
             read_cache.Row(
                 entry.instance_id, msgpack.packb(attrs.asdict(entry))
@@ -192,9 +188,18 @@
         """Remove this instance's entry."""
         await self._platform.remove_instance(instance_id)
 
-    def decode_state(self, record: bytes) -> model.DesiredState | None:
-        """Return the desired state in a record, None if it has none."""
-        return self._platform.decode_state(record)
+    @contextlib.contextmanager
+    def _reading(self, topic: Topic) -> Iterator[None]:
+        """Read the store; tell those who wait if that fails."""
+        try:
+            yield
+        except followers.HistoryGoneError:
+            raise
+        except followers.ReadError:
+            self._is_away[topic] = True
+            for asked in self._take_waiting(topic):
+                asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+            raise
 
     async def _ask(
         self, topic: Topic, position: int, timeout_ms: float
@@ -304,18 +309,12 @@
         """Keep what was read, and answer those who wait for it."""
         self._is_away[topic] = False
         self._caches[topic].put(rows, position, is_whole, began_ms)
-        waiting, self._asked[topic] = self._asked[topic], []
-        for asked in waiting:
+        for asked in self._take_waiting(topic):
             self._answer(topic, asked)
 
-    def _fail(self, topic: Topic, error: followers.ReadError) -> None:
-        """Tell those who wait that this instance cannot read."""
-        if isinstance(error, followers.HistoryGoneError):
-            return
-        self._is_away[topic] = True
+    def _take_waiting(self, topic: Topic) -> list[_Asked]:
         waiting, self._asked[topic] = self._asked[topic], []
-        for asked in waiting:
-            asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+        return waiting
 
     def _publish_state(self, read: followers.StateRead, began_ms: int) -> None:
         rows = []
@@ -335,7 +334,7 @@
     def _state_read(self, answer: _Answer) -> followers.StateRead:
         state = None
         for row in answer.rows:
-            state = self.decode_state(zlib.decompress(row.record))
+            state = self._platform.decode_state(zlib.decompress(row.record))
         return followers.StateRead(
             state, answer.position, began_ms=answer.began_ms
         )
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -52,9 +52,7 @@
 
 @attrs.frozen
 class Accepted:
-    """The items were queued; the last result is due at ``expected_ms``."""
-
-    expected_ms: float
+    """The items were queued."""
 
 
 @attrs.frozen
@@ -184,7 +182,7 @@
         self._pending[group.group_id] = _Pending(
             group, list(range(group.size))
         )
-        return Accepted(expected_ms)
+        return Accepted()
 
     def put_back(self, entry: Entry) -> None:
         """Queue an item again whose call did not produce it."""
--- a/sycamorebeam/platform/store.py
+++ b/sycamorebeam/platform/store.py
@@ -74,7 +74,7 @@
         while True:
             body = json.loads(await self._get('/log-newest', params))
             items.extend(
-                Record(_key(entry['key']), base64.b64decode(entry['value']))
+                Record(str(entry['key']), base64.b64decode(entry['value']))
                 for entry in body['entries']
             )
             if next_offset is None:
@@ -152,10 +152,6 @@
         return data
 
 
-def _key(key: object) -> str:
-    return key if isinstance(key, str) else str(key)
-
-
 def _decode_records(data: bytes) -> tuple[Record, ...]:
     """Return the records after the two offsets that begin an answer."""
     items = []
