--- /dev/null
+++ b/tests/forwarding/nodes.py
@@ -0,0 +1,62 @@
+"""Instances that reach each other over loopback, without processes."""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import peer_links
+
+
+@attrs.define
+class Node:
+    known: instances.Instances
+    links: peer_links.PeerLinks
+    server: asyncio.Server = None
+    connections: list = attrs.field(factory=list)
+
+    @property
+    def name(self):
+        return self.known.own.instance_id
+
+    async def accept(self, reader, writer):
+        self.connections.append(writer)
+        await self.links.accept(reader, writer)
+
+    def kill(self):
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
+
+async def listen(kind, name, region='north'):
+    """Return a node of a class; its parts are still to be added."""
+    node = None
+
+    async def accept(reader, writer):
+        await node.accept(reader, writer)
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    own = instances.InstanceEntry(
+        name, f'127.0.0.1:{port}', region, True, 0, 0
+    )
+    clock = clocks.Clock()
+    known = instances.Instances(own, clock)
+    node = kind(known, peer_links.PeerLinks(clock, known), server)
+    return node
+
+
+@contextlib.asynccontextmanager
+async def connected(nodes):
+    """Let all nodes know each other, and end them afterwards."""
+    for node in nodes:
+        node.known.update([other.known.own for other in nodes])
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(0)
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -9,11 +9,11 @@
 from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import instances
-from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import read_cache
 from sycamorebeam.forwarding import shared_reads
 from tests import base
 from tests.forwarding import build
+from tests.forwarding import nodes as nodes_module
 from tests.forwarding import test_followers
 
 INTERVAL_MS = 200.0
@@ -32,44 +32,16 @@
 
 
 @attrs.define
-class Node:
-    known: instances.Instances
-    links: peer_links.PeerLinks
-    platform: WaitingPlatform
-    reads: shared_reads.SharedReads
-    server: asyncio.Server
-    connections: list = attrs.field(factory=list)
-
-    @property
-    def name(self):
-        return self.known.own.instance_id
-
-    def kill(self):
-        self.server.close()
-        for writer in self.connections:
-            writer.transport.abort()
+class Node(nodes_module.Node):
+    platform: WaitingPlatform = attrs.field(factory=WaitingPlatform)
+    reads: shared_reads.SharedReads = None
 
 
 async def new_node(name, region):
-    clock = clocks.Clock()
-    node = None
-
-    async def accept(reader, writer):
-        node.connections.append(writer)
-        await node.links.accept(reader, writer)
-
-    server = await asyncio.start_server(accept, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    own = instances.InstanceEntry(
-        name, f'127.0.0.1:{port}', region, True, 0, 0
-    )
-    known = instances.Instances(own, clock)
-    links = peer_links.PeerLinks(clock, known)
-    platform = WaitingPlatform()
-    reads = shared_reads.SharedReads(
-        platform, clock, known, links, INTERVAL_MS
+    node = await nodes_module.listen(Node, name, region)
+    node.reads = shared_reads.SharedReads(
+        node.platform, clocks.Clock(), node.known, node.links, INTERVAL_MS
     )
-    node = Node(known, links, platform, reads, server)
     return node
 
 
@@ -80,15 +52,9 @@
         await new_node(f'i{index}', region)
         for index, region in enumerate(regions)
     ]
-    for node in nodes:
-        node.known.update([other.known.own for other in nodes])
-    nodes.sort(key=lambda node: len(node.known.readers()))
-    try:
+    async with nodes_module.connected(nodes):
+        nodes.sort(key=lambda node: len(node.known.readers()))
         yield nodes
-    finally:
-        for node in nodes:
-            node.kill()
-        await asyncio.sleep(0)
 
 
 def row(key, record=b'x'):
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -8,14 +8,13 @@
 import attrs
 import ddt
 
-from sycamorebeam import clock as clocks
-from sycamorebeam.forwarding import instances
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_streams
 from sycamorebeam.forwarding import stages
 from sycamorebeam.peering import messages
 from sycamorebeam.peering import stream
 from tests import base
+from tests.forwarding import nodes as nodes_module
 from tests.forwarding import test_stage_owner
 
 
@@ -55,53 +54,24 @@
 
 
 @attrs.define
-class Node:
-    name: str
-    known: instances.Instances
-    owner: FakeOwner
-    streams: stage_streams.StageStreams
-    links: peer_links.PeerLinks
-    server: asyncio.Server
-    connections: list = attrs.field(factory=list)
-
-    def kill(self):
-        self.server.close()
-        for writer in self.connections:
-            writer.transport.abort()
+class Node(nodes_module.Node):
+    owner: FakeOwner = attrs.field(factory=FakeOwner)
+    streams: stage_streams.StageStreams = None
 
 
 async def new_node(name):
-    clock = clocks.Clock()
-    owner = FakeOwner()
-    node = None
-
-    async def accept(reader, writer):
-        node.connections.append(writer)
-        await node.links.accept(reader, writer)
-
-    server = await asyncio.start_server(accept, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    own = instances.InstanceEntry(
-        name, f'127.0.0.1:{port}', 'north', True, 0, 0
+    node = await nodes_module.listen(Node, name)
+    node.streams = stage_streams.StageStreams(
+        node.known, node.owner, node.links
     )
-    known = instances.Instances(own, clock)
-    links = peer_links.PeerLinks(clock, known)
-    streams = stage_streams.StageStreams(known, owner, links)
-    node = Node(name, known, owner, streams, links, server)
     return node
 
 
 @contextlib.asynccontextmanager
 async def fleet(count):
     nodes = [await new_node(f'i{n}') for n in range(count)]
-    for node in nodes:
-        node.known.update([other.known.own for other in nodes])
-    try:
+    async with nodes_module.connected(nodes):
         yield nodes
-    finally:
-        for node in nodes:
-            node.kill()
-        await asyncio.sleep(0)
 
 
 def split(nodes):
