Ask a replica on which a call was given up before the next call

Change: a call that is given up puts its replica in doubt: it is asked for its load before the next call, and what it does not answer counts as a failure.

--- a/sycamorebeam/pipeline/attempt.py
+++ b/sycamorebeam/pipeline/attempt.py
@@ -1,5 +1,7 @@
 """Carries out one attempt of a stage and keeps its books."""
 
+import asyncio
+
 import attrs
 
 from sycamorebeam import catalogue
@@ -35,6 +37,9 @@
         try:
             result = await self._client.call(kind, state.replica, attempt)
             outcome = self._learn(state, result, started_ms)
+        except asyncio.CancelledError:
+            state.health.doubted()
+            raise
         finally:
             state.in_flight -= 1
             duration_ms = self._clock.monotonic_ms() - started_ms
--- a/sycamorebeam/policy/ejection.py
+++ b/sycamorebeam/policy/ejection.py
@@ -16,14 +16,23 @@
     failures: int = 0
     period_ms: int = 0
     ejected_until_ms: int = 0
+    is_doubted: bool = False
 
     @property
     def is_suspect(self) -> bool:
         """Whether the replica failed and has not answered since."""
-        return self.failures > 0 or self.period_ms > 0
+        return self.is_doubted or self.failures > 0 or self.period_ms > 0
+
+    def doubted(self) -> None:
+        """Note that a call was given up before it ended.
+
+        That is no failure: the call may just have been slow.
+        """
+        self.is_doubted = True
 
     def succeeded(self) -> None:
         """Count a whole answer."""
+        self.is_doubted = False
         self.failures = 0
         self.period_ms = 0
 
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -19,11 +19,15 @@
     def __init__(self, script=None, on_bytes=None, silent=()):
         self.script = script or {}
         self._on_bytes = on_bytes
-        self._silent = silent
+        self._silent = set(silent)
         self.attempts = []
         self.cancelled = []
         self.runs = {}
 
+    def silence(self, replica_id):
+        """Let a replica report no load from now on."""
+        self._silent.add(replica_id)
+
     async def call(self, kind, replica, attempt):
         self.attempts.append((replica.id, attempt))
         steps = self.script.get(attempt.operation)
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -182,6 +182,29 @@
         later = [name for name, _ in client.attempts[1:]]
         self.assertNotIn(gone, later)
 
+    async def test_a_replica_on_which_a_call_was_given_up_is_asked(self):
+        loop = asyncio.get_running_loop()
+        for _ in range(10):
+            client = fake_targets.FakeTargets()
+            runner = build.new_runner(client)
+            for _ in range(20):
+                await runner.run(build.request('answer'))
+            client.attempts.clear()
+            client.script = {'encode': [LATE_MS]}
+            given_up = asyncio.create_task(runner.run(build.request('answer')))
+            await asyncio.sleep(0.1)
+            given_up.cancel()
+            await asyncio.wait([given_up])
+            silent = client.attempts[0][0]
+            client.silence(silent)
+            for _ in range(20):
+                started = loop.time()
+                answer = await runner.run(build.request('answer'))
+                self.assertIsInstance(answer, answers.Completed)
+                self.assertLess(loop.time() - started, 0.1)
+            later = [name for name, _ in client.attempts[1:]]
+            self.assertNotIn(silent, later)
+
     async def test_overlapping_stages_run_side_by_side(self):
         entries = dict(build.ENTRIES)
         entries['pipeline/wide'] = build.pipeline(
