Let the demo's callers wait for what is said at the deadline

Change: a caller turns to another instance only while the deadline leaves time for another try. The last try is bounded by the client (deadline and grace), so an instance that says nothing is still a broken promise. The ledger names tries, time and the last loss.

--- a/demo/ledger.py
+++ b/demo/ledger.py
@@ -98,7 +98,12 @@
     entries: dict[str, catalogue.AnyEntry], row: Row
 ) -> list[str]:
     if row.answer is None:
-        return [] if row.problem else [f'{row.pipeline} ended in no answer']
+        if row.problem:
+            return []
+        return [
+            f'{row.pipeline} ended in no answer after {row.tries} tries and '
+            f'{row.took_ms:.0f} ms, the last: {row.lost}'
+        ]
     if row.answer['output'] == expected_output(entries, row):
         return []
     return [f'{row.pipeline} got an answer that is not its own or not whole']
--- a/demo/load.py
+++ b/demo/load.py
@@ -154,9 +154,15 @@
 
 
 async def _send(call: caller.Call, try_timeout_s: float) -> caller.CallResult:
-    """Send once; an instance that says nothing for long is given up."""
+    """Send once; an instance that says nothing for long is given up.
+
+    The last try, after which the deadline leaves time for no other, waits
+    for what the instance says at the deadline.
+    """
+    assert call.deadline_ms is not None
+    is_last = call.deadline_ms / 1000 < try_timeout_s + RETRY_PAUSE_S
     try:
-        async with asyncio.timeout(try_timeout_s):
+        async with asyncio.timeout(None if is_last else try_timeout_s):
             return await caller.send(call)
     except TimeoutError:
         return caller.CallLost('no answer in time', sent=True)
