Refuse reads that would be waited for in a circle, and unknown parts

Cause: after a start of all instances at once the store lists the lives before, which count as settled, so that each instance ranks all others before itself. A part of the store that a newer version may ask for ended the stream and its calls with a ValueError. Change: an instance refuses the question of one that it is asking itself, when either comes first; an unknown part is refused and logged. Longer circles, in which nobody asks whom it is asked by, stay bounded by the time limit.

--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -150,6 +150,11 @@
     stream: streams.PeerStream
     calls: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
 
+    @property
+    def instance_id(self) -> str:
+        """The instance that asks."""
+        return self.stream.peer_id
+
     def start(
         self,
         call_id: int,
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -95,6 +95,7 @@
         self._links = links
         self._caches = {topic: read_cache.ReadCache() for topic in Topic}
         self._asked: dict[Topic, list[_Asked]] = {item: [] for item in Topic}
+        self._asking: dict[Topic, str] = {}
         self._is_away = dict.fromkeys(Topic, False)
         self._shunned_until_ms: dict[tuple[Topic, str], int] = {}
         links.add_handler(self._serve)
@@ -226,7 +227,7 @@
                 return None
             if isinstance(answer, messages.SharedRead):
                 return self._take(topic, answer, position, asked_ms)
-            self._shun(topic, instance_id, 'it does not reach the store')
+            self._shun(topic, instance_id, 'it has no read to share')
         return None
 
     def _take(
@@ -251,11 +252,32 @@
         link = await self._links.link(instance_id)
         if link is None:
             raise peer_links.LinkLostError('it cannot be reached')
-        with link.exchange() as exchange:
-            link.send(
-                messages.AskSharedRead(exchange.call_id, topic.value, position)
-            )
-            return await exchange.next(timeout_ms)
+        self._asking[topic] = instance_id
+        self._refuse_the_asked(topic)
+        try:
+            with link.exchange() as exchange:
+                link.send(
+                    messages.AskSharedRead(
+                        exchange.call_id, topic.value, position
+                    )
+                )
+                return await exchange.next(timeout_ms)
+        finally:
+            self._asking.pop(topic, None)
+
+    def _refuse_the_asked(self, topic: Topic) -> None:
+        """Refuse the questions of the instance that this one asks itself.
+
+        While the instances do not agree on their order, as after a start of
+        all of them, both would wait for each other.
+        """
+        asked_id = self._asking.get(topic)
+        waiting = self._take_waiting(topic)
+        for asked in waiting:
+            if asked.served.instance_id == asked_id:
+                asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+            else:
+                self._asked[topic].append(asked)
 
     def _shun(self, topic: Topic, instance_id: str, reason: str) -> None:
         until_ms = self._clock.monotonic_ms() + SHUN_MS
@@ -273,16 +295,27 @@
     ) -> None:
         match message:
             case messages.AskSharedRead(call_id, name, position):
-                topic = Topic(name)
                 asked = _Asked(
                     served, call_id, position, self._clock.boottime_ms()
                 )
-                if self._is_away[topic]:
+                try:
+                    topic = Topic(name)
+                except ValueError:
+                    telemetry.log_event(
+                        'read_refused', 'WARNING', part=name, reason='unknown'
+                    )
                     served.stream.send(messages.NoSharedRead(call_id))
-                elif self._caches[topic].has_news(position):
-                    self._answer(topic, asked)
                 else:
-                    self._asked[topic].append(asked)
+                    self._serve_read(topic, asked)
+
+    def _serve_read(self, topic: Topic, asked: _Asked) -> None:
+        if self._is_away[topic]:
+            asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+        elif self._caches[topic].has_news(asked.position):
+            self._answer(topic, asked)
+        else:
+            self._asked[topic].append(asked)
+            self._refuse_the_asked(topic)
 
     def _answer(self, topic: Topic, asked: _Asked) -> None:
         cache = self._caches[topic]
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -158,7 +158,11 @@
 
 @attrs.frozen
 class NoSharedRead:
-    """The other instance cannot read the store itself."""
+    """The other instance has no read to share.
+
+    It does not reach the store, asks the asker itself, or does not know
+    the part of the store.
+    """
 
     call_id: int
 
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -11,6 +11,7 @@
 from sycamorebeam.forwarding import instances
 from sycamorebeam.forwarding import read_cache
 from sycamorebeam.forwarding import shared_reads
+from sycamorebeam.peering import messages
 from tests import base
 from tests.forwarding import build
 from tests.forwarding import nodes as nodes_module
@@ -245,6 +246,34 @@
                 read = await asker.reads.wait_state(read.position, WAIT_MS)
             self.assertIsNone(read.state)
 
+    @ddt.data(2, 3, 5)
+    async def test_instances_that_all_rank_the_others_first(self, count):
+        """After a start of all at once the list is that of former lives."""
+        async with fleet(*['north'] * count) as nodes:
+            for node in nodes:
+                node.known._own = attrs.evolve(
+                    node.known.own, started_wall_ms=2**50
+                )
+                self.assertEqual(count - 1, len(node.known.readers()))
+            async with asyncio.timeout(shared_reads.ANSWER_SLACK_MS / 2_000):
+                reads = await asyncio.gather(
+                    *(node.reads.read_state() for node in nodes)
+                )
+            self.assertEqual({1}, {read.state.version for read in reads})
+
+    async def test_a_part_that_is_not_known_is_refused(self):
+        """As a newer version may ask; the stream serves other calls too."""
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            link = await asker.links.link(reader.name)
+            with link.exchange() as exchange:
+                link.send(
+                    messages.AskSharedRead(exchange.call_id, 'prices', -1)
+                )
+                answer = await exchange.next(1_000)
+            self.assertIsInstance(answer, messages.NoSharedRead)
+            self.assertFalse(link.is_closed)
+
     async def test_one_instance_reads_when_many_cannot(self):
         """All others would fill the link between regions."""
         async with fleet(*['north'] * 6) as nodes:
