Agree on the owners of queues soon after a start of all instances

Their first listing is that of the lives before, so that instances disagree on who owns a queue, and two owners fill its calls badly. Before, the second listing (4 s later) ended that; since listings are shared, it was answered from the reader's cache, 4 s old, and the disagreement lasted 8 s (stage_called by owner: two owners for each service until second 44, before until 40). Change: a listing older than 300 ms is not passed on, the next read is waited for; listings are read again 0.5, 1 and 2 s after a start; a renewal that is due comes in time. Rows are made and read in shared_rows.

--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -21,6 +21,9 @@
 # into it, where the first fails and is repeated by another instance.
 TARGETS_SHARE = 0.3
 INSTANCES_INTERVAL_MS = 4_000
+# Where all instances start at once, the first listing is that of the lives
+# before. The pause between listings doubles from this on.
+FIRST_INSTANCES_INTERVAL_MS = 500
 RETRY_MS = 150  # after a failed read; the store answers in a few ms
 LONGEST_RETRY_MS = 600
 
@@ -248,6 +251,7 @@
         """Follow until cancelled."""
         contact = _Contact(self._clock, 'instances')
         renewed_ms: int | None = None
+        interval_ms = FIRST_INSTANCES_INTERVAL_MS
         while True:
             now_ms = self._clock.monotonic_ms()
             try:
@@ -269,7 +273,8 @@
                 telemetry.log_event(
                     'instances_changed', changes=' '.join(changes)
                 )
-            await self._clock.sleep_ms(INSTANCES_INTERVAL_MS)
+            await self._pause(interval_ms, renewed_ms)
+            interval_ms = min(2 * interval_ms, INSTANCES_INTERVAL_MS)
 
     async def leave(self) -> None:
         """Remove this instance's entry."""
@@ -281,6 +286,14 @@
             # The entry expires by itself.
             telemetry.log_event('entry_not_removed', error=str(error))
 
+    async def _pause(self, interval_ms: int, renewed_ms: int | None) -> None:
+        """Wait for the next listing, or for a renewal due before it."""
+        if renewed_ms is not None and not self._is_leaving:
+            due_ms = renewed_ms + instances_module.RENEWAL_MS
+            left_ms = due_ms - self._clock.monotonic_ms()
+            interval_ms = max(0, min(interval_ms, left_ms))
+        await self._clock.sleep_ms(interval_ms)
+
     async def _renew(self, now_ms: int) -> None:
         own = self._instances.own
         await self._platform.renew_instance(attrs.evolve(own, renewal=now_ms))
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -15,16 +15,15 @@
 import zlib
 
 import attrs
-import msgpack
 
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
-from sycamorebeam.forwarding import directory as directories
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import instances as instances_module
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import read_cache
+from sycamorebeam.forwarding import shared_rows
 from sycamorebeam.peering import messages
 
 # What an answer may take beyond the reader's own wait: a read of the store
@@ -35,6 +34,9 @@
 # Readers without contact to the store answer at once. If all read for
 # themselves after a few of them, the link between regions would be full.
 TRIED_READERS = 12
+# Instances that see listings of different times disagree on who owns a queue;
+# those that read at one pace ask within this time of each other.
+LISTING_AGE_MS = 300
 WHOLE = -1  # the position of an asker that knows nothing
 STATE_KEY = 'state'
 
@@ -133,7 +135,7 @@
         """Return all targets' entries."""
         answer = await self._ask(Topic.TARGETS, WHOLE, ANSWER_SLACK_MS)
         if answer is not None and answer.is_whole:
-            return _targets_read(answer)
+            return self._targets_read(answer)
         began_ms = self._clock.boottime_ms()
         with self._reading(Topic.TARGETS):
             read = await self._platform.read_targets()
@@ -150,7 +152,7 @@
         timeout_ms = self._targets_interval_ms + ANSWER_SLACK_MS
         answer = await self._ask(Topic.TARGETS, position, timeout_ms)
         if answer is not None:
-            return _targets_read(answer)
+            return self._targets_read(answer)
         began_ms = self._clock.boottime_ms()
         with self._reading(Topic.TARGETS):
             read = await self._platform.read_target_changes(position)
@@ -160,22 +162,18 @@
     async def read_instances(
         self,
     ) -> Iterable[instances_module.InstanceEntry]:
-        """Return the entries of the system's instances."""
-        answer = await self._ask(Topic.INSTANCES, WHOLE, ANSWER_SLACK_MS)
+        """Return the entries of the system's instances.
+
+        The answer of another instance comes when that one has read.
+        """
+        timeout_ms = followers.INSTANCES_INTERVAL_MS + ANSWER_SLACK_MS
+        answer = await self._ask(Topic.INSTANCES, WHOLE, timeout_ms)
         if answer is not None and answer.rows:
-            return [
-                instances_module.InstanceEntry(**msgpack.unpackb(row.record))
-                for row in answer.rows
-            ]
+            return shared_rows.instances_of(answer.rows)
         began_ms = self._clock.boottime_ms()
         with self._reading(Topic.INSTANCES):
             entries = list(await self._platform.read_instances())
-        rows = [
-            read_cache.Row(
-                entry.instance_id, msgpack.packb(attrs.asdict(entry))
-            )
-            for entry in entries
-        ]
+        rows = shared_rows.of_instances(entries)
         self._publish(Topic.INSTANCES, rows, 0, True, began_ms)
         return entries
 
@@ -311,12 +309,18 @@
     def _serve_read(self, topic: Topic, asked: _Asked) -> None:
         if self._is_away[topic]:
             asked.served.stream.send(messages.NoSharedRead(asked.call_id))
-        elif self._caches[topic].has_news(asked.position):
+        elif self._has_answer(topic, asked):
             self._answer(topic, asked)
         else:
             self._asked[topic].append(asked)
             self._refuse_the_asked(topic)
 
+    def _has_answer(self, topic: Topic, asked: _Asked) -> bool:
+        cache = self._caches[topic]
+        if topic is not Topic.INSTANCES or cache.began_ms is None:
+            return cache.has_news(asked.position)
+        return asked.received_ms - cache.began_ms <= LISTING_AGE_MS
+
     def _answer(self, topic: Topic, asked: _Asked) -> None:
         cache = self._caches[topic]
         assert cache.began_ms is not None
@@ -359,7 +363,7 @@
     def _publish_targets(
         self, read: followers.TargetsRead, began_ms: int
     ) -> None:
-        rows = [_target_row(entry) for entry in read.entries]
+        rows = shared_rows.of_targets(read.entries)
         self._publish(
             Topic.TARGETS, rows, read.position, read.is_whole, began_ms
         )
@@ -372,26 +376,10 @@
             state, answer.position, began_ms=answer.began_ms
         )
 
-
-def _target_row(entry: directories.Entry) -> read_cache.Row:
-    record = b''
-    if entry.target is not None:
-        record = msgpack.packb(attrs.asdict(entry.target))
-    return read_cache.Row(entry.target_id, record)
-
-
-def _targets_read(answer: _Answer) -> followers.TargetsRead:
-    return followers.TargetsRead(
-        tuple(
-            directories.Entry(
-                row.key,
-                model.Target(**msgpack.unpackb(row.record))
-                if row.record
-                else None,
-            )
-            for row in answer.rows
-        ),
-        answer.position,
-        answer.is_whole,
-        is_paced=True,
-    )
+    def _targets_read(self, answer: _Answer) -> followers.TargetsRead:
+        return followers.TargetsRead(
+            shared_rows.targets_of(answer.rows),
+            answer.position,
+            answer.is_whole,
+            is_paced=True,
+        )
--- /dev/null
+++ b/sycamorebeam/forwarding/shared_rows.py
@@ -0,0 +1,60 @@
+"""Entries of the store as the rows that instances pass on, and back."""
+
+from collections.abc import Iterable
+
+import attrs
+import msgpack
+
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import instances
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import read_cache
+
+
+def of_instances(
+    entries: Iterable[instances.InstanceEntry],
+) -> list[read_cache.Row]:
+    """Return the rows of a listing of instances."""
+    return [
+        read_cache.Row(entry.instance_id, msgpack.packb(attrs.asdict(entry)))
+        for entry in entries
+    ]
+
+
+def instances_of(
+    rows: Iterable[read_cache.Row],
+) -> list[instances.InstanceEntry]:
+    """Return the listing of instances in rows."""
+    return [
+        instances.InstanceEntry(**msgpack.unpackb(row.record)) for row in rows
+    ]
+
+
+def of_targets(
+    entries: Iterable[directories.Entry],
+) -> list[read_cache.Row]:
+    """Return the rows of targets' entries; that of a dropped one is empty."""
+    return [
+        read_cache.Row(
+            entry.target_id,
+            b''
+            if entry.target is None
+            else msgpack.packb(attrs.asdict(entry.target)),
+        )
+        for entry in entries
+    ]
+
+
+def targets_of(
+    rows: Iterable[read_cache.Row],
+) -> tuple[directories.Entry, ...]:
+    """Return the targets' entries in rows."""
+    return tuple(
+        directories.Entry(
+            row.key,
+            model.Target(**msgpack.unpackb(row.record))
+            if row.record
+            else None,
+        )
+        for row in rows
+    )
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import ddt
 
 from sycamorebeam import clock as clocks
@@ -263,6 +264,29 @@
         self.assertEqual({}, platform.instances)
         task.cancel()
 
+    async def test_instances_that_start_together_soon_know_each_other(self):
+        """The first listing is that of the lives before."""
+        platform = FakePlatform()
+        clock = clocks.Clock()
+        own, other = (
+            instances.InstanceEntry(name, 'x:1', 'north', True, 0, 0)
+            for name in ('i0', 'i1')
+        )
+        platform.instances['i1'] = other
+        known = instances.Instances(own, clock)
+        follower = followers.InstancesFollower(platform, clock, known)
+        task = asyncio.create_task(follower.follow())
+        await asyncio.sleep(0.05)
+        platform.instances['i1'] = attrs.evolve(other, address='x:2')
+        await asyncio.sleep(1)
+        self.assertEqual('x:2', known.address('i1'))
+        calls = platform.calls
+        await asyncio.sleep(60)
+        # Reads and renewals at their usual pace.
+        pace_ms = followers.INSTANCES_INTERVAL_MS
+        self.assertLess(platform.calls - calls, 60_000 / pace_ms * 1.5 + 5)
+        task.cancel()
+
     async def test_entries_stay_while_the_store_is_away(self):
         platform = FakePlatform()
         clock = clocks.Clock()
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -356,6 +356,24 @@
             self.assertEqual(entries, list(await asker.reads.read_instances()))
             self.assertEqual(0, asker.platform.calls)
 
+    async def test_an_old_listing_of_instances_is_not_passed_on(self):
+        """Who owns a queue would be seen differently by reader and asker."""
+        async with fleet(*['north'] * 2) as nodes:
+            reader, asker = nodes
+            for node in nodes:
+                reader.platform.instances[node.name] = node.known.own
+            await reader.reads.read_instances()
+            old_ms = shared_reads.LISTING_AGE_MS + 50
+            await asyncio.sleep(old_ms / 1_000)
+            waiting = asyncio.create_task(asker.reads.read_instances())
+            await asyncio.sleep(0.05)
+            del reader.platform.instances[reader.name]
+            await reader.reads.read_instances()
+            async with asyncio.timeout(0.1):
+                entries = list(await waiting)
+            self.assertEqual([asker.known.own], entries)
+            self.assertEqual(0, asker.platform.calls)
+
     async def test_lost_history_is_read_whole(self):
         async with fleet('north') as nodes:
             (reader,) = nodes
