Show queues by replica, the age of targets' entries and the budget left

Change: gauges by service, by service and target, and for the age; they are read only when they are asked for, so that requests pay nothing.

--- a/sycamorebeam/forwarding/directory.py
+++ b/sycamorebeam/forwarding/directory.py
@@ -32,6 +32,12 @@
         self._lapsed_until_ms: dict[str, int] = {}
         self._returned_ms: int | None = None
         self._by_service: dict[str, list[model.Target]] | None = None
+        self._read_ms: int | None = None
+
+    @property
+    def read_ms(self) -> int | None:
+        """When the store's entries last arrived; None before the first."""
+        return self._read_ms
 
     @property
     def targets(self) -> dict[str, model.Target]:
@@ -77,6 +83,7 @@
 
     def update(self, entries: Iterable[Entry], now_ms: int) -> list[str]:
         """Take changed entries in order; return what changed."""
+        self._read_ms = now_ms
         changes = []
         for entry in entries:
             change = self._take(entry, now_ms)
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -256,6 +256,47 @@
             lambda: self._owner.waiting,
         )
 
+        watch(
+            'targets_age_ms',
+            "Time since the last read of targets' entries; -1 before it.",
+            self._targets_age_ms,
+        )
+        watch_each = self._metrics.watch_each
+        watch_each(
+            'stage_items_waiting',
+            'Items that wait in queues of this instance.',
+            ['service'],
+            lambda: (
+                ([service.name], service.queue.items)
+                for service in self._owner.services
+            ),
+        )
+        watch_each(
+            'stage_replica_calls',
+            'Calls of this instance in progress at replicas of its queues.',
+            ['service', 'target'],
+            lambda: (
+                ([service.name, replica.target_id], replica.calls)
+                for service in self._owner.services
+                for replica in service.replicas
+            ),
+        )
+        watch_each(
+            'repeats_left',
+            "Repeats that this instance's part of the budget allows now.",
+            ['service'],
+            lambda: (
+                ([service], left)
+                for service, left in self._budgets.left(
+                    self._clock.monotonic_ms()
+                ).items()
+            ),
+        )
+
+    def _targets_age_ms(self) -> float:
+        read_ms = self._directory.read_ms
+        return -1 if read_ms is None else self._clock.monotonic_ms() - read_ms
+
     def _state_age_ms(self) -> float:
         age_ms = self._lease.age_ms(self._clock.boottime_ms())
         return -1 if age_ms is None else age_ms
--- a/sycamorebeam/forwarding/metrics.py
+++ b/sycamorebeam/forwarding/metrics.py
@@ -1,13 +1,42 @@
 """Counters and latency histograms of forwarding, as text for scrapers."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
 
+import attrs
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry
 
 PREFIX = 'sycamorebeam'
 # Around the latency objectives of the users' routes, 0.3 to 2.4 s.
 SECONDS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.3, 1.6, 2.4, 4, 6, 10, 15)
 
+# The values of a gauge's labels, and what it shows.
+Sample = tuple[Sequence[str], float]
+
+
+# The registry hashes collectors, each of which is its own.
+@attrs.frozen(eq=False)
+class _Gauges(registry.Collector):
+    """One gauge for each of a set that changes, read when it is shown."""
+
+    _name: str
+    _text: str
+    _labels: Sequence[str]
+    _read: Callable[[], Iterable[Sample]]
+
+    def collect(self) -> Iterator[core.GaugeMetricFamily]:
+        """Yield the gauges as they are now."""
+        family = core.GaugeMetricFamily(
+            self._name, self._text, labels=self._labels
+        )
+        for values, shown in self._read():
+            family.add_metric(values, shown)
+        yield family
+
 
 class Metrics:
     """What one instance counts; each has the labels that it is called by."""
@@ -49,6 +78,18 @@
         )
         gauge.set_function(read)
 
+    def watch_each(
+        self,
+        name: str,
+        text: str,
+        labels: Sequence[str],
+        read: Callable[[], Iterable[Sample]],
+    ) -> None:
+        """Show values by label that are read when the metrics are."""
+        self._registry.register(
+            _Gauges(f'{PREFIX}_{name}', text, labels, read)
+        )
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return prometheus_client.generate_latest(self._registry)
--- a/sycamorebeam/forwarding/retry_budget.py
+++ b/sycamorebeam/forwarding/retry_budget.py
@@ -31,14 +31,18 @@
 
     def spend(self, now_ms: int, instances: int) -> bool:
         """Take one repeat if this instance's part allows it."""
-        self._forget(now_ms)
-        allowed = self.ratio * len(self._requests)
-        allowed += self.allowance / max(1, instances)
-        if len(self._repeats) + 1 > allowed * MARGIN:
+        if self.left(now_ms, instances) < 1:
             return False
         self._repeats.append(now_ms)
         return True
 
+    def left(self, now_ms: int, instances: int) -> float:
+        """Return how many repeats this instance's part allows now."""
+        self._forget(now_ms)
+        allowed = self.ratio * len(self._requests)
+        allowed += self.allowance / max(1, instances)
+        return allowed * MARGIN - len(self._repeats)
+
     def _forget(self, now_ms: int) -> None:
         oldest_ms = now_ms - self.window_ms
         for times in (self._requests, self._repeats):
@@ -70,6 +74,14 @@
         """Take one repeat if this instance's part allows it."""
         return self._budget(service).spend(now_ms, self._instances())
 
+    def left(self, now_ms: int) -> dict[str, float]:
+        """Return how many repeats are left to this instance, by service."""
+        instances = self._instances()
+        return {
+            service: budget.left(now_ms, instances)
+            for service, budget in self._budgets.items()
+        }
+
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets.get(service)
         if found is None:
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -60,6 +60,11 @@
         """How many groups wait for results."""
         return len(self._waiting)
 
+    @property
+    def services(self) -> list[stage_service.StageService]:
+        """The services whose queues this instance owns or has owned."""
+        return list(self._services.values())
+
     def submit(
         self, request: stages.StageRequest
     ) -> asyncio.Future[stages.Outcome]:
@@ -259,7 +264,6 @@
     ) -> None:
         self._metrics.stage_calls.labels(service.name, 'ran').inc()
         self._metrics.stage_items.labels(service.name).inc(len(entries))
-        memory_bytes = service.queue.batching.memory_bytes
         telemetry.log_event(
             'stage_called',
             service=service.name,
@@ -268,10 +272,7 @@
             made=sum(isinstance(item, stages.Produced) for item in results),
             took_ms=self._clock.monotonic_ms() - began_ms,
             waited_ms=began_ms - stage_service.oldest_ms(entries),
-            in_zone=stage_service.count_in_zone(entries, replica.zone),
-            waiting=service.queue.items,
-            held_share=round(replica.held_bytes / memory_bytes, 2),
-            slowness=round(replica.slowness, 2),
+            **service.describe(replica, entries),
         )
 
     def _take_result(
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 
@@ -31,6 +32,11 @@
     _replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
     _pauses_ms: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def replicas(self) -> Iterable[stage_queue.Replica]:
+        """The replicas that get calls or still have some."""
+        return self._replicas.values()
+
     def refresh(
         self, targets: Iterable[model.Target], lead_ms: Callable[[str], int]
     ) -> list[stage_queue.Replica]:
@@ -98,6 +104,18 @@
         sample = max(1.0, took_ms / self.queue.call_ms(items))
         replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
 
+    def describe(
+        self, replica: stage_queue.Replica, entries: list[stage_queue.Entry]
+    ) -> dict[str, Any]:
+        """Return for the log how a call and its replica stand."""
+        memory_bytes = self.queue.batching.memory_bytes
+        return {
+            'in_zone': count_in_zone(entries, replica.zone),
+            'waiting': self.queue.items,
+            'held_share': round(replica.held_bytes / memory_bytes, 2),
+            'slowness': round(replica.slowness, 2),
+        }
+
     def pause_broken(self, replica: stage_queue.Replica, now_ms: int) -> int:
         """Pause a replica that broke a call, longer each time."""
         pause_ms = self._pauses_ms.get(replica.target_id, BROKEN_PAUSE_MS)
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -185,6 +185,16 @@
         self.assertEqual(7, sum(allowed))
         self.assertTrue(subject.spend(1_001, 1))
 
+    def test_what_is_left_is_what_can_be_spent(self):
+        budgets = retry_budget.RetryBudgets(0.5, 8.0, 1_000, lambda: 2)
+        for _ in range(10):
+            budgets.count_request('a', 0)
+        # Half of the requests and of the allowance, less the margin.
+        self.assertAlmostEqual(6.3, budgets.left(0)['a'])
+        self.assertEqual(6, sum(budgets.spend('a', 0) for _ in range(20)))
+        self.assertAlmostEqual(0.3, budgets.left(0)['a'])
+        self.assertAlmostEqual(2.8, budgets.left(1_001)['a'])
+
 
 @ddt.ddt
 class PlacementTest(base.TestCase):
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -63,8 +63,20 @@
             self.assertEqual(60, sum(desk.calls))
             self.assertLessEqual(len(desk.calls), 20)
             await processes.until(lambda: not desk.held)
-            metrics = await processes.get(instances[0].metrics, '/metrics')
-            self.assertIn(b'sycamorebeam_requests_total', metrics.body)
+            shown = [
+                (await processes.get(process.metrics, '/metrics')).body
+                for process in instances
+            ]
+            for text in shown:
+                self.assertIn(b'\nsycamorebeam_requests_total', text)
+                self.assertIn(b'\nsycamorebeam_repeats_left{', text)
+                self.assertRegex(
+                    text.decode(), r'\nsycamorebeam_targets_age_ms \d'
+                )
+            # Those who own the queue show what is theirs.
+            for name in (b'stage_items_waiting', b'stage_replica_calls'):
+                line = b'\nsycamorebeam_%s{service="desk"' % name
+                self.assertTrue(any(line in text for text in shown), name)
 
     async def test_a_killed_instance_takes_only_its_own_requests(self):
         async with self.fleet() as (platform, instances):
