Refuse and time shared reads in one place each

A question was refused in four places by the same lines, and each of four reads took the time of its beginning by itself: `_Asked.refuse`, and `_reading` yields the time. A new question is checked by itself, rather than by sorting all that wait once more. The tests lose the store and unsettle an instance by one method each.

No change of behaviour; assertions and bounds stay.

--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -56,6 +56,10 @@
     position: int
     received_ms: int
 
+    def refuse(self) -> None:
+        """Tell the asker that there is no read to share."""
+        self.served.stream.send(messages.NoSharedRead(self.call_id))
+
 
 @attrs.frozen
 class _Answer:
@@ -107,8 +111,7 @@
         answer = await self._ask(Topic.STATE, WHOLE, ANSWER_SLACK_MS)
         if answer is not None and answer.rows:
             return self._state_read(answer)
-        began_ms = self._clock.boottime_ms()
-        with self._reading(Topic.STATE):
+        with self._reading(Topic.STATE) as began_ms:
             read = await self._platform.read_state()
         self._publish_state(read, began_ms)
         return read
@@ -122,11 +125,10 @@
         answer = await self._ask(Topic.STATE, position, timeout_ms)
         if answer is not None:
             return self._state_read(answer)
-        began_ms = self._clock.boottime_ms()
-        # What was spent on asking is not waited for again: the freshness
-        # lease runs meanwhile.
-        left_ms = max(0, wait_ms - (began_ms - asked_ms))
-        with self._reading(Topic.STATE):
+        with self._reading(Topic.STATE) as began_ms:
+            # What was spent on asking is not waited for again: the freshness
+            # lease runs meanwhile.
+            left_ms = max(0, wait_ms - (began_ms - asked_ms))
             read = await self._platform.wait_state(position, left_ms)
         self._publish_state(read, began_ms)
         return read
@@ -136,8 +138,7 @@
         answer = await self._ask(Topic.TARGETS, WHOLE, ANSWER_SLACK_MS)
         if answer is not None and answer.is_whole:
             return self._targets_read(answer)
-        began_ms = self._clock.boottime_ms()
-        with self._reading(Topic.TARGETS):
+        with self._reading(Topic.TARGETS) as began_ms:
             read = await self._platform.read_targets()
         self._publish_targets(read, began_ms)
         return read
@@ -153,8 +154,7 @@
         answer = await self._ask(Topic.TARGETS, position, timeout_ms)
         if answer is not None:
             return self._targets_read(answer)
-        began_ms = self._clock.boottime_ms()
-        with self._reading(Topic.TARGETS):
+        with self._reading(Topic.TARGETS) as began_ms:
             read = await self._platform.read_target_changes(position)
         self._publish_targets(read, began_ms)
         return read
@@ -170,8 +170,7 @@
         answer = await self._ask(Topic.INSTANCES, WHOLE, timeout_ms)
         if answer is not None and answer.rows:
             return shared_rows.instances_of(answer.rows)
-        began_ms = self._clock.boottime_ms()
-        with self._reading(Topic.INSTANCES):
+        with self._reading(Topic.INSTANCES) as began_ms:
             entries = list(await self._platform.read_instances())
         rows = shared_rows.of_instances(entries)
         self._publish(Topic.INSTANCES, rows, 0, True, began_ms)
@@ -188,16 +187,16 @@
         await self._platform.remove_instance(instance_id)
 
     @contextlib.contextmanager
-    def _reading(self, topic: Topic) -> Iterator[None]:
-        """Read the store; tell those who wait if that fails."""
+    def _reading(self, topic: Topic) -> Iterator[int]:
+        """Yield when a read of the store begins; refuse all if it fails."""
         try:
-            yield
+            yield self._clock.boottime_ms()
         except followers.HistoryGoneError:
             raise
         except followers.ReadError:
             self._is_away[topic] = True
             for asked in self._take_waiting(topic):
-                asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+                asked.refuse()
             raise
 
     async def _ask(
@@ -251,7 +250,7 @@
         if link is None:
             raise peer_links.LinkLostError('it cannot be reached')
         self._asking[topic] = instance_id
-        self._refuse_the_asked(topic)
+        self._refuse_waiting(topic, instance_id)
         try:
             with link.exchange() as exchange:
                 link.send(
@@ -263,17 +262,15 @@
         finally:
             self._asking.pop(topic, None)
 
-    def _refuse_the_asked(self, topic: Topic) -> None:
+    def _refuse_waiting(self, topic: Topic, instance_id: str) -> None:
         """Refuse the questions of the instance that this one asks itself.
 
         While the instances do not agree on their order, as after a start of
         all of them, both would wait for each other.
         """
-        asked_id = self._asking.get(topic)
-        waiting = self._take_waiting(topic)
-        for asked in waiting:
-            if asked.served.instance_id == asked_id:
-                asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+        for asked in self._take_waiting(topic):
+            if asked.served.instance_id == instance_id:
+                asked.refuse()
             else:
                 self._asked[topic].append(asked)
 
@@ -302,18 +299,19 @@
                     telemetry.log_event(
                         'read_refused', 'WARNING', part=name, reason='unknown'
                     )
-                    served.stream.send(messages.NoSharedRead(call_id))
+                    asked.refuse()
                 else:
                     self._serve_read(topic, asked)
 
     def _serve_read(self, topic: Topic, asked: _Asked) -> None:
         if self._is_away[topic]:
-            asked.served.stream.send(messages.NoSharedRead(asked.call_id))
+            asked.refuse()
         elif self._has_answer(topic, asked):
             self._answer(topic, asked)
+        elif asked.served.instance_id == self._asking.get(topic):
+            asked.refuse()
         else:
             self._asked[topic].append(asked)
-            self._refuse_the_asked(topic)
 
     def _has_answer(self, topic: Topic, asked: _Asked) -> bool:
         cache = self._caches[topic]
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -38,6 +38,16 @@
     platform: WaitingPlatform = attrs.field(factory=WaitingPlatform)
     reads: shared_reads.SharedReads = None
 
+    async def lose_store(self):
+        """Take the store away, and let this instance notice."""
+        self.platform.is_away = True
+        with contextlib.suppress(followers.ReadError):
+            await self.reads.read_state()
+
+    def unsettle(self):
+        """Let this instance take itself for new."""
+        self.known._own = attrs.evolve(self.known.own, started_wall_ms=2**50)
+
 
 async def new_node(name, region):
     node = await nodes_module.listen(Node, name, region)
@@ -203,9 +213,7 @@
             read = await asker.reads.read_state()
             reader.platform.versions.append(9)
             if fault == 'away':
-                reader.platform.is_away = True
-                with contextlib.suppress(followers.ReadError):
-                    await reader.reads.read_state()
+                await reader.lose_store()
             elif fault == 'silent':
                 reader.links._handlers.clear()
             elif fault == 'killed':
@@ -234,13 +242,9 @@
             for node in nodes[:silent]:
                 node.links._handlers.clear()
             if not silent:
-                reader.platform.is_away = True
-                with contextlib.suppress(followers.ReadError):
-                    await reader.reads.read_state()
+                await reader.lose_store()
                 # The next reader does not wait for anybody either.
-                nodes[1].platform.is_away = True
-                with contextlib.suppress(followers.ReadError):
-                    await nodes[1].reads.read_state()
+                await nodes[1].lose_store()
             # The first read has found nobody who reads yet.
             asker.reads._shunned_until_ms.clear()
             async with asyncio.timeout(limit_ms / 1_000 + 0.15):
@@ -252,9 +256,7 @@
         """After a start of all at once the list is that of former lives."""
         async with fleet(*['north'] * count) as nodes:
             for node in nodes:
-                node.known._own = attrs.evolve(
-                    node.known.own, started_wall_ms=2**50
-                )
+                node.unsettle()
                 self.assertEqual(count - 1, len(node.known.readers()))
             async with asyncio.timeout(shared_reads.ANSWER_SLACK_MS / 2_000):
                 reads = await asyncio.gather(
@@ -280,9 +282,7 @@
             ]
             await asyncio.sleep(0.05)
             for node in nodes[:2]:
-                node.known._own = attrs.evolve(
-                    node.known.own, started_wall_ms=2**50
-                )
+                node.unsettle()
             async with asyncio.timeout(WAIT_MS / 1_000 + 0.2):
                 await reader.reads.wait_state(reads[0].position, WAIT_MS)
                 await asyncio.gather(*waits)
@@ -304,9 +304,7 @@
                     for other in nodes
                 )
             for node in generator.sample(nodes, 2):
-                node.known._own = attrs.evolve(
-                    node.known.own, started_wall_ms=2**50
-                )
+                node.unsettle()
             # Two waits, since a question may come right after a read.
             async with asyncio.timeout(2 * WAIT_MS / 1_000 + 0.2):
                 for _ in range(2):
@@ -334,9 +332,7 @@
         """All others would fill the link between regions."""
         async with fleet(*['north'] * 6) as nodes:
             for node in nodes[:3]:
-                node.platform.is_away = True
-                with contextlib.suppress(followers.ReadError):
-                    await node.reads.read_state()
+                await node.lose_store()
             reads = await asyncio.gather(
                 *(node.reads.read_state() for node in nodes[3:])
             )
@@ -347,9 +343,7 @@
     async def test_a_reader_without_the_store_asks_the_others(self):
         async with fleet(*['north'] * 3) as nodes:
             reader, *_ = nodes
-            reader.platform.is_away = True
-            with contextlib.suppress(followers.ReadError):
-                await reader.reads.read_state()
+            await reader.lose_store()
             read, *_ = await asyncio.gather(
                 *(node.reads.read_state() for node in nodes)
             )
