Heed what replicas say of themselves in any answer: that they leave, and when they want nothing

Cause: the new rules of the wire. A replica that leaves says so with Server-Leaving in every answer; one that turns a request away may say with Retry-After for how long it wants nothing. Both were passed on and otherwise ignored. Change: the adapter decodes both into model.Notice; forwarding.notices marks that life of the target as leaving and tells the other instances on the streams that exist. Requests, stage calls and calls that free results heed a rest; a rest outlives a lapsed entry. Where all targets rest, callers are refused at once with the time of the first that wants requests.

--- a/sycamorebeam/forwarding/attempts.py
+++ b/sycamorebeam/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import metrics as metrics_module
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import notices as notices_module
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import requests
@@ -30,6 +31,7 @@
         places: placement.Placement,
         client: upstream.Upstream,
         codec: calls.Codec,
+        notices: notices_module.Notices,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._clock = clock
@@ -39,6 +41,7 @@
         self._places = places
         self._client = client
         self._codec = codec
+        self._notices = notices
         self._metrics = metrics
 
     def pick(self, call: calls.Call) -> model.Target | None:
@@ -56,6 +59,12 @@
             )
         return self._places.pick_service_target(usable, call.excluded, now_ms)
 
+    def return_in_ms(self, call: calls.Call) -> float:
+        """Return how soon a target wants requests, 0 when one does now."""
+        return self._places.return_in_ms(
+            self._directory.usable(call.service), self._clock.monotonic_ms()
+        )
+
     async def attempt(
         self,
         call: calls.Call,
@@ -168,11 +177,12 @@
         prepared: preparation.Preparation | None,
     ) -> calls.Outcome:
         head = self._codec.decode_answer_head(answer)
+        seen = self._places.observed(target)
+        now_ms = self._clock.monotonic_ms()
+        seen.rest(self._notices.take(target, head.notice), now_ms)
         if head.load is not None:
             running, waiting, _ = head.load
-            self._places.observed(target).reported(
-                running + waiting, self._clock.monotonic_ms()
-            )
+            seen.reported(running + waiting, now_ms)
         if head.is_other_target:
             # The target is gone and another one has its address, so that
             # this was no attempt at the target.
--- a/sycamorebeam/forwarding/directory.py
+++ b/sycamorebeam/forwarding/directory.py
@@ -10,6 +10,9 @@
 # A target whose entry lapsed while the store was away reports itself again
 # within two seconds of the store's return (protocol).
 LAPSE_GRACE_MS = 2_000
+# Lives of targets that were heard to be leaving and are remembered, those
+# that no entry names any more included.
+MAX_LEAVING = 4_096
 
 
 @attrs.frozen
@@ -30,6 +33,7 @@
     def __init__(self) -> None:
         self._targets: dict[str, model.Target] = {}
         self._lapsed_until_ms: dict[str, int] = {}
+        self._leaving: dict[str, int] = {}
         self._returned_ms: int | None = None
         self._by_service: dict[str, list[model.Target]] | None = None
         self._read_ms: int | None = None
@@ -47,14 +51,28 @@
     def get(self, target_id: str) -> model.Target | None:
         """Return a usable target, None when it is gone or drains."""
         target = self._targets.get(target_id)
-        return None if target is None or target.is_draining else target
+        if target is None or not self._may_get_work(target):
+            return None
+        return target
+
+    def mark_leaving(self, target_id: str, incarnation: int) -> bool:
+        """Note that a life of a target leaves; return whether that is new."""
+        if self._leaving.get(target_id, -1) >= incarnation:
+            return False
+        # Set anew, so that the first key is the oldest mark.
+        self._leaving.pop(target_id, None)
+        self._leaving[target_id] = incarnation
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._by_service = None
+        return True
 
     def usable(self, service: str) -> list[model.Target]:
         """Return the targets of a service that may get new work."""
         if self._by_service is None:
             self._by_service = {}
             for target in self._targets.values():
-                if not target.is_draining:
+                if self._may_get_work(target):
                     found = self._by_service.setdefault(target.service, [])
                     found.append(target)
         return self._by_service.get(service, [])
@@ -133,6 +151,12 @@
         self._targets.pop(target_id, None)
         self._by_service = None
 
+    def _may_get_work(self, target: model.Target) -> bool:
+        left_life = self._leaving.get(target.target_id)
+        if left_life is not None and target.incarnation <= left_life:
+            return False
+        return not target.is_draining
+
     def _may_have_lapsed(self, now_ms: int) -> bool:
         if self._returned_ms is None:
             return False
--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -224,7 +224,7 @@
                 changes = self._directory.update(read.entries, now_ms)
             changes.extend(self._directory.expire(now_ms))
             position = read.position
-            self._places.keep_only(self._directory.targets.values())
+            self._places.keep_only(self._directory.targets.values(), now_ms)
             if changes:
                 telemetry.log_event(
                     'targets_changed', changes=' '.join(changes)
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -121,7 +121,9 @@
             target = self._attempts.pick(call)
             if target is None:
                 return await self._give_up(
-                    call, 'no target is left', NO_TARGET_RETRY_MS
+                    call,
+                    'no target is left',
+                    self._attempts.return_in_ms(call) or NO_TARGET_RETRY_MS,
                 )
             prepared = self._preparation(call)
             try:
@@ -171,7 +173,9 @@
                 if call.may_send_again and self._spend(call):
                     return None
                 return await self._give_up(
-                    call, f'declined with {status}', FULL_RETRY_MS
+                    call,
+                    f'declined with {status}',
+                    self._attempts.return_in_ms(call) or FULL_RETRY_MS,
                 )
             case calls.Broken(error, answer):
                 call.may_have_run = True
--- a/sycamorebeam/forwarding/held_results.py
+++ b/sycamorebeam/forwarding/held_results.py
@@ -1,5 +1,7 @@
 """Results that replicas of one stage service hold, and their memory."""
 
+from collections.abc import Collection
+
 import attrs
 
 from sycamorebeam.forwarding import stage_queue
@@ -40,12 +42,15 @@
         """Note that a result at an address is not needed any more."""
         self._given_up.setdefault(address, []).append(result)
 
-    def take_due(self, limit_bytes: float) -> dict[str, list[str]]:
+    def take_due(
+        self, limit_bytes: float, excluded: Collection[str]
+    ) -> dict[str, list[str]]:
         """Return given-up results by the address of fuller replicas."""
         due = {
             address: results
             for address, results in self._given_up.items()
-            if limit_bytes <= 0 or self._memory_at(results) > limit_bytes
+            if address not in excluded
+            and (limit_bytes <= 0 or self._memory_at(results) > limit_bytes)
         }
         for address in due:
             del self._given_up[address]
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -21,6 +21,7 @@
 from sycamorebeam.forwarding import frontend
 from sycamorebeam.forwarding import instances as instances_module
 from sycamorebeam.forwarding import metrics as metrics_module
+from sycamorebeam.forwarding import notices
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import placement
 from sycamorebeam.forwarding import retry_budget
@@ -89,6 +90,8 @@
             bounds.budget_window_s * 1000,
             self._instances.count,
         )
+        self._links = peer_links.PeerLinks(self._clock, self._instances)
+        self._notices = notices.Notices(self._directory, self._links)
         self._owner = stage_owner.StageOwner(
             self._clock,
             self._directory,
@@ -97,8 +100,8 @@
             self._budgets,
             self._metrics,
             self._places.round_trip_ms,
+            self._notices,
         )
-        self._links = peer_links.PeerLinks(self._clock, self._instances)
         self._streams = stage_streams.StageStreams(
             self._instances, self._owner, self._links
         )
@@ -128,6 +131,7 @@
                     places=self._places,
                     client=adapter.client,
                     codec=adapter.codec,
+                    notices=self._notices,
                     metrics=self._metrics,
                 ),
                 metrics=self._metrics,
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -112,6 +112,20 @@
     has_teams: bool
 
 
+@attrs.frozen(kw_only=True)
+class Notice:
+    """What a target says of itself beside an answer.
+
+    ``rest_ms`` is how long it wants nothing from this instance.
+    """
+
+    is_leaving: bool = False
+    rest_ms: float = 0.0
+
+
+NO_NOTICE = Notice()
+
+
 @attrs.frozen(kw_only=True)
 class Target:
     """One replica of a service, as it last reported itself."""
--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -73,10 +73,12 @@
         stream: streams.PeerStream,
         clock: clocks.Clock,
         on_heard: Callable[[], None],
+        on_news: Callable[[messages.Message], None],
     ) -> None:
         self._stream = stream
         self._clock = clock
         self._on_heard = on_heard
+        self._on_news = on_news
         self._call_ids = itertools.count(1)
         self._exchanges: dict[int, Exchange] = {}
         self._heard_ms = clock.monotonic_ms()
@@ -141,6 +143,8 @@
                 exchange = self._exchanges.get(call_id)
                 if exchange is not None:
                     exchange.put(message)
+            case messages.TargetLeaving():
+                self._on_news(message)
 
 
 @attrs.define
@@ -179,6 +183,7 @@
 
 
 Handler = Callable[[Served, messages.Message], None]
+NewsHandler = Callable[[messages.Message], None]
 
 
 class PeerLinks:
@@ -190,6 +195,7 @@
         self._clock = clock
         self._instances = instances
         self._handlers: list[Handler] = []
+        self._news_handlers: list[NewsHandler] = []
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, asyncio.Task[Link | None]] = {}
         self._served: set[streams.PeerStream] = set()
@@ -220,6 +226,17 @@
         """Let a part of the instance serve messages of others."""
         self._handlers.append(handler)
 
+    def add_news_handler(self, handler: NewsHandler) -> None:
+        """Let a part hear what others tell without being asked."""
+        self._news_handlers.append(handler)
+
+    def tell_all(self, news: messages.Message) -> None:
+        """Send news on all streams that exist, in both directions."""
+        for stream in self._served:
+            stream.send(news)
+        for link in self._links.values():
+            link.send(news)
+
     def current(self, instance_id: str) -> Link | None:
         """Return the link to an instance if there is one."""
         return self._links.get(instance_id)
@@ -252,6 +269,7 @@
                     stream.send(message)
                 for handler in self._handlers:
                     handler(served, message)
+                self._hear_news(message)
         except streams.HandshakeError as error:
             telemetry.log_event('peer_refused', 'WARNING', reason=str(error))
         except asyncio.CancelledError:
@@ -304,12 +322,16 @@
         except (OSError, TimeoutError, streams.HandshakeError) as error:
             self.lose(instance_id, error)
             return None
-        link = Link(stream, self._clock, self._note_heard)
+        link = Link(stream, self._clock, self._note_heard, self._hear_news)
         self._links[instance_id] = link
         self._start(self._receive(instance_id, link))
         telemetry.log_event('peer_connected', peer=instance_id)
         return link
 
+    def _hear_news(self, message: messages.Message) -> None:
+        for handler in self._news_handlers:
+            handler(message)
+
     def _note_heard(self) -> None:
         self._heard_ms = self._clock.monotonic_ms()
 
--- a/sycamorebeam/forwarding/placement.py
+++ b/sycamorebeam/forwarding/placement.py
@@ -41,6 +41,7 @@
     at_ms: int = 0
     load: int = 0
     load_at_ms: int = -LOAD_AGE_MS
+    rests_until_ms: float = 0.0
     health: ejection.Health = attrs.field(factory=ejection.Health)
 
     def started(self) -> None:
@@ -74,6 +75,10 @@
         self.load = load
         self.load_at_ms = now_ms
 
+    def rest(self, rest_ms: float, now_ms: int) -> None:
+        """Leave the target alone for a time, as it asked for."""
+        self.rests_until_ms = max(self.rests_until_ms, now_ms + rest_ms)
+
     def expected_load(self, now_ms: int) -> int:
         """Return the requests at the target, as far as is known."""
         if now_ms - self.load_at_ms > LOAD_AGE_MS:
@@ -124,13 +129,26 @@
         key = (target.target_id, target.incarnation)
         return self._observed.setdefault(key, Observed())
 
-    def keep_only(self, targets: Iterable[model.Target]) -> None:
+    def keep_only(self, targets: Iterable[model.Target], now_ms: int) -> None:
         """Forget what was seen of targets that are gone."""
         kept = {(item.target_id, item.incarnation) for item in targets}
         for key in self._observed.keys() - kept:
-            if not self._observed[key].in_flight:
+            seen = self._observed[key]
+            if not seen.in_flight and seen.rests_until_ms <= now_ms:
                 del self._observed[key]
 
+    def return_in_ms(
+        self, targets: Iterable[model.Target], now_ms: int
+    ) -> float:
+        """Return how soon one of the targets wants requests again."""
+        return min(
+            (
+                max(0.0, self.observed(item).rests_until_ms - now_ms)
+                for item in targets
+            ),
+            default=0.0,
+        )
+
     def pick_service_target(
         self,
         targets: Collection[model.Target],
@@ -180,6 +198,7 @@
             item.target_id: item
             for item in targets
             if item.target_id not in excluded
+            and self.observed(item).rests_until_ms <= now_ms
         }
         healths = {
             target_id: self.observed(item).health
--- a/sycamorebeam/forwarding/requests.py
+++ b/sycamorebeam/forwarding/requests.py
@@ -3,6 +3,7 @@
 import attrs
 
 from sycamorebeam import clock as clocks
+from sycamorebeam.forwarding import model
 
 
 @attrs.frozen
@@ -68,6 +69,7 @@
     is_other_target: bool
     load: tuple[int, int, int] | None
     has_encoding: bool
+    notice: model.Notice = model.NO_NOTICE
 
 
 @attrs.frozen(kw_only=True)
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -23,6 +23,7 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import read_cache
+from sycamorebeam.forwarding import read_questions
 from sycamorebeam.forwarding import shared_rows
 from sycamorebeam.peering import messages
 
@@ -49,21 +50,6 @@
     INSTANCES = 'instances'
 
 
-@attrs.frozen
-class _Asked:
-    served: peer_links.Served
-    call_id: int
-    position: int
-    received_ms: int
-    may_wait: bool  # also while this instance asks another
-
-    def refuse(self, asked_instead: str = '') -> None:
-        """Tell the asker that there is no read to share, and whom to ask."""
-        self.served.stream.send(
-            messages.NoSharedRead(self.call_id, asked_instead)
-        )
-
-
 @attrs.frozen
 class _Answer:
     """Rows from another instance; the read began on this one's clock."""
@@ -106,8 +92,9 @@
             instances.own.instance_id, is_strong=instances.own.is_strong
         )
         self._caches = {topic: read_cache.ReadCache() for topic in Topic}
-        self._asked: dict[Topic, list[_Asked]] = {item: [] for item in Topic}
-        self._asking: dict[Topic, str] = {}
+        self._questions = {
+            topic: read_questions.ReadQuestions() for topic in Topic
+        }
         self._is_away = dict.fromkeys(Topic, False)
         self._shunned_until_ms: dict[tuple[Topic, str], int] = {}
         links.add_handler(self._serve)
@@ -201,8 +188,8 @@
             raise
         except followers.ReadError:
             self._is_away[topic] = True
-            for asked in self._take_waiting(topic):
-                asked.refuse()
+            for question in self._questions[topic].take():
+                question.refuse()
             raise
 
     async def _ask(
@@ -241,7 +228,7 @@
         except peer_links.LinkLostError as error:
             self._shun(topic, instance_id, str(error))
         finally:
-            self._asking.pop(topic, None)
+            self._questions[topic].end_asking()
         return None
 
     def _is_passed_over(self, topic: Topic, instance_id: str) -> bool:
@@ -273,7 +260,7 @@
         link = await self._links.link(instance_id)
         if link is None:
             raise peer_links.LinkLostError('it cannot be reached')
-        self._begin_asking(topic, instance_id)
+        self._questions[topic].begin_asking(instance_id)
         with link.exchange() as exchange:
             link.send(
                 messages.AskSharedRead(
@@ -286,18 +273,6 @@
             )
             return await exchange.next(timeout_ms)
 
-    def _begin_asking(self, topic: Topic, instance_id: str) -> None:
-        """Note whom this instance asks, for those who ask here.
-
-        Who has waited for a read of this instance would wait longer than
-        for one read if its question were passed on now.
-        """
-        is_first = topic not in self._asking
-        self._asking[topic] = instance_id
-        if is_first:
-            for asked in self._take_waiting(topic):
-                asked.refuse(instance_id)
-
     def _shun(self, topic: Topic, instance_id: str, reason: str) -> None:
         until_ms = self._clock.monotonic_ms() + SHUN_MS
         self._shunned_until_ms[(topic, instance_id)] = until_ms
@@ -314,7 +289,7 @@
     ) -> None:
         match message:
             case messages.AskSharedRead(call_id, name, position):
-                asked = _Asked(
+                question = read_questions.Question(
                     served,
                     call_id,
                     position,
@@ -327,9 +302,9 @@
                     telemetry.log_event(
                         'read_refused', 'WARNING', part=name, reason='unknown'
                     )
-                    asked.refuse()
+                    question.refuse()
                 else:
-                    self._serve_read(topic, asked)
+                    self._serve_read(topic, question)
 
     def _may_wait(
         self, instance_id: str, question: messages.AskSharedRead
@@ -340,34 +315,35 @@
         )
         return question.refuses_all or precedence < self._precedence
 
-    def _serve_read(self, topic: Topic, asked: _Asked) -> None:
-        asked_instead = self._asking.get(topic)
+    def _serve_read(
+        self, topic: Topic, question: read_questions.Question
+    ) -> None:
         if self._is_away[topic]:
-            asked.refuse()
-        elif self._has_answer(topic, asked):
-            self._answer(topic, asked)
-        elif asked_instead is None or asked.may_wait:
-            self._asked[topic].append(asked)
+            question.refuse()
+        elif self._has_answer(topic, question):
+            self._answer(topic, question)
         else:
-            asked.refuse(asked_instead)
+            self._questions[topic].hold(question)
 
-    def _has_answer(self, topic: Topic, asked: _Asked) -> bool:
+    def _has_answer(
+        self, topic: Topic, question: read_questions.Question
+    ) -> bool:
         cache = self._caches[topic]
         if topic is not Topic.INSTANCES or cache.began_ms is None:
-            return cache.has_news(asked.position)
-        return asked.received_ms - cache.began_ms <= LISTING_AGE_MS
+            return cache.has_news(question.position)
+        return question.received_ms - cache.began_ms <= LISTING_AGE_MS
 
-    def _answer(self, topic: Topic, asked: _Asked) -> None:
+    def _answer(self, topic: Topic, question: read_questions.Question) -> None:
         cache = self._caches[topic]
         assert cache.began_ms is not None
-        found = cache.since(asked.position)
-        asked.served.stream.send(
+        found = cache.since(question.position)
+        question.served.stream.send(
             messages.SharedRead(
-                asked.call_id,
+                question.call_id,
                 found.position,
                 found.is_whole,
                 [[row.key, row.record] for row in found.rows],
-                asked.received_ms - cache.began_ms,
+                question.received_ms - cache.began_ms,
             )
         )
 
@@ -382,12 +358,8 @@
         """Keep what was read, and answer those who wait for it."""
         self._is_away[topic] = False
         self._caches[topic].put(rows, position, is_whole, began_ms)
-        for asked in self._take_waiting(topic):
-            self._answer(topic, asked)
-
-    def _take_waiting(self, topic: Topic) -> list[_Asked]:
-        waiting, self._asked[topic] = self._asked[topic], []
-        return waiting
+        for question in self._questions[topic].take():
+            self._answer(topic, question)
 
     def _publish_state(self, read: followers.StateRead, began_ms: int) -> None:
         rows = []
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_freeing.py
@@ -0,0 +1,83 @@
+"""Frees results of stage services that were used or are not wanted."""
+
+import asyncio
+from collections.abc import Callable
+
+from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import directory as directories
+from sycamorebeam.forwarding import notices as notices_module
+from sycamorebeam.forwarding import stage_service
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+
+FREE_TIMEOUT_MS = 2_000  # results drop by themselves a little later
+# Of a replica's memory: above it, results are freed at the next tick.
+FREE_AT_SHARE = 0.4
+
+
+class StageFreeing:
+    """Tells replicas which results they need not keep."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        directory: directories.Directory,
+        calls: stages.StageCalls,
+        notices: notices_module.Notices,
+        on_freed: Callable[[stage_service.StageService], None],
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._calls = calls
+        self._notices = notices
+        self._on_freed = on_freed
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def flush(
+        self, service: stage_service.StageService, *, flush_all: bool
+    ) -> None:
+        """Start the calls that are due: all, or those to fuller replicas."""
+        limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
+        due = service.held.take_due(
+            0.0 if flush_all else limit_bytes,
+            service.resting_addresses(self._clock.monotonic_ms()),
+        )
+        for address, results in due.items():
+            task = asyncio.create_task(self._free(service, address, results))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _free(
+        self,
+        service: stage_service.StageService,
+        address: str,
+        results: list[str],
+    ) -> None:
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
+                notice = await self._calls.free(address, results)
+        except (
+            upstream.NotSentError,
+            upstream.BrokenError,
+            TimeoutError,
+        ) as error:
+            # The replica is gone or drops the results by itself in time.
+            telemetry.log_event(
+                'results_not_freed',
+                'WARNING',
+                address=address,
+                results=len(results),
+                error=repr(error),
+            )
+            return
+        now_ms = self._clock.monotonic_ms()
+        for target in self._directory.usable(service.name):
+            if target.address == address:
+                rest_ms = self._notices.take(target, notice)
+                service.rest(address, rest_ms, now_ms)
+        for result in results:
+            kept_ms = service.held.remove(result, now_ms)
+            if kept_ms is not None:
+                service.queue.note_residence(kept_ms)
+        self._on_freed(service)
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -14,19 +14,18 @@
 from sycamorebeam.forwarding import directory as directories
 from sycamorebeam.forwarding import metrics as metrics_module
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import notices as notices_module
 from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import stage_freeing
 from sycamorebeam.forwarding import stage_queue
 from sycamorebeam.forwarding import stage_service
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding import waiting_groups
 
-FREE_TIMEOUT_MS = 2_000  # results drop by themselves a little later
 DECLINED_PAUSE_MS = 60  # a declined call is tried again after this
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between calls that free results on idle replicas
-# Of a replica's memory: above it, results are freed at the next tick.
-FREE_AT_SHARE = 0.4
 TICK_MS = 30  # the shortest pause after which queues are looked at again
 
 
@@ -42,15 +41,20 @@
         budgets: retry_budget.RetryBudgets,
         metrics: metrics_module.Metrics,
         round_trip_ms: Callable[[str], float],
+        notices: notices_module.Notices,
     ) -> None:
         self._clock = clock
         self._round_trip_ms = round_trip_ms
+        self._notices = notices
         self._directory = directory
         self._service_of = service_of
         self._calls = calls
         self._budgets = budgets
         self._metrics = metrics
         self._services: dict[str, stage_service.StageService] = {}
+        self._freeing = stage_freeing.StageFreeing(
+            clock, directory, calls, notices, self._pump
+        )
         self._waiting = waiting_groups.WaitingGroups()
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -132,7 +136,9 @@
             await self._clock.sleep_ms(TICK_MS)
             elapsed_ms += TICK_MS
             for service in list(self._services.values()):
-                self._flush_freed(service, elapsed_ms >= FREE_INTERVAL_MS)
+                self._freeing.flush(
+                    service, flush_all=elapsed_ms >= FREE_INTERVAL_MS
+                )
                 service.held.expire(self._clock.monotonic_ms())
                 self._pump(service)
             if elapsed_ms >= FREE_INTERVAL_MS:
@@ -163,7 +169,9 @@
         self, service: stage_service.StageService
     ) -> list[stage_queue.Replica]:
         return service.refresh(
-            self._directory.usable(service.name), self._lead_ms
+            self._directory.usable(service.name),
+            self._lead_ms,
+            self._clock.monotonic_ms(),
         )
 
     def _lead_ms(self, zone: str) -> int:
@@ -222,6 +230,10 @@
             self._pause_broken(service, replica, error)
             self._repeat(service, entries)
         else:
+            rest_ms = self._notices.take(target, result.notice)
+            now_ms = self._clock.monotonic_ms()
+            replica.pause(rest_ms, now_ms)
+            service.rest(target.address, rest_ms, now_ms)
             self._take_call(service, replica, entries, result, began_ms)
         self._pump(service)
 
@@ -242,11 +254,15 @@
                     if is_gone
                     else DECLINED_PAUSE_MS
                 )
-                replica.paused_until_ms = now_ms + pause_ms
+                replica.pause(pause_ms, now_ms)
                 self._metrics.stage_calls.labels(
                     service.name, 'declined'
                 ).inc()
                 self._put_back(service, entries)
+            case stages.Failed(error):
+                service.end_call(replica, entries, has_run=False)
+                self._pause_broken(service, replica, error)
+                self._repeat(service, entries)
             case stages.Ran(results):
                 service.end_call(replica, entries, has_run=True)
                 service.learn_pace(replica, len(entries), began_ms, now_ms)
@@ -300,7 +316,7 @@
         replica.held_bytes -= entry.group.result_bytes
         match reason:
             case stages.Reason.NO_MEMORY:
-                replica.paused_until_ms = now_ms + MEMORY_PAUSE_MS
+                replica.pause(MEMORY_PAUSE_MS, now_ms)
                 self._put_back(service, [entry])
             case stages.Reason.FAILED:
                 self._repeat(service, [entry])
@@ -343,7 +359,7 @@
         self,
         service: stage_service.StageService,
         replica: stage_queue.Replica,
-        error: BaseException,
+        error: BaseException | str,
     ) -> None:
         pause_ms = service.pause_broken(replica, self._clock.monotonic_ms())
         self._metrics.stage_calls.labels(service.name, 'broken').inc()
@@ -352,48 +368,10 @@
             'WARNING',
             service=service.name,
             target=replica.target_id,
-            error=repr(error),
+            error=str(error),
             pause_ms=pause_ms,
         )
 
-    def _flush_freed(
-        self, service: stage_service.StageService, flush_all: bool
-    ) -> None:
-        limit_bytes = service.queue.batching.memory_bytes * FREE_AT_SHARE
-        due = service.held.take_due(0.0 if flush_all else limit_bytes)
-        for address, results in due.items():
-            self._start(self._free(service, address, results))
-
-    async def _free(
-        self,
-        service: stage_service.StageService,
-        address: str,
-        results: list[str],
-    ) -> None:
-        try:
-            async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
-                await self._calls.free(address, results)
-        except (
-            upstream.NotSentError,
-            upstream.BrokenError,
-            TimeoutError,
-        ) as error:
-            # The replica is gone or drops the results by itself in time.
-            telemetry.log_event(
-                'results_not_freed',
-                'WARNING',
-                address=address,
-                results=len(results),
-                error=repr(error),
-            )
-            return
-        now_ms = self._clock.monotonic_ms()
-        for result in results:
-            kept_ms = service.held.remove(result, now_ms)
-            if kept_ms is not None:
-                service.queue.note_residence(kept_ms)
-        self._pump(service)
-
     def _start(self, work: object) -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
         self._tasks.add(task)
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -76,6 +76,11 @@
     lead_ms: int = 0
     ended_ms: int = 0
 
+    def pause(self, pause_ms: float, now_ms: int) -> None:
+        """Send no call for a time; never shortens a pause."""
+        until_ms = now_ms + int(pause_ms)
+        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+
     def is_free(self, slots: int, now_ms: int) -> bool:
         """Whether the replica should get a call now.
 
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -1,6 +1,7 @@
 """One stage service as the owner of its queue sees it."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import Any
 
@@ -31,6 +32,7 @@
     )
     _replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
     _pauses_ms: dict[str, int] = attrs.field(factory=dict)
+    _rests_until_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def replicas(self) -> Iterable[stage_queue.Replica]:
@@ -38,7 +40,10 @@
         return self._replicas.values()
 
     def refresh(
-        self, targets: Iterable[model.Target], lead_ms: Callable[[str], int]
+        self,
+        targets: Iterable[model.Target],
+        lead_ms: Callable[[str], int],
+        now_ms: int,
     ) -> list[stage_queue.Replica]:
         """Return the replicas that may get calls.
 
@@ -46,7 +51,8 @@
         """
         usable = {target.target_id: target for target in targets}
         for target_id in self._replicas.keys() - usable.keys():
-            if not self._replicas[target_id].calls:
+            replica = self._replicas[target_id]
+            if not replica.calls and replica.paused_until_ms <= now_ms:
                 del self._replicas[target_id]
         for target_id, target in usable.items():
             if target_id not in self._replicas:
@@ -56,6 +62,21 @@
                 )
         return [self._replicas[target_id] for target_id in usable]
 
+    def rest(self, address: str, rest_ms: float, now_ms: int) -> None:
+        """Free nothing at an address for a time, as its replica asks."""
+        until_ms = now_ms + rest_ms
+        known_ms = self._rests_until_ms.get(address, 0.0)
+        self._rests_until_ms[address] = max(known_ms, until_ms)
+
+    def resting_addresses(self, now_ms: int) -> Collection[str]:
+        """Return the addresses of the replicas that want nothing now."""
+        self._rests_until_ms = {
+            address: until_ms
+            for address, until_ms in self._rests_until_ms.items()
+            if until_ms > now_ms
+        }
+        return self._rests_until_ms.keys()
+
     def begin_call(
         self,
         replica: stage_queue.Replica,
@@ -122,7 +143,7 @@
         self._pauses_ms[replica.target_id] = min(
             LONGEST_PAUSE_MS, pause_ms * 2
         )
-        replica.paused_until_ms = now_ms + pause_ms
+        replica.pause(pause_ms, now_ms)
         return pause_ms
 
 
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from sycamorebeam.forwarding import model
+
 
 @attrs.frozen
 class Work:
@@ -63,6 +65,7 @@
     """A call's results, in the order of its items."""
 
     results: tuple[ItemResult, ...]
+    notice: model.Notice = model.NO_NOTICE
 
 
 @attrs.frozen
@@ -70,9 +73,18 @@
     """The replica did not run the call: it is full, or it ``is_gone``."""
 
     is_gone: bool
+    notice: model.Notice = model.NO_NOTICE
+
+
+@attrs.frozen
+class Failed:
+    """The replica answered something else; the call may have run."""
+
+    error: str
+    notice: model.Notice = model.NO_NOTICE
 
 
-CallResult = Ran | Declined
+CallResult = Ran | Declined | Failed
 
 
 class StageCalls(Protocol):
@@ -84,8 +96,8 @@
         """Run some items in one call."""
         ...
 
-    async def free(self, address: str, results: list[str]) -> None:
-        """Give up results."""
+    async def free(self, address: str, results: list[str]) -> model.Notice:
+        """Give up results; return what their maker says of itself."""
         ...
 
     def maker_address(self, result: str) -> str:
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -47,6 +47,14 @@
     target_ids: list[str]
 
 
+@attrs.frozen
+class TargetLeaving:
+    """One life of a target was observed to be leaving."""
+
+    target_id: str
+    incarnation: int
+
+
 @attrs.frozen
 class FetchCatalogue:
     """Asks for the folded catalogue, at ``above`` an offset or higher."""
@@ -183,6 +191,7 @@
     | Proof
     | Ping
     | Leaving
+    | TargetLeaving
     | FetchCatalogue
     | CatalogueState
     | SubmitItems
@@ -202,6 +211,7 @@
     'proof': Proof,
     'ping': Ping,
     'leaving': Leaving,
+    'target_leaving': TargetLeaving,
     'fetch': FetchCatalogue,
     'state': CatalogueState,
     'submit': SubmitItems,
--- a/sycamorebeam/platform/exchange.py
+++ b/sycamorebeam/platform/exchange.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Iterable
 import json
+import math
 
+from sycamorebeam import telemetry
+from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
@@ -45,6 +48,7 @@
     }
 )
 _LOWEST_PRIORITY = 9
+_FULL_STATUSES = (429, 503)  # which ask the sender to come back later
 _MOST_MS = 86_400_000  # a day; callers wait seconds
 
 
@@ -117,6 +121,11 @@
         is_other_target=is_other_target,
         load=_load(found.get('x-instance-load')),
         has_encoding=found.get('content-encoding', 'identity') != 'identity',
+        notice=model.Notice(
+            is_leaving=found.get('server-leaving') == '1'
+            and not is_other_target,
+            rest_ms=_rest_ms(answer.status, found.get('retry-after')),
+        ),
     )
 
 
@@ -153,16 +162,17 @@
         finally:
             answer.close()
         if not head.is_executed:
-            return stages.Declined(is_gone=head.is_other_target)
+            return stages.Declined(head.is_other_target, head.notice)
         if head.status != 200:
-            raise upstream.BrokenError(f'{address}: status {head.status}')
+            return stages.Failed(f'status {head.status}', head.notice)
         try:
-            return stages.Ran(_decode_results(data, len(items)))
+            results = _decode_results(data, len(items))
         except (ValueError, KeyError, TypeError) as error:
-            raise upstream.BrokenError(f'{address}: {error!r}') from error
+            return stages.Failed(repr(error), head.notice)
+        return stages.Ran(results, head.notice)
 
-    async def free(self, address: str, results: list[str]) -> None:
-        """Give up results.
+    async def free(self, address: str, results: list[str]) -> model.Notice:
+        """Give up results; return what their maker says of itself.
 
         Raises upstream.NotSentError and upstream.BrokenError.
         """
@@ -177,6 +187,7 @@
             await answer.whole_body()
         finally:
             answer.close()
+        return decode_answer_head(answer).notice
 
     def maker_address(self, result: str) -> str:
         """Return the address of the replica that holds a result."""
@@ -248,6 +259,21 @@
     return tuple(int(count) for count in text.split(',')) if text else ()
 
 
+def _rest_ms(status: int, text: str | None) -> float:
+    """Return how long a target wants nothing, 0 where it does not say."""
+    if text is None or status not in _FULL_STATUSES:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not seconds >= 0:
+        # A date would need clocks that agree.
+        telemetry.log_event('retry_after_unreadable', 'WARNING', text=text)
+        return 0.0
+    return seconds * 1_000
+
+
 def _load(text: str | None) -> tuple[int, int, int] | None:
     if not text:
         return None
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -4,6 +4,7 @@
 
 from sycamorebeam import clock as clocks
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import notices as notices_module
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stage_queue
 from sycamorebeam.forwarding import stages
@@ -103,6 +104,23 @@
     return requests.CallerRequest(**{**values, **fields})
 
 
+class NoLinks:
+    """Streams to no other instance; keeps what would be told."""
+
+    def __init__(self):
+        self.told = []
+
+    def add_news_handler(self, handler):
+        self.hear = handler
+
+    def tell_all(self, news):
+        self.told.append(news)
+
+
+def notices(listed):
+    return notices_module.Notices(listed, NoLinks())
+
+
 @attrs.define
 class Time:
     """A clock that tests move by hand."""
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -117,6 +117,7 @@
                 places=placement.Placement('a1', build.ZONES),
                 client=client,
                 codec=exchange,
+                notices=build.notices(listed),
                 metrics=counted,
             ),
             metrics=counted,
@@ -192,6 +193,92 @@
     return b''.join(parts)
 
 
+LEAVING = ['Server-Leaving: 1']
+REST = ['Retry-After: 1.5', 'X-Not-Executed: 1']
+REST_UNSAID = ['Retry-After: 1.5']
+
+
+@ddt.ddt
+class NoticeTest(base.NetworkTestCase):
+    """What targets say of themselves beside their answers."""
+
+    @ddt.data(
+        ('an answer', [wire.answer(b'served', headers=LEAVING)], 200),
+        ('an error', [wire.answer(b'', '500 Odd', LEAVING)], 500),
+        (
+            'a failure of the request',
+            [wire.answer(b'', '404 No', LEAVING)],
+            404,
+        ),
+        (
+            'a request turned away',
+            [wire.answer(b'', '503 Full', [*LEAVING, *REST])],
+            503,
+        ),
+        (
+            'a stream that breaks off',
+            [
+                wire.STREAM_HEAD.replace(
+                    b'\r\n\r\n', b'\r\nServer-Leaving: 1\r\n\r\n'
+                ),
+                wire.RESET,
+            ],
+            502,
+        ),
+    )
+    @ddt.unpack
+    async def test_a_target_that_says_it_leaves_gets_nothing_more(
+        self, _, script, status
+    ):
+        async with wire.serving(script, OK) as target:
+            kind = STREAM if status == 502 else NON_IDEMPOTENT
+            async with running([target.address], kind=kind) as setup:
+                response = await call(setup.address)
+                self.assertEqual(status, response.status)
+                response = await call(setup.address)
+                self.assertEqual(503, response.status)
+                listed = build.target('t0', address=target.address)
+                reborn = attrs.evolve(listed, incarnation=2)
+                setup.directory.update([directory.Entry('t0', reborn)], 0)
+                response = await call(setup.address)
+                self.assertEqual(200, response.status)
+
+    @ddt.data(('declined', REST, 503), ('it may have run', REST_UNSAID, 503))
+    @ddt.unpack
+    async def test_a_target_that_wants_rest_gets_nothing_meanwhile(
+        self, _, headers, status
+    ):
+        script = [wire.answer(b'', '503 Full', headers)]
+        async with (
+            wire.serving(script, OK) as target,
+            running(
+                [target.address], kind=NON_IDEMPOTENT, timeout_ms=9_000.0
+            ) as setup,
+        ):
+            response = await call(setup.address)
+            self.assertEqual(status, response.status)
+            for _ in range(3):
+                response = await call(setup.address)
+                self.assertEqual(503, response.status)
+                # Callers come back when the target wants requests.
+                returns_s = float(response.headers['retry-after'])
+                self.assertGreaterEqual(returns_s, 1.0)
+                self.assertLessEqual(returns_s, 1.5)
+            self.assertEqual(1, len(target.requests))
+            await asyncio.sleep(1.6)
+            response = await call(setup.address)
+            self.assertEqual(200, response.status)
+
+    async def test_others_serve_while_a_target_wants_rest(self):
+        script = [wire.answer(b'', '503 Full', REST)]
+        async with wire.serving(script, OK) as full, wire.serving(OK) as well:
+            async with running([full.address, well.address]) as setup:
+                for _ in range(8):
+                    response = await call(setup.address)
+                    self.assertEqual(200, response.status)
+            self.assertLessEqual(len(full.requests), 1)
+
+
 @ddt.ddt
 class RefusalTest(base.NetworkTestCase):
     @ddt.data(
