Ask other instances for the whole state at a start, instead of all reading the store

The link between regions was full for nine seconds: states in force from 40.5 to 49.2 s, pings lost, owners of queues changing. Change: the listing of instances is read first, and the rest is asked for; a reader that nothing listens at is passed over at once, where it ended the asking before; a whole read may take two seconds.

--- a/sycamorebeam/forwarding/instances.py
+++ b/sycamorebeam/forwarding/instances.py
@@ -62,6 +62,12 @@
         self._known: dict[str, _Known] = {}
         self._unreachable: set[str] = set()
         self._is_leaving = False
+        self._is_listed = False
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether a listing of the instances has arrived."""
+        return self._is_listed
 
     @property
     def own(self) -> InstanceEntry:
@@ -84,6 +90,7 @@
 
     def update(self, entries: Iterable[InstanceEntry]) -> list[str]:
         """Take a whole listing; return what changed, for the log."""
+        self._is_listed = True
         now_ms = self._clock.monotonic_ms()
         listed = {
             entry.instance_id: entry
--- a/sycamorebeam/forwarding/read_cache.py
+++ b/sycamorebeam/forwarding/read_cache.py
@@ -73,8 +73,10 @@
         self._forget_dropped()
 
     def has_news(self, position: int) -> bool:
-        """Whether anything changed after a position."""
-        return self._position is not None and self._newest_change > position
+        """Whether anything changed after a position, or is not known."""
+        if self._position is None:
+            return False
+        return position < self._complete_from or self._newest_change > position
 
     def since(self, position: int) -> Found:
         """Return what changed after a position, or all if that is unknown."""
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -7,14 +7,12 @@
 gets no answer reads by itself.
 """
 
+import asyncio
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import enum
 from typing import Protocol
-import zlib
-
-import attrs
 
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
@@ -30,6 +28,11 @@
 # What an answer may take beyond the reader's own wait: a read of the store
 # and the way between zones.
 ANSWER_SLACK_MS = 400
+# A whole read that all instances ask for at once, as after a start of all of
+# them. By themselves they would fill the link between regions for longer.
+WHOLE_TIMEOUT_MS = 2_000
+# The listing of instances is small, and tells whom to ask for the rest.
+FIRST_LISTING_MS = 1_000
 # A reader that gave no answer is asked again after this.
 SHUN_MS = 3_000
 # Readers without contact to the store answer at once. If all read for
@@ -39,7 +42,6 @@
 # those that read at one pace ask within this time of each other.
 LISTING_AGE_MS = 300
 WHOLE = -1  # the position of an asker that knows nothing
-STATE_KEY = 'state'
 
 
 class Topic(enum.Enum):
@@ -50,16 +52,6 @@
     INSTANCES = 'instances'
 
 
-@attrs.frozen
-class _Answer:
-    """Rows from another instance; the read began on this one's clock."""
-
-    rows: tuple[read_cache.Row, ...]
-    position: int
-    is_whole: bool
-    began_ms: int
-
-
 class Platform(followers.Platform, Protocol):
     """The platform's store, whose records can be passed on."""
 
@@ -97,13 +89,14 @@
         }
         self._is_away = dict.fromkeys(Topic, False)
         self._shunned_until_ms: dict[tuple[Topic, str], int] = {}
+        self._has_listing = asyncio.Event()
         links.add_handler(self._serve)
 
     async def read_state(self) -> followers.StateRead:
         """Return the newest desired state."""
-        answer = await self._ask(Topic.STATE, WHOLE, ANSWER_SLACK_MS)
+        answer = await self._ask(Topic.STATE, WHOLE, WHOLE_TIMEOUT_MS)
         if answer is not None and answer.rows:
-            return self._state_read(answer)
+            return shared_rows.state_read(answer, self._platform.decode_state)
         with self._reading(Topic.STATE) as began_ms:
             read = await self._platform.read_state()
         self._publish_state(read, began_ms)
@@ -117,7 +110,7 @@
         asked_ms = self._clock.boottime_ms()
         answer = await self._ask(Topic.STATE, position, timeout_ms)
         if answer is not None:
-            return self._state_read(answer)
+            return shared_rows.state_read(answer, self._platform.decode_state)
         with self._reading(Topic.STATE) as began_ms:
             # What was spent on asking is not waited for again: the freshness
             # lease runs meanwhile.
@@ -128,9 +121,9 @@
 
     async def read_targets(self) -> followers.TargetsRead:
         """Return all targets' entries."""
-        answer = await self._ask(Topic.TARGETS, WHOLE, ANSWER_SLACK_MS)
+        answer = await self._ask(Topic.TARGETS, WHOLE, WHOLE_TIMEOUT_MS)
         if answer is not None and answer.is_whole:
-            return self._targets_read(answer)
+            return shared_rows.targets_read(answer)
         with self._reading(Topic.TARGETS) as began_ms:
             read = await self._platform.read_targets()
         self._publish_targets(read, began_ms)
@@ -146,7 +139,7 @@
         timeout_ms = self._targets_interval_ms + ANSWER_SLACK_MS
         answer = await self._ask(Topic.TARGETS, position, timeout_ms)
         if answer is not None:
-            return self._targets_read(answer)
+            return shared_rows.targets_read(answer)
         with self._reading(Topic.TARGETS) as began_ms:
             read = await self._platform.read_target_changes(position)
         self._publish_targets(read, began_ms)
@@ -163,8 +156,11 @@
         answer = await self._ask(Topic.INSTANCES, WHOLE, timeout_ms)
         if answer is not None and answer.rows:
             return shared_rows.instances_of(answer.rows)
-        with self._reading(Topic.INSTANCES) as began_ms:
-            entries = list(await self._platform.read_instances())
+        try:
+            with self._reading(Topic.INSTANCES) as began_ms:
+                entries = list(await self._platform.read_instances())
+        finally:
+            self._has_listing.set()
         rows = shared_rows.of_instances(entries)
         self._publish(Topic.INSTANCES, rows, 0, True, began_ms)
         return entries
@@ -194,13 +190,15 @@
 
     async def _ask(
         self, topic: Topic, position: int, timeout_ms: float
-    ) -> _Answer | None:
+    ) -> shared_rows.Answer | None:
         """Ask the readers of this region; None when none answers.
 
         A reader without contact to the store says so, and the next one is
         asked; one that asks another names it. One that is silent is not
         worth another wait.
         """
+        if topic is not Topic.INSTANCES:
+            await self._wait_for_listing()
         is_away = self._is_away[topic]
         readers = self._instances.readers(is_away=is_away)[:TRIED_READERS]
         tried = {self._instances.own.instance_id}
@@ -213,9 +211,13 @@
                     continue
                 tried.add(instance_id)
                 asked_ms = self._clock.boottime_ms()
-                answer = await self._exchange(
-                    instance_id, topic, position, timeout_ms
-                )
+                try:
+                    answer = await self._exchange(
+                        instance_id, topic, position, timeout_ms
+                    )
+                except peer_links.LinkRefusedError as error:
+                    self._shun(topic, instance_id, str(error))
+                    continue
                 match answer:
                     case messages.SharedRead():
                         return self._take(topic, answer, position, asked_ms)
@@ -231,6 +233,14 @@
             self._questions[topic].end_asking()
         return None
 
+    async def _wait_for_listing(self) -> None:
+        """Wait at the start until other instances can be known."""
+        if self._instances.is_listed:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LISTING_MS / 1000):
+                await self._has_listing.wait()
+
     def _is_passed_over(self, topic: Topic, instance_id: str) -> bool:
         until_ms = self._shunned_until_ms.get((topic, instance_id), 0)
         return (
@@ -244,7 +254,7 @@
         answer: messages.SharedRead,
         position: int,
         asked_ms: int,
-    ) -> _Answer:
+    ) -> shared_rows.Answer:
         """Return an answer, and keep its rows for those who ask here."""
         rows = tuple(
             read_cache.Row(key, record) for key, record in answer.rows
@@ -252,14 +262,12 @@
         reached = max(position, answer.position)
         began_ms = asked_ms - answer.age_ms
         self._publish(topic, rows, reached, answer.is_whole, began_ms)
-        return _Answer(rows, reached, answer.is_whole, began_ms)
+        return shared_rows.Answer(rows, reached, answer.is_whole, began_ms)
 
     async def _exchange(
         self, instance_id: str, topic: Topic, position: int, timeout_ms: float
     ) -> messages.Message:
-        link = await self._links.link(instance_id)
-        if link is None:
-            raise peer_links.LinkLostError('it cannot be reached')
+        link = await self._links.require(instance_id)
         self._questions[topic].begin_asking(instance_id)
         with link.exchange() as exchange:
             link.send(
@@ -364,8 +372,7 @@
     def _publish_state(self, read: followers.StateRead, began_ms: int) -> None:
         rows = []
         if read.record:
-            packed = zlib.compress(read.record, 1)
-            rows = [read_cache.Row(STATE_KEY, packed)]
+            rows = [shared_rows.of_state(read.record)]
         self._publish(Topic.STATE, rows, read.position, False, began_ms)
 
     def _publish_targets(
@@ -375,19 +382,3 @@
         self._publish(
             Topic.TARGETS, rows, read.position, read.is_whole, began_ms
         )
-
-    def _state_read(self, answer: _Answer) -> followers.StateRead:
-        state = None
-        for row in answer.rows:
-            state = self._platform.decode_state(zlib.decompress(row.record))
-        return followers.StateRead(
-            state, answer.position, began_ms=answer.began_ms
-        )
-
-    def _targets_read(self, answer: _Answer) -> followers.TargetsRead:
-        return followers.TargetsRead(
-            shared_rows.targets_of(answer.rows),
-            answer.position,
-            answer.is_whole,
-            is_paced=True,
-        )
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -26,6 +26,18 @@
 class WaitingPlatform(test_followers.FakePlatform):
     """Answers a waiting read as soon as there is something new."""
 
+    def __init__(self):
+        super().__init__()
+        self.whole = []
+
+    async def read_state(self):
+        self.whole.append('state')
+        return await super().read_state()
+
+    async def read_targets(self):
+        self.whole.append('targets')
+        return await super().read_targets()
+
     async def wait_state(self, position, wait_ms):
         for _ in range(0, wait_ms, 10):
             if len(self.versions) > position or self.is_away:
@@ -457,6 +469,50 @@
             self.assertEqual([asker.known.own], entries)
             self.assertEqual(0, asker.platform.calls)
 
+    @ddt.data(0, 4, 8)
+    async def test_few_read_the_whole_after_a_start_of_all(self, late):
+        """The listing is that of former lives; some start a bit later.
+
+        All together would fill the link between regions for seconds.
+        """
+        nodes = [await new_node(f'i{n}', 'north') for n in range(16)]
+        former = {node.name: node.known.own for node in nodes}
+        reads = []
+        for index, node in enumerate(nodes):
+            node.unsettle()
+            node.platform.instances = former
+            node.platform.answer_delay_ms = 30
+            reads.append(self.start(node, 0.3 if index < late else 0))
+        try:
+            for index in range(late):
+                nodes[index].server.close()
+            await asyncio.gather(*reads)
+        finally:
+            for node in nodes:
+                node.kill()
+        whole = [name for node in nodes for name in node.platform.whole]
+        self.assertLessEqual(whole.count('state'), 3)
+        self.assertLessEqual(whole.count('targets'), 3)
+
+    async def start(self, node, after_s):
+        """Read what an instance needs, as its followers do."""
+        await asyncio.sleep(after_s)
+        if after_s:
+            host, _, port = node.known.own.address.rpartition(':')
+            node.server = await asyncio.start_server(
+                node.accept, host, int(port)
+            )
+
+        async def list_instances():
+            node.known.update(await node.reads.read_instances())
+
+        _, read, _ = await asyncio.gather(
+            list_instances(),
+            node.reads.read_state(),
+            node.reads.read_targets(),
+        )
+        self.assertEqual(1, read.state.version)
+
     async def test_lost_history_is_read_whole(self):
         async with fleet('north') as nodes:
             (reader,) = nodes
