Wait for a read that is arriving, and ask the next reader where one falls silent

Change: a reader tells those who wait that its answer has begun to arrive, and they wait up to 1.5 s more. What is left of the time for asking after a reader that falls silent goes to the next one. All waits together keep to the time limit as before. Tests: both fail without the change (own reads of all askers).

--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -1,5 +1,6 @@
 """Keeps what this instance knows up to date with the platform's store."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -28,6 +29,9 @@
 LONGEST_RETRY_MS = 600
 
 
+OnArriving = Callable[[], None]
+
+
 class ReadError(Exception):
     """The store could not be read."""
 
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -24,6 +24,7 @@
 from sycamorebeam.forwarding import notices
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import placement
+from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import settings as settings_module
 from sycamorebeam.forwarding import shared_reads
@@ -45,7 +46,7 @@
 class Adapter:
     """The platform, as the parts of an instance see it."""
 
-    platform: shared_reads.Platform
+    platform: record_platform.RecordPlatform
     decode: frontend.Decoder
     codec: calls.Codec
     stage_calls: stages.StageCalls
--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -39,10 +39,6 @@
     """The other instance does not answer."""
 
 
-class LinkRefusedError(LinkLostError):
-    """Nothing listens there, which was known at once."""
-
-
 @attrs.define
 class Exchange:
     """A question to another instance, and the messages that answer it."""
@@ -141,6 +137,7 @@
                 messages.ItemsQueued(call_id=call_id)
                 | messages.ItemsDone(call_id=call_id)
                 | messages.ItemsFailed(call_id=call_id)
+                | messages.ReadArriving(call_id=call_id)
                 | messages.SharedRead(call_id=call_id)
                 | messages.NoSharedRead(call_id=call_id)
             ):
@@ -202,7 +199,6 @@
         self._news_handlers: list[NewsHandler] = []
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, asyncio.Task[Link | None]] = {}
-        self._refusing: set[str] = set()
         self._served: set[streams.PeerStream] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
@@ -305,14 +301,10 @@
 
         Raises LinkLostError when it cannot be reached.
         """
-        if self._instances.address(instance_id) is None:
-            raise LinkRefusedError('its address is not known')
         link = await self.link(instance_id)
-        if link is not None:
-            return link
-        if instance_id in self._refusing:
-            raise LinkRefusedError('nothing listens at its address')
-        raise LinkLostError('it cannot be reached')
+        if link is None:
+            raise LinkLostError('it cannot be reached')
+        return link
 
     def lose(self, instance_id: str, error: BaseException) -> None:
         """Pass an instance over until it can be reached again."""
@@ -331,7 +323,6 @@
         if address is None:
             return None
         host, _, port = address.rpartition(':')
-        self._refusing.discard(instance_id)
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_MS / 1000):
                 reader, writer = await asyncio.open_connection(host, int(port))
@@ -340,8 +331,6 @@
                     self._instances.own.instance_id, NO_SECRET
                 )
         except (OSError, TimeoutError, streams.HandshakeError) as error:
-            if isinstance(error, ConnectionError):
-                self._refusing.add(instance_id)
             self.lose(instance_id, error)
             return None
         link = Link(stream, self._clock, self._note_heard, self._hear_news)
--- a/sycamorebeam/forwarding/read_questions.py
+++ b/sycamorebeam/forwarding/read_questions.py
@@ -25,6 +25,10 @@
     received_ms: int
     may_always_wait: bool
 
+    def promise(self) -> None:
+        """Tell the asker that its answer is arriving at this instance."""
+        self.served.stream.send(messages.ReadArriving(self.call_id))
+
     def refuse(self, asked_instead: str = '') -> None:
         """Tell the asker that there is no read to share, and whom to ask."""
         self.served.stream.send(
@@ -38,14 +42,23 @@
     def __init__(self) -> None:
         self._waiting: list[Question] = []
         self._asked_instead: str | None = None
+        self._is_arriving = False
 
     def hold(self, question: Question) -> None:
         """Keep a question for the next read, or refuse it at once."""
         if self._asked_instead is None or question.may_always_wait:
             self._waiting.append(question)
+            if self._is_arriving:
+                question.promise()
         else:
             question.refuse(self._asked_instead)
 
+    def promise(self) -> None:
+        """Tell all who wait that the read they wait for is arriving."""
+        self._is_arriving = True
+        for question in self._waiting:
+            question.promise()
+
     def begin_asking(self, instance_id: str) -> None:
         """Note whom this instance asks for its own next read.
 
@@ -64,5 +77,6 @@
 
     def take(self) -> list[Question]:
         """Return the questions that wait, which are answered now."""
+        self._is_arriving = False
         waiting, self._waiting = self._waiting, []
         return waiting
--- /dev/null
+++ b/sycamorebeam/forwarding/record_platform.py
@@ -0,0 +1,32 @@
+"""The platform's store as the instance that reads for others needs it."""
+
+from typing import Protocol
+
+from sycamorebeam.forwarding import followers
+from sycamorebeam.forwarding import model
+
+
+class RecordPlatform(followers.Platform, Protocol):
+    """The platform's store, whose records can be passed on.
+
+    ``on_arriving`` is called when an answer begins to arrive.
+    """
+
+    async def read_state(
+        self, on_arriving: followers.OnArriving | None = None
+    ) -> followers.StateRead:
+        """Return the newest desired state."""
+        ...
+
+    async def wait_state(
+        self,
+        position: int,
+        wait_ms: int,
+        on_arriving: followers.OnArriving | None = None,
+    ) -> followers.StateRead:
+        """Return what came after a position, waiting for it."""
+        ...
+
+    def decode_state(self, record: bytes) -> model.DesiredState | None:
+        """Return the desired state in a record, None if it has none."""
+        ...
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -12,16 +12,15 @@
 from collections.abc import Iterator
 import contextlib
 import enum
-from typing import Protocol
 
 from sycamorebeam import clock as clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import instances as instances_module
-from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import read_cache
 from sycamorebeam.forwarding import read_questions
+from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import shared_rows
 from sycamorebeam.peering import messages
 
@@ -31,6 +30,8 @@
 # A whole read that all instances ask for at once, as after a start of all of
 # them. By themselves they would fill the link between regions for longer.
 WHOLE_TIMEOUT_MS = 2_000
+# A whole desired state on a link that is full, well below the freshness lease.
+ARRIVING_TIMEOUT_MS = 1_500
 # The listing of instances is small, and tells whom to ask for the rest.
 FIRST_LISTING_MS = 1_000
 # A reader that gave no answer is asked again after this.
@@ -52,14 +53,6 @@
     INSTANCES = 'instances'
 
 
-class Platform(followers.Platform, Protocol):
-    """The platform's store, whose records can be passed on."""
-
-    def decode_state(self, record: bytes) -> model.DesiredState | None:
-        """Return the desired state in a record, None if it has none."""
-        ...
-
-
 class SharedReads:
     """The store as its records reach this instance, read or asked for.
 
@@ -69,7 +62,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        platform: record_platform.RecordPlatform,
         clock: clocks.Clock,
         instances: instances_module.Instances,
         links: peer_links.PeerLinks,
@@ -98,7 +91,9 @@
         if answer is not None and answer.rows:
             return shared_rows.state_read(answer, self._platform.decode_state)
         with self._reading(Topic.STATE) as began_ms:
-            read = await self._platform.read_state()
+            read = await self._platform.read_state(
+                self._questions[Topic.STATE].promise
+            )
         self._publish_state(read, began_ms)
         return read
 
@@ -115,7 +110,9 @@
             # What was spent on asking is not waited for again: the freshness
             # lease runs meanwhile.
             left_ms = max(0, wait_ms - (began_ms - asked_ms))
-            read = await self._platform.wait_state(position, left_ms)
+            read = await self._platform.wait_state(
+                position, left_ms, self._questions[Topic.STATE].promise
+            )
         self._publish_state(read, began_ms)
         return read
 
@@ -194,16 +191,20 @@
         """Ask the readers of this region; None when none answers.
 
         A reader without contact to the store says so, and the next one is
-        asked; one that asks another names it. One that is silent is not
-        worth another wait.
+        asked; one that asks another names it. All waits together take
+        ``timeout_ms``, unless the answer is known to be on its way.
         """
         if topic is not Topic.INSTANCES:
             await self._wait_for_listing()
         is_away = self._is_away[topic]
         readers = self._instances.readers(is_away=is_away)[:TRIED_READERS]
+        until_ms = self._clock.monotonic_ms() + timeout_ms
         tried = {self._instances.own.instance_id}
         try:
             while readers and len(tried) <= TRIED_READERS:
+                left_ms = until_ms - self._clock.monotonic_ms()
+                if left_ms <= 0:
+                    break
                 instance_id = readers.pop(0)
                 if instance_id in tried or self._is_passed_over(
                     topic, instance_id
@@ -213,9 +214,9 @@
                 asked_ms = self._clock.boottime_ms()
                 try:
                     answer = await self._exchange(
-                        instance_id, topic, position, timeout_ms
+                        instance_id, topic, position, left_ms
                     )
-                except peer_links.LinkRefusedError as error:
+                except peer_links.LinkLostError as error:
                     self._shun(topic, instance_id, str(error))
                     continue
                 match answer:
@@ -227,8 +228,6 @@
                         )
                     case messages.NoSharedRead(_, asked_instead):
                         readers.insert(0, asked_instead)
-        except peer_links.LinkLostError as error:
-            self._shun(topic, instance_id, str(error))
         finally:
             self._questions[topic].end_asking()
         return None
@@ -279,7 +278,10 @@
                     self._is_away[topic],
                 )
             )
-            return await exchange.next(timeout_ms)
+            answer = await exchange.next(timeout_ms)
+            while isinstance(answer, messages.ReadArriving):
+                answer = await exchange.next(ARRIVING_TIMEOUT_MS)
+            return answer
 
     def _shun(self, topic: Topic, instance_id: str, reason: str) -> None:
         until_ms = self._clock.monotonic_ms() + SHUN_MS
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -153,6 +153,16 @@
     refuses_all: bool = False
 
 
+@attrs.frozen
+class ReadArriving:
+    """The answer to ``AskSharedRead`` is on its way from the store.
+
+    A large desired state takes long on a full link.
+    """
+
+    call_id: int
+
+
 @attrs.frozen
 class SharedRead:
     """Answers ``AskSharedRead`` with rows of keys and packed records.
@@ -201,6 +211,7 @@
     | CancelItems
     | FreeResults
     | AskSharedRead
+    | ReadArriving
     | SharedRead
     | NoSharedRead
     | Stopping
@@ -221,6 +232,7 @@
     'cancel': CancelItems,
     'free': FreeResults,
     'ask_read': AskSharedRead,
+    'read_arriving': ReadArriving,
     'read': SharedRead,
     'no_read': NoSharedRead,
     'stopping': Stopping,
--- a/sycamorebeam/platform/followed.py
+++ b/sycamorebeam/platform/followed.py
@@ -23,16 +23,24 @@
     def __init__(self, store: stores.Store) -> None:
         self._store = store
 
-    async def read_state(self) -> followers.StateRead:
+    async def read_state(
+        self, on_arriving: followers.OnArriving | None = None
+    ) -> followers.StateRead:
         """Return the newest desired state."""
-        return self._state(await self._newest(stores.OPERATOR_TOPIC))
+        topic = stores.OPERATOR_TOPIC
+        return self._state(await self._newest(topic, on_arriving))
 
     async def wait_state(
-        self, position: int, wait_ms: int
+        self,
+        position: int,
+        wait_ms: int,
+        on_arriving: followers.OnArriving | None = None,
     ) -> followers.StateRead:
         """Return what came after a position, waiting for it."""
         topic = stores.OPERATOR_TOPIC
-        return self._state(await self._read(topic, position, wait_ms))
+        return self._state(
+            await self._read(topic, position, wait_ms, on_arriving)
+        )
 
     async def read_targets(self) -> followers.TargetsRead:
         """Return all targets' entries."""
@@ -97,17 +105,25 @@
         except stores.StoreError as error:
             raise followers.ReadError(str(error)) from error
 
-    async def _newest(self, topic: str) -> stores.Records:
+    async def _newest(
+        self, topic: str, on_arriving: followers.OnArriving | None = None
+    ) -> stores.Records:
         try:
-            return await self._store.newest(topic)
+            return await self._store.newest(topic, on_arriving)
         except stores.StoreError as error:
             raise followers.ReadError(str(error)) from error
 
     async def _read(
-        self, topic: str, position: int, wait_ms: int
+        self,
+        topic: str,
+        position: int,
+        wait_ms: int,
+        on_arriving: followers.OnArriving | None = None,
     ) -> stores.Records:
         try:
-            return await self._store.read(topic, position, wait_ms)
+            return await self._store.read(
+                topic, position, wait_ms, on_arriving
+            )
         except stores.HistoryGoneError as error:
             raise followers.HistoryGoneError(str(error)) from error
         except stores.StoreError as error:
--- a/sycamorebeam/platform/store.py
+++ b/sycamorebeam/platform/store.py
@@ -1,6 +1,7 @@
 """Calls to the platform's store, a log with keyed topics."""
 
 import base64
+from collections.abc import Callable
 import json
 import struct
 from typing import Any
@@ -63,16 +64,20 @@
         if session is not None:
             await session.close()
 
-    async def newest(self, topic: str) -> Records:
+    async def newest(
+        self, topic: str, on_arriving: Callable[[], None] | None = None
+    ) -> Records:
         """Return the newest record of each key, and where to read on.
 
         The offset is that of the first page, since pages are no snapshot.
+        ``on_arriving`` is called when the answer begins to arrive.
         """
         items: list[Record] = []
         params: dict[str, str | int] = {'topic': topic, 'part': 0}
         next_offset: int | None = None
         while True:
-            body = json.loads(await self._get('/log-newest', params))
+            data = await self._get('/log-newest', params, 0, on_arriving)
+            body = json.loads(data)
             items.extend(
                 Record(str(entry['key']), base64.b64decode(entry['value']))
                 for entry in body['entries']
@@ -83,7 +88,13 @@
                 return Records(tuple(items), next_offset)
             params['after'] = body['entries'][-1]['key']
 
-    async def read(self, topic: str, offset: int, wait_ms: int = 0) -> Records:
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int = 0,
+        on_arriving: Callable[[], None] | None = None,
+    ) -> Records:
         """Return the records from ``offset``, waiting for the first."""
         params: dict[str, str | int] = {
             'topic': topic,
@@ -93,7 +104,7 @@
         }
         if wait_ms:
             params['wait_ms'] = wait_ms
-        data = await self._get('/log-read', params, wait_ms)
+        data = await self._get('/log-read', params, wait_ms, on_arriving)
         items = _decode_records(data)
         return Records(items, offset + len(items))
 
@@ -110,9 +121,15 @@
         )
 
     async def _get(
-        self, path: str, params: dict[str, Any], wait_ms: int = 0
+        self,
+        path: str,
+        params: dict[str, Any],
+        wait_ms: int,
+        on_arriving: Callable[[], None] | None,
     ) -> bytes:
-        return await self._call('GET', path, params, wait_ms)
+        return await self._call(
+            'GET', path, params, wait_ms, on_arriving=on_arriving
+        )
 
     async def _call(
         self,
@@ -121,6 +138,7 @@
         params: dict[str, Any],
         wait_ms: int,
         body: bytes | None = None,
+        on_arriving: Callable[[], None] | None = None,
     ) -> bytes:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + wait_ms / 1000,
@@ -140,6 +158,8 @@
                 timeout=timeout,
                 headers={'Content-Type': 'application/octet-stream'},
             ) as response:
+                if on_arriving is not None and response.status == 200:
+                    on_arriving()
                 data = await response.read()
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -30,6 +30,7 @@
         self.lost_history = 0
         self.calls = 0
         self.answer_delay_ms = 0
+        self.transfer_ms = 0
 
     async def _call(self):
         self.calls += 1
@@ -37,6 +38,11 @@
         if self.is_away:
             raise followers.ReadError('away')
 
+    async def _arrive(self, on_arriving):
+        if on_arriving is not None and self.transfer_ms:
+            on_arriving()
+            await asyncio.sleep(self.transfer_ms / 1_000)
+
     def _state(self):
         return build.desired(version=self.versions[-1])
 
@@ -46,16 +52,18 @@
     def decode_state(self, record):
         return build.desired(version=int(record))
 
-    async def read_state(self):
+    async def read_state(self, on_arriving=None):
         await self._call()
+        await self._arrive(on_arriving)
         return followers.StateRead(
             self._state() if self.versions else None,
             len(self.versions),
             self._record() if self.versions else b'',
         )
 
-    async def wait_state(self, position, wait_ms):
+    async def wait_state(self, position, wait_ms, on_arriving=None):
         await self._call()
+        await self._arrive(on_arriving)
         self._lose_history()
         if len(self.versions) > position:
             return followers.StateRead(
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -30,20 +30,20 @@
         super().__init__()
         self.whole = []
 
-    async def read_state(self):
+    async def read_state(self, on_arriving=None):
         self.whole.append('state')
-        return await super().read_state()
+        return await super().read_state(on_arriving)
 
     async def read_targets(self):
         self.whole.append('targets')
         return await super().read_targets()
 
-    async def wait_state(self, position, wait_ms):
+    async def wait_state(self, position, wait_ms, on_arriving=None):
         for _ in range(0, wait_ms, 10):
             if len(self.versions) > position or self.is_away:
                 break
             await asyncio.sleep(0.01)
-        return await super().wait_state(position, 0)
+        return await super().wait_state(position, 0, on_arriving)
 
 
 @attrs.define
@@ -469,6 +469,52 @@
             self.assertEqual([asker.known.own], entries)
             self.assertEqual(0, asker.platform.calls)
 
+    async def test_a_read_that_is_arriving_is_waited_for(self):
+        """A large state on a full link; own reads would fill it further."""
+        async with fleet(*['north'] * 4) as nodes:
+            reader, *askers = nodes
+            reads = await asyncio.gather(
+                *(node.reads.read_state() for node in nodes)
+            )
+            reader.platform.transfer_ms = 1_000
+            reader.platform.versions.append(7)
+            calls = [node.platform.calls for node in askers]
+            waits = [
+                asyncio.create_task(
+                    node.reads.wait_state(read.position, WAIT_MS)
+                )
+                for node, read in zip(nodes, reads, strict=True)
+            ]
+            reads = await asyncio.gather(*waits)
+            self.assertEqual([7] * 4, [read.state.version for read in reads])
+            self.assertEqual(calls, [node.platform.calls for node in askers])
+
+    async def test_after_a_silent_reader_the_next_one_is_asked(self):
+        """Also where only its stream tells that it is silent."""
+        async with fleet(*['north'] * 8) as nodes:
+            reader, *askers = nodes
+            reads = await asyncio.gather(
+                *(node.reads.read_state() for node in nodes)
+            )
+            calls = [node.platform.calls for node in askers]
+            waits = [
+                asyncio.create_task(
+                    node.reads.wait_state(read.position, 1_500)
+                )
+                for node, read in zip(askers, reads[1:], strict=True)
+            ]
+            await asyncio.sleep(0.1)
+            reader.kill()
+            for node in askers:
+                node.platform.versions.append(7)
+            reads = await asyncio.gather(*waits)
+            self.assertEqual({7}, {read.state.version for read in reads})
+            called = [
+                node.platform.calls > before
+                for node, before in zip(askers, calls, strict=True)
+            ]
+            self.assertEqual(1, sum(called))
+
     @ddt.data(0, 4, 8)
     async def test_few_read_the_whole_after_a_start_of_all(self, late):
         """The listing is that of former lives; some start a bit later.
