Wait for a large read as long as it goes on arriving, and ask referring readers once more

Change: a reader says every 300 ms that its answer goes on arriving; an instance that referred the asker to another is asked once more after all others, when it may be reading. reader_choice keeps the order, without network or clock.

--- a/sycamorebeam/forwarding/record_platform.py
+++ b/sycamorebeam/forwarding/record_platform.py
@@ -9,7 +9,7 @@
 class RecordPlatform(followers.Platform, Protocol):
     """The platform's store, whose records can be passed on.
 
-    ``on_arriving`` is called when an answer begins to arrive.
+    ``on_arriving`` is called as parts of an answer arrive.
     """
 
     async def read_state(
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -20,6 +20,7 @@
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import read_cache
 from sycamorebeam.forwarding import read_questions
+from sycamorebeam.forwarding import reader_choice
 from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import shared_rows
 from sycamorebeam.peering import messages
@@ -30,15 +31,14 @@
 # A whole read that all instances ask for at once, as after a start of all of
 # them. By themselves they would fill the link between regions for longer.
 WHOLE_TIMEOUT_MS = 2_000
-# A whole desired state on a link that is full, well below the freshness lease.
+# An answer that is arriving at the reader is waited for this much longer, and
+# the reader says again and again that it goes on arriving.
 ARRIVING_TIMEOUT_MS = 1_500
+ARRIVING_INTERVAL_MS = 300
 # The listing of instances is small, and tells whom to ask for the rest.
 FIRST_LISTING_MS = 1_000
 # A reader that gave no answer is asked again after this.
 SHUN_MS = 3_000
-# Readers without contact to the store answer at once. If all read for
-# themselves after a few of them, the link between regions would be full.
-TRIED_READERS = 12
 # Instances that see listings of different times disagree on who owns a queue;
 # those that read at one pace ask within this time of each other.
 LISTING_AGE_MS = 300
@@ -83,6 +83,7 @@
         self._is_away = dict.fromkeys(Topic, False)
         self._shunned_until_ms: dict[tuple[Topic, str], int] = {}
         self._has_listing = asyncio.Event()
+        self._arriving_ms = -ARRIVING_INTERVAL_MS
         links.add_handler(self._serve)
 
     async def read_state(self) -> followers.StateRead:
@@ -91,9 +92,7 @@
         if answer is not None and answer.rows:
             return shared_rows.state_read(answer, self._platform.decode_state)
         with self._reading(Topic.STATE) as began_ms:
-            read = await self._platform.read_state(
-                self._questions[Topic.STATE].promise
-            )
+            read = await self._platform.read_state(self._note_arriving)
         self._publish_state(read, began_ms)
         return read
 
@@ -111,7 +110,7 @@
             # lease runs meanwhile.
             left_ms = max(0, wait_ms - (began_ms - asked_ms))
             read = await self._platform.wait_state(
-                position, left_ms, self._questions[Topic.STATE].promise
+                position, left_ms, self._note_arriving
             )
         self._publish_state(read, began_ms)
         return read
@@ -197,20 +196,18 @@
         if topic is not Topic.INSTANCES:
             await self._wait_for_listing()
         is_away = self._is_away[topic]
-        readers = self._instances.readers(is_away=is_away)[:TRIED_READERS]
         until_ms = self._clock.monotonic_ms() + timeout_ms
-        tried = {self._instances.own.instance_id}
+        readers = reader_choice.ReaderChoice(
+            self._instances.own.instance_id,
+            self._instances.readers(is_away=is_away),
+        )
         try:
-            while readers and len(tried) <= TRIED_READERS:
+            while (instance_id := readers.next()) is not None:
                 left_ms = until_ms - self._clock.monotonic_ms()
                 if left_ms <= 0:
                     break
-                instance_id = readers.pop(0)
-                if instance_id in tried or self._is_passed_over(
-                    topic, instance_id
-                ):
+                if self._is_passed_over(topic, instance_id):
                     continue
-                tried.add(instance_id)
                 asked_ms = self._clock.boottime_ms()
                 try:
                     answer = await self._exchange(
@@ -227,11 +224,18 @@
                             topic, instance_id, 'it has no read to share'
                         )
                     case messages.NoSharedRead(_, asked_instead):
-                        readers.insert(0, asked_instead)
+                        readers.refer(instance_id, asked_instead)
         finally:
             self._questions[topic].end_asking()
         return None
 
+    def _note_arriving(self) -> None:
+        """Tell those who wait for the desired state that more of it came."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._arriving_ms >= ARRIVING_INTERVAL_MS:
+            self._arriving_ms = now_ms
+            self._questions[Topic.STATE].promise()
+
     async def _wait_for_listing(self) -> None:
         """Wait at the start until other instances can be known."""
         if self._instances.is_listed:
--- a/sycamorebeam/platform/store.py
+++ b/sycamorebeam/platform/store.py
@@ -70,7 +70,7 @@
         """Return the newest record of each key, and where to read on.
 
         The offset is that of the first page, since pages are no snapshot.
-        ``on_arriving`` is called when the answer begins to arrive.
+        ``on_arriving`` is called as parts of the answer arrive.
         """
         items: list[Record] = []
         params: dict[str, str | int] = {'topic': topic, 'part': 0}
@@ -158,9 +158,12 @@
                 timeout=timeout,
                 headers={'Content-Type': 'application/octet-stream'},
             ) as response:
-                if on_arriving is not None and response.status == 200:
-                    on_arriving()
-                data = await response.read()
+                parts = []
+                async for part in response.content.iter_any():
+                    parts.append(part)
+                    if on_arriving is not None and response.status == 200:
+                        on_arriving()
+                data = b''.join(parts)
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             await self.reset()
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -40,8 +40,9 @@
 
     async def _arrive(self, on_arriving):
         if on_arriving is not None and self.transfer_ms:
-            on_arriving()
-            await asyncio.sleep(self.transfer_ms / 1_000)
+            for _ in range(0, self.transfer_ms, 100):
+                on_arriving()
+                await asyncio.sleep(0.1)
 
     def _state(self):
         return build.desired(version=self.versions[-1])
--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -12,6 +12,7 @@
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import instances
 from sycamorebeam.forwarding import read_cache
+from sycamorebeam.forwarding import reader_choice
 from sycamorebeam.forwarding import shared_reads
 from sycamorebeam.peering import messages
 from tests import base
@@ -132,6 +133,36 @@
         self.assertEqual(read_cache.MAX_DROPPED, len(cache.since(10).rows))
 
 
+@ddt.ddt
+class ReaderChoiceTest(base.TestCase):
+    @ddt.data(
+        ('all in order', {}, ['a', 'b', 'c']),
+        ('one asks a later one', {'a': 'c'}, ['a', 'c', 'b', 'a']),
+        ('one asks the asker', {'a': 'own'}, ['a', 'b', 'c', 'a']),
+        ('one asks one unknown', {'b': 'x'}, ['a', 'b', 'x', 'c', 'b']),
+        (
+            'two ask each other',
+            {'a': 'b', 'b': 'a'},
+            ['a', 'b', 'c', 'a', 'b'],
+        ),
+    )
+    @ddt.unpack
+    def test_who_is_asked(self, _, referred, expected):
+        choice = reader_choice.ReaderChoice('own', ['a', 'b', 'c'])
+        asked = []
+        while (name := choice.next()) is not None:
+            asked.append(name)
+            if name in referred:
+                choice.refer(name, referred[name])
+        self.assertEqual(expected, asked)
+
+    def test_questions_are_bounded(self):
+        names = [str(number) for number in range(200)]
+        choice = reader_choice.ReaderChoice('own', names)
+        asked = list(iter(choice.next, None))
+        self.assertEqual(names[: reader_choice.MAX_QUESTIONS], asked)
+
+
 @ddt.ddt
 class ReadersTest(base.NetworkTestCase):
     def order(self, *changes):
@@ -469,14 +500,15 @@
             self.assertEqual([asker.known.own], entries)
             self.assertEqual(0, asker.platform.calls)
 
-    async def test_a_read_that_is_arriving_is_waited_for(self):
+    @ddt.data(1_000, 3_000)
+    async def test_a_read_that_is_arriving_is_waited_for(self, transfer_ms):
         """A large state on a full link; own reads would fill it further."""
         async with fleet(*['north'] * 4) as nodes:
             reader, *askers = nodes
             reads = await asyncio.gather(
                 *(node.reads.read_state() for node in nodes)
             )
-            reader.platform.transfer_ms = 1_000
+            reader.platform.transfer_ms = transfer_ms
             reader.platform.versions.append(7)
             calls = [node.platform.calls for node in askers]
             waits = [
