--- a/sycamorebeam/forwarding/held_results.py
+++ b/sycamorebeam/forwarding/held_results.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_replica
 
 
 @attrs.frozen
 class _Held:
-    replica: stage_queue.Replica
+    replica: stage_replica.Replica
     result_bytes: float
     since_ms: int
     until_ms: int
@@ -28,7 +28,7 @@
     def add(
         self,
         result: str,
-        replica: stage_queue.Replica,
+        replica: stage_replica.Replica,
         result_bytes: float,
         now_ms: int,
         ttl_ms: int,
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -0,0 +1,56 @@
+"""Groups of stage items, and their order in a queue."""
+
+import attrs
+
+from sycamorebeam.forwarding import stages
+
+
+@attrs.frozen(kw_only=True)
+class Group:
+    """All items of one request's stage.
+
+    The results serve their latency objective until ``objective_ms``, and
+    are of no use after ``useless_ms``. While other items wait, the group is
+    accepted only if it is expected by ``accept_ms``. ``zone`` is where least
+    data has to be moved, empty where that makes no difference.
+    """
+
+    group_id: int
+    rank: int
+    queued_ms: int
+    objective_ms: int
+    accept_ms: int
+    useless_ms: int
+    zone: str
+    result_bytes: float
+    work: stages.Work
+    positions: tuple[int, ...]
+
+    @property
+    def size(self) -> int:
+        """How many items the group has."""
+        return len(self.positions)
+
+
+@attrs.frozen
+class Entry:
+    """An item of a group in a call."""
+
+    group: Group
+    index: int
+
+    @property
+    def position(self) -> int:
+        """The item's position in its stage."""
+        return self.group.positions[self.index]
+
+
+@attrs.frozen(order=True)
+class Urgency:
+    """The order of groups; the lowest one goes first."""
+
+    rank: int
+    is_late: bool
+    is_untouched: bool
+    objective_ms: int
+    group_id: int
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -17,7 +17,9 @@
 from sycamorebeam.forwarding import notices as notices_module
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stage_freeing
+from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_replica
 from sycamorebeam.forwarding import stage_service
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
@@ -86,7 +88,7 @@
             )
             return future
         now_ms = self._clock.monotonic_ms()
-        group = stage_queue.Group(
+        group = stage_groups.Group(
             group_id=next(self._ids),
             rank=request.rank,
             queued_ms=now_ms,
@@ -167,7 +169,7 @@
 
     def _replicas(
         self, service: stage_service.StageService
-    ) -> list[stage_queue.Replica]:
+    ) -> list[stage_replica.Replica]:
         return service.refresh(
             self._directory.usable(service.name),
             self._lead_ms,
@@ -204,8 +206,8 @@
     async def _call(
         self,
         service: stage_service.StageService,
-        replica: stage_queue.Replica,
-        entries: list[stage_queue.Entry],
+        replica: stage_replica.Replica,
+        entries: list[stage_groups.Entry],
     ) -> None:
         target = self._directory.get(replica.target_id)
         if target is None:
@@ -240,8 +242,8 @@
     def _take_call(
         self,
         service: stage_service.StageService,
-        replica: stage_queue.Replica,
-        entries: list[stage_queue.Entry],
+        replica: stage_replica.Replica,
+        entries: list[stage_groups.Entry],
         result: stages.CallResult,
         began_ms: int,
     ) -> None:
@@ -273,8 +275,8 @@
     def _note_call(
         self,
         service: stage_service.StageService,
-        replica: stage_queue.Replica,
-        entries: list[stage_queue.Entry],
+        replica: stage_replica.Replica,
+        entries: list[stage_groups.Entry],
         results: tuple[stages.ItemResult, ...],
         began_ms: int,
     ) -> None:
@@ -294,8 +296,8 @@
     def _take_result(
         self,
         service: stage_service.StageService,
-        replica: stage_queue.Replica,
-        entry: stage_queue.Entry,
+        replica: stage_replica.Replica,
+        entry: stage_groups.Entry,
         result: stages.ItemResult,
     ) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -326,7 +328,7 @@
     def _repeat(
         self,
         service: stage_service.StageService,
-        entries: list[stage_queue.Entry],
+        entries: list[stage_groups.Entry],
     ) -> None:
         """Run items again that may have run, as far as the budget allows."""
         now_ms = self._clock.monotonic_ms()
@@ -343,14 +345,14 @@
     def _put_back(
         self,
         service: stage_service.StageService,
-        entries: list[stage_queue.Entry],
+        entries: list[stage_groups.Entry],
     ) -> None:
         for entry in entries:
             if self._waiting.is_waiting(entry.group):
                 service.queue.put_back(entry)
 
     def _forget(
-        self, service: stage_service.StageService, group: stage_queue.Group
+        self, service: stage_service.StageService, group: stage_groups.Group
     ) -> None:
         service.queue.cancel(group.group_id)
         self.free(service.name, self._waiting.forget(group))
@@ -358,7 +360,7 @@
     def _pause_broken(
         self,
         service: stage_service.StageService,
-        replica: stage_queue.Replica,
+        replica: stage_replica.Replica,
         error: BaseException | str,
     ) -> None:
         pause_ms = service.pause_broken(replica, self._clock.monotonic_ms())
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -11,7 +11,8 @@
 
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import rates
-from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import stage_groups
+from sycamorebeam.forwarding import stage_replica
 
 RATE_MEMORY_MS = 1_500.0  # arrivals of a burst count within a second or so
 # However many more urgent items arrive, some places are left for others.
@@ -23,33 +24,6 @@
 SHORTEST_RETURN_MS = 200.0  # below, a caller's way to and fro dominates
 
 
-@attrs.frozen(kw_only=True)
-class Group:
-    """All items of one request's stage.
-
-    The results serve their latency objective until ``objective_ms``, and
-    are of no use after ``useless_ms``. While other items wait, the group is
-    accepted only if it is expected by ``accept_ms``. ``zone`` is where least
-    data has to be moved, empty where that makes no difference.
-    """
-
-    group_id: int
-    rank: int
-    queued_ms: int
-    objective_ms: int
-    accept_ms: int
-    useless_ms: int
-    zone: str
-    result_bytes: float
-    work: stages.Work
-    positions: tuple[int, ...]
-
-    @property
-    def size(self) -> int:
-        """How many items the group has."""
-        return len(self.positions)
-
-
 @attrs.frozen
 class Accepted:
     """The items were queued."""
@@ -62,47 +36,9 @@
     retry_after_ms: float
 
 
-@attrs.define
-class Replica:
-    """What the owner of the queue knows of one replica."""
-
-    target_id: str
-    zone: str
-    calls: int = 0
-    slowness: float = 1.0
-    held_bytes: float = 0.0
-    paused_until_ms: int = 0
-    busy_until_ms: int = 0
-    lead_ms: int = 0
-    ended_ms: int = 0
-
-    def pause(self, pause_ms: float, now_ms: int) -> None:
-        """Send no call for a time; never shortens a pause."""
-        until_ms = now_ms + int(pause_ms)
-        self.paused_until_ms = max(self.paused_until_ms, until_ms)
-
-    def is_free(self, slots: int, now_ms: int) -> bool:
-        """Whether the replica should get a call now.
-
-        A call takes ``lead_ms`` to arrive, so the next one is sent that much
-        before the replica is expected to end the one before.
-        """
-        if now_ms < self.paused_until_ms:
-            return False
-        if self.calls < slots or not self.lead_ms:
-            return self.calls < slots
-        left_ms = self.busy_until_ms - now_ms
-        return self.calls == slots and left_ms <= self.lead_ms
-
-    def free_in_ms(self, now_ms: int) -> int:
-        """Return how long until the replica can take a call, as stated."""
-        until_ms = max(self.busy_until_ms, self.paused_until_ms)
-        return max(0, until_ms - now_ms)
-
-
 @attrs.define
 class _Pending:
-    group: Group
+    group: stage_groups.Group
     left: list[int]
 
     @property
@@ -111,30 +47,6 @@
         return len(self.left) < self.group.size
 
 
-@attrs.frozen
-class Entry:
-    """An item of a group in a call."""
-
-    group: Group
-    index: int
-
-    @property
-    def position(self) -> int:
-        """The item's position in its stage."""
-        return self.group.positions[self.index]
-
-
-@attrs.frozen(order=True)
-class Urgency:
-    """The order of groups; the lowest one goes first."""
-
-    rank: int
-    is_late: bool
-    is_untouched: bool
-    objective_ms: int
-    group_id: int
-
-
 class StageQueue:
     """Groups of items that wait for calls."""
 
@@ -173,7 +85,10 @@
         return self._batching.call_ms + items * self._batching.item_ms
 
     def submit(
-        self, group: Group, replicas: list[Replica], now_ms: int
+        self,
+        group: stage_groups.Group,
+        replicas: list[stage_replica.Replica],
+        now_ms: int,
     ) -> Accepted | Rejected:
         """Queue a group unless its results would come too late."""
         expected_ms = self._expected_ms(group, replicas, now_ms)
@@ -189,7 +104,7 @@
         )
         return Accepted()
 
-    def put_back(self, entry: Entry) -> None:
+    def put_back(self, entry: stage_groups.Entry) -> None:
         """Queue an item again whose call did not produce it."""
         pending = self._pending.setdefault(
             entry.group.group_id, _Pending(entry.group, [])
@@ -200,7 +115,7 @@
         """Drop the waiting items of a group."""
         self._pending.pop(group_id, None)
 
-    def drop_useless(self, now_ms: int) -> list[Group]:
+    def drop_useless(self, now_ms: int) -> list[stage_groups.Group]:
         """Drop and return the groups that no call could serve any more."""
         soonest_ms = now_ms + self.call_ms(1)
         useless = [
@@ -213,14 +128,17 @@
         return useless
 
     def next_call(
-        self, replica: Replica, replicas: list[Replica], now_ms: int
-    ) -> list[Entry]:
+        self,
+        replica: stage_replica.Replica,
+        replicas: list[stage_replica.Replica],
+        now_ms: int,
+    ) -> list[stage_groups.Entry]:
         """Take the items of the next call of a free replica."""
         ordered = self._ordered(now_ms)
         allowed = self._allowed(ordered, replica, replicas, now_ms)
         places = self._batching.items
         room = self._batching.memory_bytes - replica.held_bytes
-        taken: list[Entry] = []
+        taken: list[stage_groups.Entry] = []
         split: _Pending | None = None
         for pending in allowed:
             fitting = self._fitting(pending.group, places, room)
@@ -236,7 +154,9 @@
             taken.extend(self._take(split, fitting))
         return taken
 
-    def _fitting(self, group: Group, places: int, room: float) -> int:
+    def _fitting(
+        self, group: stage_groups.Group, places: int, room: float
+    ) -> int:
         """Return how many items of a group a call has place and memory for."""
         if not group.result_bytes:
             return places
@@ -245,8 +165,8 @@
     def _allowed(
         self,
         ordered: list[_Pending],
-        replica: Replica,
-        replicas: list[Replica],
+        replica: stage_replica.Replica,
+        replicas: list[stage_replica.Replica],
         now_ms: int,
     ) -> list[_Pending]:
         """Return the groups that a replica may take, most urgent first.
@@ -287,8 +207,8 @@
     def _beyond_others(
         self,
         ordered: list[_Pending],
-        replica: Replica,
-        replicas: list[Replica],
+        replica: stage_replica.Replica,
+        replicas: list[stage_replica.Replica],
     ) -> list[_Pending]:
         """Return the groups that the next calls of faster ones won't take."""
         faster = sum(
@@ -304,7 +224,9 @@
             places -= len(pending.left)
         return beyond
 
-    def _can_wait(self, group: Group, wait_ms: float, now_ms: int) -> bool:
+    def _can_wait(
+        self, group: stage_groups.Group, wait_ms: float, now_ms: int
+    ) -> bool:
         """Whether a group can wait for a full call and lose nothing."""
         spent_ms = now_ms + wait_ms + self.call_ms(self._batching.items)
         if now_ms + self.call_ms(group.size) > group.objective_ms:
@@ -317,7 +239,9 @@
             key=lambda item: self._urgency(item.group, item.is_begun, now_ms),
         )
 
-    def _urgency(self, group: Group, is_begun: bool, now_ms: int) -> Urgency:
+    def _urgency(
+        self, group: stage_groups.Group, is_begun: bool, now_ms: int
+    ) -> stage_groups.Urgency:
         """Return the order of a group: by rank, begun ones first.
 
         Within a rank, what misses its objective anyway earns little and
@@ -325,7 +249,7 @@
         """
         due_ms = now_ms + self.call_ms(group.size)
         is_late = due_ms > group.objective_ms and not is_begun
-        return Urgency(
+        return stage_groups.Urgency(
             group.rank,
             is_late,
             not is_begun,
@@ -333,14 +257,17 @@
             group.group_id,
         )
 
-    def _take(self, pending: _Pending, count: int) -> list[Entry]:
+    def _take(self, pending: _Pending, count: int) -> list[stage_groups.Entry]:
         taken, pending.left = pending.left[:count], pending.left[count:]
         if not pending.left:
             del self._pending[pending.group.group_id]
-        return [Entry(pending.group, index) for index in taken]
+        return [stage_groups.Entry(pending.group, index) for index in taken]
 
     def _expected_ms(
-        self, group: Group, replicas: list[Replica], now_ms: int
+        self,
+        group: stage_groups.Group,
+        replicas: list[stage_replica.Replica],
+        now_ms: int,
     ) -> float:
         """Return when the last result of a group is to be expected."""
         size = self._batching.items
@@ -365,7 +292,9 @@
         later_ms = (ahead // size) * size / usable
         return now_ms + first_ms + later_ms + own_ms
 
-    def _capacity(self, group: Group, replicas: list[Replica]) -> float:
+    def _capacity(
+        self, group: stage_groups.Group, replicas: list[stage_replica.Replica]
+    ) -> float:
         """Return how many items a millisecond the replicas can produce.
 
         Results take up memory from the start of their call until they are
@@ -382,7 +311,7 @@
         held = len(replicas) * self._batching.memory_bytes / result_bytes
         return min(places, held / kept_ms)
 
-    def _mean_result_bytes(self, group: Group) -> float:
+    def _mean_result_bytes(self, group: stage_groups.Group) -> float:
         total_bytes = group.result_bytes * group.size
         items = group.size
         for pending in self._pending.values():
@@ -390,7 +319,7 @@
             items += len(pending.left)
         return total_bytes / items
 
-    def _overtaking(self, own: Urgency, now_ms: int) -> float:
+    def _overtaking(self, own: stage_groups.Urgency, now_ms: int) -> float:
         """Return how many items a millisecond arrive that go before."""
         return sum(
             rate.per_ms(now_ms)
--- a/sycamorebeam/forwarding/stage_service.py
+++ b/sycamorebeam/forwarding/stage_service.py
@@ -9,7 +9,9 @@
 
 from sycamorebeam.forwarding import held_results
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_replica
 from sycamorebeam.forwarding import stages
 
 # A call may take this many times its stated length before it is given up;
@@ -30,12 +32,12 @@
     held: held_results.HeldResults = attrs.field(
         factory=held_results.HeldResults
     )
-    _replicas: dict[str, stage_queue.Replica] = attrs.field(factory=dict)
+    _replicas: dict[str, stage_replica.Replica] = attrs.field(factory=dict)
     _pauses_ms: dict[str, int] = attrs.field(factory=dict)
     _rests_until_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
-    def replicas(self) -> Iterable[stage_queue.Replica]:
+    def replicas(self) -> Iterable[stage_replica.Replica]:
         """The replicas that get calls or still have some."""
         return self._replicas.values()
 
@@ -44,7 +46,7 @@
         targets: Iterable[model.Target],
         lead_ms: Callable[[str], int],
         now_ms: int,
-    ) -> list[stage_queue.Replica]:
+    ) -> list[stage_replica.Replica]:
         """Return the replicas that may get calls.
 
         ``lead_ms`` says how far ahead calls to a zone are sent.
@@ -57,7 +59,7 @@
         for target_id, target in usable.items():
             if target_id not in self._replicas:
                 zone = target.availability_zone
-                self._replicas[target_id] = stage_queue.Replica(
+                self._replicas[target_id] = stage_replica.Replica(
                     target_id, zone, lead_ms=lead_ms(zone)
                 )
         return [self._replicas[target_id] for target_id in usable]
@@ -79,8 +81,8 @@
 
     def begin_call(
         self,
-        replica: stage_queue.Replica,
-        entries: list[stage_queue.Entry],
+        replica: stage_replica.Replica,
+        entries: list[stage_groups.Entry],
         now_ms: int,
     ) -> None:
         """Count a call against its replica."""
@@ -92,8 +94,8 @@
 
     def end_call(
         self,
-        replica: stage_queue.Replica,
-        entries: list[stage_queue.Entry],
+        replica: stage_replica.Replica,
+        entries: list[stage_groups.Entry],
         *,
         has_run: bool,
     ) -> None:
@@ -104,14 +106,14 @@
         if not has_run:
             replica.held_bytes -= result_bytes(entries)
 
-    def call_timeout_ms(self, entries: list[stage_queue.Entry]) -> float:
+    def call_timeout_ms(self, entries: list[stage_groups.Entry]) -> float:
         """Return after what time a call is given up."""
         stated_ms = self.queue.call_ms(len(entries))
         return max(MIN_CALL_TIMEOUT_MS, CALL_PATIENCE * stated_ms)
 
     def learn_pace(
         self,
-        replica: stage_queue.Replica,
+        replica: stage_replica.Replica,
         items: int,
         began_ms: int,
         now_ms: int,
@@ -126,7 +128,7 @@
         replica.slowness += PACE_WEIGHT * (sample - replica.slowness)
 
     def describe(
-        self, replica: stage_queue.Replica, entries: list[stage_queue.Entry]
+        self, replica: stage_replica.Replica, entries: list[stage_groups.Entry]
     ) -> dict[str, Any]:
         """Return for the log how a call and its replica stand."""
         memory_bytes = self.queue.batching.memory_bytes
@@ -137,7 +139,7 @@
             'slowness': round(replica.slowness, 2),
         }
 
-    def pause_broken(self, replica: stage_queue.Replica, now_ms: int) -> int:
+    def pause_broken(self, replica: stage_replica.Replica, now_ms: int) -> int:
         """Pause a replica that broke a call, longer each time."""
         pause_ms = self._pauses_ms.get(replica.target_id, BROKEN_PAUSE_MS)
         self._pauses_ms[replica.target_id] = min(
@@ -147,23 +149,23 @@
         return pause_ms
 
 
-def result_bytes(entries: list[stage_queue.Entry]) -> float:
+def result_bytes(entries: list[stage_groups.Entry]) -> float:
     """Return the memory that the results of a call take."""
     return sum(entry.group.result_bytes for entry in entries)
 
 
-def oldest_ms(entries: list[stage_queue.Entry]) -> int:
+def oldest_ms(entries: list[stage_groups.Entry]) -> int:
     """Return when the first group of a call was queued."""
     return min(entry.group.queued_ms for entry in entries)
 
 
-def count_in_zone(entries: list[stage_queue.Entry], zone: str) -> int:
+def count_in_zone(entries: list[stage_groups.Entry], zone: str) -> int:
     """Return how many items of a call need no data from other zones."""
     return sum(entry.group.zone in ('', zone) for entry in entries)
 
 
 def timed(
-    entries: list[stage_queue.Entry], now_ms: int
+    entries: list[stage_groups.Entry], now_ms: int
 ) -> list[stages.TimedItem]:
     """Return the items of a call with the time that is left for each."""
     return [
--- a/sycamorebeam/forwarding/waiting_groups.py
+++ b/sycamorebeam/forwarding/waiting_groups.py
@@ -4,13 +4,13 @@
 
 import attrs
 
-from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stages
 
 
 @attrs.define
 class _Waiting:
-    group: stage_queue.Group
+    group: stage_groups.Group
     future: asyncio.Future[stages.Outcome]
     results: dict[int, str] = attrs.field(factory=dict)
     is_begun: bool = False
@@ -27,25 +27,25 @@
 
     def add(
         self,
-        group: stage_queue.Group,
+        group: stage_groups.Group,
         future: asyncio.Future[stages.Outcome],
     ) -> None:
         """Wait for the results of a group."""
         self._waiting[group.group_id] = _Waiting(group, future)
 
-    def is_waiting(self, group: stage_queue.Group) -> bool:
+    def is_waiting(self, group: stage_groups.Group) -> bool:
         """Whether anybody still waits for a group."""
         waiting = self._waiting.get(group.group_id)
         return waiting is not None and not waiting.future.done()
 
-    def begin(self, entries: list[stage_queue.Entry]) -> None:
+    def begin(self, entries: list[stage_groups.Entry]) -> None:
         """Note that a call has taken some items."""
         for entry in entries:
             waiting = self._waiting.get(entry.group.group_id)
             if waiting is not None:
                 waiting.is_begun = True
 
-    def untouched(self) -> list[stage_queue.Group]:
+    def untouched(self) -> list[stage_groups.Group]:
         """Return the groups of which no call has taken anything."""
         return [
             waiting.group
@@ -53,7 +53,7 @@
             if not waiting.is_begun
         ]
 
-    def take_result(self, entry: stage_queue.Entry, result: str) -> bool:
+    def take_result(self, entry: stage_groups.Entry, result: str) -> bool:
         """Take an item's result; return whether anybody waits for it."""
         waiting = self._waiting.get(entry.group.group_id)
         if waiting is None or waiting.future.done():
@@ -68,7 +68,7 @@
 
     def fail(
         self,
-        group: stage_queue.Group,
+        group: stage_groups.Group,
         reason: stages.Reason,
         retry_after_ms: float,
     ) -> None:
@@ -77,7 +77,7 @@
         if waiting is not None and not waiting.future.done():
             waiting.future.set_result(stages.Failure(reason, retry_after_ms))
 
-    def forget(self, group: stage_queue.Group) -> list[str]:
+    def forget(self, group: stage_groups.Group) -> list[str]:
         """Drop a group that ended; return results that nobody will use."""
         waiting = self._waiting.pop(group.group_id, None)
         if waiting is None:
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -6,7 +6,7 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import notices as notices_module
 from sycamorebeam.forwarding import requests
-from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stages
 
 ZONES = {'a1': 'north', 'a2': 'north', 'b1': 'south'}
@@ -86,7 +86,7 @@
         'work': work(f'r{group_id}'),
         'positions': tuple(range(items)),
     }
-    return stage_queue.Group(**{**values, **fields})
+    return stage_groups.Group(**{**values, **fields})
 
 
 def request(**fields):
--- a/tests/forwarding/test_stage_queue.py
+++ b/tests/forwarding/test_stage_queue.py
@@ -7,13 +7,14 @@
 import ddt
 
 from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_replica
 from tests import base
 from tests.forwarding import build
 
 
 def replicas(*zones, **fields):
     return [
-        stage_queue.Replica(f't{n}', zone, **fields)
+        stage_replica.Replica(f't{n}', zone, **fields)
         for n, zone in enumerate(zones)
     ]
 
@@ -153,13 +154,13 @@
     def test_calls_are_sent_ahead_only_to_far_replicas(
         self, _, calls, lead_ms, left_ms, is_free
     ):
-        replica = stage_queue.Replica(
+        replica = stage_replica.Replica(
             't', 'a1', calls=calls, lead_ms=lead_ms, busy_until_ms=left_ms
         )
         self.assertEqual(is_free, replica.is_free(1, 0))
 
     def test_a_paused_replica_gets_nothing(self):
-        replica = stage_queue.Replica('t', 'a1', paused_until_ms=10)
+        replica = stage_replica.Replica('t', 'a1', paused_until_ms=10)
         self.assertFalse(replica.is_free(1, 9))
         self.assertTrue(replica.is_free(1, 10))
 
