Announce a request's later stages to the owners of their queues

Cause: admission looked at the first stage alone, and at what later stages took lately. Change: the owner of each later stage's queue is told at the start what will come and when, counts it like what waits, and refuses at once. Forecasts of a queue are functions of their own (stage_forecast). Ruled out: feeding back the owner's expectation with its answers; an instance of 195 hears of each owner too rarely.

--- /dev/null
+++ b/sycamorebeam/forwarding/announced_groups.py
@@ -0,0 +1,67 @@
+"""Groups of items that will arrive when the stages before them have run.
+
+The load answered here is chains of stages of which a later one is the
+bottleneck: its queue is still short while the requests that will wait there
+are at the stages before it.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from sycamorebeam.forwarding import stage_groups
+
+# A group that is later than this does not come: who announced it has ended.
+LATENESS_MS = 1_500
+
+
+@attrs.frozen
+class _Announced:
+    group: stage_groups.Group
+    arrives_ms: int
+
+
+class AnnouncedGroups:
+    """The groups that a queue has admitted and that have not arrived yet."""
+
+    def __init__(self) -> None:
+        self._announced: dict[tuple[str, int], _Announced] = {}
+
+    def __len__(self) -> int:
+        return len(self._announced)
+
+    def add(self, group: stage_groups.Group, arrives_ms: int) -> None:
+        """Expect a group."""
+        self._announced[_key(group)] = _Announced(group, arrives_ms)
+
+    def take(self, group: stage_groups.Group) -> bool:
+        """Note that a group has arrived; return whether it was expected."""
+        return self._announced.pop(_key(group), None) is not None
+
+    def withdraw(self, attempt_id: str, stage: int) -> None:
+        """Expect a group no more."""
+        self._announced.pop((attempt_id, stage), None)
+
+    def expire(self, now_ms: int) -> None:
+        """Expect the groups no more that should have arrived long ago."""
+        late = [
+            key
+            for key, announced in self._announced.items()
+            if announced.arrives_ms + LATENESS_MS < now_ms
+        ]
+        for key in late:
+            del self._announced[key]
+
+    def count_items(
+        self, is_counted: Callable[[stage_groups.Group], bool]
+    ) -> int:
+        """Return how many items the groups have for which that holds."""
+        return sum(
+            announced.group.size
+            for announced in self._announced.values()
+            if is_counted(announced.group)
+        )
+
+
+def _key(group: stage_groups.Group) -> tuple[str, int]:
+    return group.work.attempt_id, group.work.stage
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -40,6 +40,16 @@
         """Return the results of a request, or why there are none."""
         ...
 
+    async def announce(
+        self, announcement: stages.Announcement
+    ) -> stages.Failure | None:
+        """Tell what will come; return why it cannot be served."""
+        ...
+
+    def withdraw(self, service: str, attempt_id: str, stage: int) -> None:
+        """Tell that announced items will not come."""
+        ...
+
     def free(self, service: str, results: list[str]) -> None:
         """Give up results."""
         ...
@@ -100,6 +110,7 @@
         self._running: list[asyncio.Task[tuple[str, ...]]] = []
         self._held: dict[int, tuple[str, ...]] = {}
         self._took_ms: dict[int, int] = {}
+        self._announced: set[int] = set()
 
     @property
     def took_ms(self) -> dict[int, int]:
@@ -120,10 +131,15 @@
                     group.create_task(self._run_stage(position, zone, times))
                     for position in range(len(self._stages))
                 ]
+                for position, stage in enumerate(self._stages):
+                    if stage.after and self._count(position):
+                        group.create_task(self._announce(position, times))
         except* _StageError as errors:
             first = errors.exceptions[0]
             assert isinstance(first, _StageError)
             failure = first.failure
+        finally:
+            self._withdraw()
         if failure is not None:
             self.free()
             return failure
@@ -134,6 +150,42 @@
         for position in list(self._held):
             self._free_stage(position)
 
+    async def _announce(self, position: int, times: Times) -> None:
+        """Let the owner of a later stage's queue expect its items.
+
+        Where they would come too late nothing is to be begun.
+        """
+        self._announced.add(position)
+        now_ms = self._clock.monotonic_ms()
+        request = self._stage_request(position, (), '', times, now_ms)
+        later_ms = self._later_ms(position, now_ms)
+        failure = await self._producer.announce(
+            stages.Announcement(
+                service=request.service,
+                attempt_id=self._request.attempt_id,
+                stage=position,
+                rank=request.rank,
+                items=self._count(position),
+                result_bytes=request.result_bytes,
+                arrives_in_ms=self._earlier_ms(position, now_ms),
+                objective_in_ms=request.objective_in_ms,
+                accept_in_ms=times.accept_ms - later_ms - now_ms,
+                useless_in_ms=request.useless_in_ms,
+            )
+        )
+        if failure is not None and position in self._announced:
+            raise _StageError(failure)
+
+    def _withdraw(self) -> None:
+        """Take back what was announced and will not be submitted."""
+        for position in self._announced:
+            self._producer.withdraw(
+                self._stages[position].service,
+                self._request.attempt_id,
+                position,
+            )
+        self._announced.clear()
+
     async def _run_stage(
         self, position: int, zone: str, times: Times
     ) -> tuple[str, ...]:
@@ -145,6 +197,7 @@
         count = self._count(position)
         if not count:
             return ()
+        self._announced.discard(position)
         began_ms = self._clock.monotonic_ms()
         outcome = await self._producer.produce(
             self._stage_request(position, tuple(inputs), zone, times, began_ms)
@@ -254,14 +307,28 @@
             default=0,
         )
 
+    def _earlier_ms(self, position: int, now_ms: int) -> int:
+        """Return when the longest chain of stages before one has run."""
+        return max(
+            (
+                self._earlier_ms(index, now_ms) + self._stage_ms(index, now_ms)
+                for index in self._stages[position].after
+            ),
+            default=0,
+        )
+
     def _chain_ms(self, position: int, now_ms: int) -> int:
         """Return what a stage and the longest chain after it need."""
         later_ms = self._later_ms(position, now_ms) - ENGINE_START_MS
+        return later_ms + self._stage_ms(position, now_ms)
+
+    def _stage_ms(self, position: int, now_ms: int) -> int:
+        """Return what a stage needs, by what it needed lately."""
         if not self._count(position):
-            return later_ms
+            return 0
         service = self._stages[position].service
         excess_ms = self._stage_times.excess_ms(service, self._rank, now_ms)
-        return later_ms + int(self._call_ms(position) + excess_ms)
+        return int(self._call_ms(position) + excess_ms)
 
     def _call_ms(self, position: int) -> float:
         """Return how long a call takes that has a stage's items alone."""
--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -54,3 +54,41 @@
     is_untouched: bool
     objective_ms: int
     group_id: int
+
+
+def of_request(
+    request: stages.StageRequest, group_id: int, zone: str, now_ms: int
+) -> Group:
+    """Return the group of a request that arrives now."""
+    return Group(
+        group_id=group_id,
+        rank=request.rank,
+        queued_ms=now_ms,
+        objective_ms=now_ms + request.objective_in_ms,
+        accept_ms=now_ms + request.accept_in_ms,
+        useless_ms=now_ms + request.useless_in_ms,
+        zone=zone,
+        result_bytes=request.result_bytes,
+        work=request.work,
+        positions=request.positions,
+    )
+
+
+def of_announcement(
+    announcement: stages.Announcement, group_id: int, now_ms: int
+) -> Group:
+    """Return the group that a request announces now."""
+    return Group(
+        group_id=group_id,
+        rank=announcement.rank,
+        queued_ms=now_ms,
+        objective_ms=now_ms + announcement.objective_in_ms,
+        accept_ms=now_ms + announcement.accept_in_ms,
+        useless_ms=now_ms + announcement.useless_in_ms,
+        zone='',
+        result_bytes=announcement.result_bytes,
+        work=stages.Work(
+            announcement.attempt_id, announcement.stage, '', True, ()
+        ),
+        positions=tuple(range(announcement.items)),
+    )
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -88,17 +88,8 @@
             )
             return future
         now_ms = self._clock.monotonic_ms()
-        group = stage_groups.Group(
-            group_id=next(self._ids),
-            rank=request.rank,
-            queued_ms=now_ms,
-            objective_ms=now_ms + request.objective_in_ms,
-            accept_ms=now_ms + request.accept_in_ms,
-            useless_ms=now_ms + request.useless_in_ms,
-            zone=self._zone(request),
-            result_bytes=request.result_bytes,
-            work=request.work,
-            positions=request.positions,
+        group = stage_groups.of_request(
+            request, next(self._ids), self._zone(request), now_ms
         )
         replicas = self._replicas(service)
         match service.queue.submit(group, replicas, now_ms):
@@ -115,6 +106,32 @@
                 self._pump(service)
         return future
 
+    def announce(
+        self, announcement: stages.Announcement
+    ) -> stages.Failure | None:
+        """Expect items of a request; return why they cannot be served."""
+        service = self._service(announcement.service)
+        if service is None:
+            return stages.Failure(stages.Reason.NO_TARGET, DECLINED_PAUSE_MS)
+        now_ms = self._clock.monotonic_ms()
+        group = stage_groups.of_announcement(
+            announcement, next(self._ids), now_ms
+        )
+        arrives_ms = now_ms + announcement.arrives_in_ms
+        match service.queue.announce(
+            group, self._replicas(service), arrives_ms, now_ms
+        ):
+            case stage_queue.Rejected(retry_after_ms):
+                return stages.Failure(stages.Reason.OVERLOADED, retry_after_ms)
+            case stage_queue.Accepted():
+                return None
+
+    def withdraw(self, service_name: str, attempt_id: str, stage: int) -> None:
+        """Expect items no more that were announced."""
+        service = self._services.get(service_name)
+        if service is not None:
+            service.queue.withdraw(attempt_id, stage)
+
     def hand_over(self) -> None:
         """Give up the groups of which no call has taken anything.
 
@@ -142,6 +159,7 @@
                     service, flush_all=elapsed_ms >= FREE_INTERVAL_MS
                 )
                 service.held.expire(self._clock.monotonic_ms())
+                service.queue.expire(self._clock.monotonic_ms())
                 self._pump(service)
             if elapsed_ms >= FREE_INTERVAL_MS:
                 elapsed_ms = 0
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -9,14 +9,14 @@
 
 import attrs
 
+from sycamorebeam.forwarding import announced_groups
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import rates
+from sycamorebeam.forwarding import stage_forecast
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_replica
 
 RATE_MEMORY_MS = 1_500.0  # arrivals of a burst count within a second or so
-# However many more urgent items arrive, some places are left for others.
-LEAST_SHARE = 0.1
 RESIDENCE_WEIGHT = 0.02  # of the newest result, of some dozens a second
 # A replica slower than this many times its stated pace gets work only when
 # the others are busy for a round.
@@ -53,6 +53,7 @@
     def __init__(self, batching: model.Batching) -> None:
         self._batching = batching
         self._pending: dict[int, _Pending] = {}
+        self._announced = announced_groups.AnnouncedGroups()
         self._arrivals: dict[int, rates.FadingRate] = {}
         self._residence_ms = 0.0
 
@@ -91,11 +92,10 @@
         now_ms: int,
     ) -> Accepted | Rejected:
         """Queue a group unless its results would come too late."""
-        expected_ms = self._expected_ms(group, replicas, now_ms)
-        limit_ms = group.accept_ms if self._pending else group.useless_ms
-        if expected_ms > limit_ms:
-            excess_ms = expected_ms - limit_ms
-            return Rejected(max(SHORTEST_RETURN_MS, excess_ms))
+        if not self._announced.take(group):
+            rejected = self._reject(group, replicas, now_ms, now_ms)
+            if rejected is not None:
+                return rejected
         self._arrivals.setdefault(
             group.rank, rates.FadingRate(RATE_MEMORY_MS)
         ).add(group.size, now_ms)
@@ -104,6 +104,46 @@
         )
         return Accepted()
 
+    def announce(
+        self,
+        group: stage_groups.Group,
+        replicas: list[stage_replica.Replica],
+        arrives_ms: int,
+        now_ms: int,
+    ) -> Accepted | Rejected:
+        """Expect a group unless its results would come too late.
+
+        What was expected is queued when it arrives.
+        """
+        rejected = self._reject(group, replicas, arrives_ms, now_ms)
+        if rejected is not None:
+            return rejected
+        self._announced.add(group, arrives_ms)
+        return Accepted()
+
+    def withdraw(self, attempt_id: str, stage: int) -> None:
+        """Expect a group no more."""
+        self._announced.withdraw(attempt_id, stage)
+
+    def expire(self, now_ms: int) -> None:
+        """Expect the groups no more that should have arrived long ago."""
+        self._announced.expire(now_ms)
+
+    def _reject(
+        self,
+        group: stage_groups.Group,
+        replicas: list[stage_replica.Replica],
+        arrives_ms: int,
+        now_ms: int,
+    ) -> Rejected | None:
+        expected_ms = self._expected_ms(group, replicas, arrives_ms, now_ms)
+        is_busy = self._pending or self._announced
+        limit_ms = group.accept_ms if is_busy else group.useless_ms
+        if expected_ms <= limit_ms:
+            return None
+        excess_ms = expected_ms - limit_ms
+        return Rejected(max(SHORTEST_RETURN_MS, excess_ms))
+
     def put_back(self, entry: stage_groups.Entry) -> None:
         """Queue an item again whose call did not produce it."""
         pending = self._pending.setdefault(
@@ -267,49 +307,41 @@
         self,
         group: stage_groups.Group,
         replicas: list[stage_replica.Replica],
+        arrives_ms: int,
         now_ms: int,
     ) -> float:
-        """Return when the last result of a group is to be expected."""
+        """Return when the last result of a group is to be expected.
+
+        Groups that are announced count like those that wait.
+        """
         size = self._batching.items
         # Whatever else waits fills the call, which then takes longer.
         own_ms = self.call_ms(min(size, self.items + group.size))
         if not replicas:
-            return now_ms + own_ms + self._batching.call_ms
+            return arrives_ms + own_ms + self._batching.call_ms
         own = self._urgency(group, False, now_ms)
-        ahead = (
-            group.size
-            - 1
-            + sum(
-                len(pending.left)
-                for pending in self._pending.values()
-                if self._urgency(pending.group, pending.is_begun, now_ms) < own
-            )
+        ahead = group.size - 1
+        ahead += sum(
+            len(pending.left)
+            for pending in self._pending.values()
+            if self._urgency(pending.group, pending.is_begun, now_ms) < own
+        )
+        ahead += self._announced.count_items(
+            lambda other: self._urgency(other, False, now_ms) < own
+        )
+        wait_ms = stage_forecast.wait_ms(
+            self._batching,
+            ahead,
+            stage_forecast.capacity(
+                self._batching,
+                [replica.slowness for replica in replicas],
+                self._mean_result_bytes(group),
+                self.residence_ms,
+            ),
+            self._overtaking(own, now_ms),
         )
-        capacity = self._capacity(group, replicas)
-        left = capacity - self._overtaking(own, now_ms)
-        usable = max(LEAST_SHARE * capacity, left)
         first_ms = min(replica.free_in_ms(now_ms) for replica in replicas)
-        later_ms = (ahead // size) * size / usable
-        return now_ms + first_ms + later_ms + own_ms
-
-    def _capacity(
-        self, group: stage_groups.Group, replicas: list[stage_replica.Replica]
-    ) -> float:
-        """Return how many items a millisecond the replicas can produce.
-
-        Results take up memory from the start of their call until they are
-        freed, which bounds the calls of some services.
-        """
-        size = self._batching.items
-        full_ms = self.call_ms(size)
-        pace = sum(1 / replica.slowness for replica in replicas)
-        places = size * pace / full_ms
-        result_bytes = self._mean_result_bytes(group)
-        if not result_bytes:
-            return places
-        kept_ms = full_ms + self.residence_ms
-        held = len(replicas) * self._batching.memory_bytes / result_bytes
-        return min(places, held / kept_ms)
+        return max(arrives_ms, now_ms + first_ms + wait_ms) + own_ms
 
     def _mean_result_bytes(self, group: stage_groups.Group) -> float:
         total_bytes = group.result_bytes * group.size
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from sycamorebeam.forwarding import instances as instances_module
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_owner
@@ -46,6 +48,42 @@
                 return outcome
         return await self._owner.submit(request)
 
+    async def announce(
+        self, announcement: stages.Announcement
+    ) -> stages.Failure | None:
+        """Tell an owner what will come; return why it cannot be served.
+
+        An owner that does not answer in time does not hold the request up.
+        """
+        owner_id = self._next_owner(announcement.service)
+        if owner_id == self._instances.own.instance_id:
+            return self._owner.announce(announcement)
+        link = await self._links.link(owner_id)
+        if link is None:
+            return None
+        with link.exchange() as exchange:
+            link.send(
+                messages.AnnounceItems(
+                    call_id=exchange.call_id, **attrs.asdict(announcement)
+                )
+            )
+            try:
+                message = await exchange.next(QUEUED_TIMEOUT_MS)
+            except peer_links.LinkLostError:
+                return None
+        if isinstance(message, messages.ItemsFailed):
+            return _failure(message)
+        return None
+
+    def withdraw(self, service: str, attempt_id: str, stage: int) -> None:
+        """Tell the owner that announced items will not come."""
+        owner_id = self._next_owner(service)
+        link = self._links.current(owner_id)
+        if owner_id == self._instances.own.instance_id:
+            self._owner.withdraw(service, attempt_id, stage)
+        elif link is not None and not link.is_closed:
+            link.send(messages.WithdrawItems(service, attempt_id, stage))
+
     def free(self, service: str, results: list[str]) -> None:
         """Give up results; their replica's owner passes it on."""
         link = self._links.current(self._next_owner(service))
@@ -81,11 +119,27 @@
                 served.start(
                     call_id, future, lambda done: _answer(call_id, done)
                 )
+            case messages.AnnounceItems():
+                self._serve_announcement(served, message)
+            case messages.WithdrawItems(service, attempt_id, stage):
+                self._owner.withdraw(service, attempt_id, stage)
             case messages.CancelItems(call_id):
                 served.cancel(call_id)
             case messages.FreeResults(service, results):
                 self._owner.free(service, results)
 
+    def _serve_announcement(
+        self, served: peer_links.Served, message: messages.AnnounceItems
+    ) -> None:
+        fields = attrs.asdict(message)
+        call_id = fields.pop('call_id')
+        failure = self._owner.announce(stages.Announcement(**fields))
+        served.stream.send(
+            messages.ItemsQueued(call_id)
+            if failure is None
+            else _answer(call_id, failure)
+        )
+
 
 async def _submit(
     link: peer_links.Link, request: stages.StageRequest
@@ -106,11 +160,17 @@
     match message:
         case messages.ItemsDone(_, results):
             return stages.Results(tuple(results))
-        case messages.ItemsFailed(_, reason, retry_after_ms):
-            return stages.Failure(stages.Reason(reason), retry_after_ms)
+        case messages.ItemsFailed():
+            return _failure(message)
     raise peer_links.LinkLostError(f'an unexpected answer: {message!r}')
 
 
+def _failure(message: messages.ItemsFailed) -> stages.Failure:
+    return stages.Failure(
+        stages.Reason(message.reason), message.retry_after_ms
+    )
+
+
 def _answer(call_id: int, outcome: stages.Outcome) -> messages.Message:
     match outcome:
         case stages.Results(results):
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -127,6 +127,26 @@
     positions: tuple[int, ...]
 
 
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """Items that a request will submit when earlier stages have run.
+
+    Times are left from now; ``arrives_in_ms`` is when that is expected. The
+    others are those of the request that will follow.
+    """
+
+    service: str
+    attempt_id: str
+    stage: int
+    rank: int
+    items: int
+    result_bytes: float
+    arrives_in_ms: int
+    objective_in_ms: int
+    accept_in_ms: int
+    useless_in_ms: int
+
+
 @attrs.frozen
 class Results:
     """The results of all items, in order."""
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -97,9 +97,38 @@
     positions: list[int]
 
 
+@attrs.frozen
+class AnnounceItems:
+    """Asks the owner of a queue to expect items of a later stage.
+
+    Answered by ``ItemsQueued`` or ``ItemsFailed``. Times are left from now.
+    """
+
+    call_id: int
+    service: str
+    attempt_id: str
+    stage: int
+    rank: int
+    items: int
+    result_bytes: float
+    arrives_in_ms: int
+    objective_in_ms: int
+    accept_in_ms: int
+    useless_in_ms: int
+
+
+@attrs.frozen
+class WithdrawItems:
+    """Items that were announced will not be submitted."""
+
+    service: str
+    attempt_id: str
+    stage: int
+
+
 @attrs.frozen
 class ItemsQueued:
-    """The items of ``SubmitItems`` wait for their calls."""
+    """The items wait for their calls, or are expected."""
 
     call_id: int
 
@@ -205,6 +234,8 @@
     | FetchCatalogue
     | CatalogueState
     | SubmitItems
+    | AnnounceItems
+    | WithdrawItems
     | ItemsQueued
     | ItemsDone
     | ItemsFailed
@@ -226,6 +257,8 @@
     'fetch': FetchCatalogue,
     'state': CatalogueState,
     'submit': SubmitItems,
+    'announce': AnnounceItems,
+    'withdraw': WithdrawItems,
     'queued': ItemsQueued,
     'done': ItemsDone,
     'failed': ItemsFailed,
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -54,6 +54,12 @@
             tuple(f'{request.service}/{n}' for n in request.positions)
         )
 
+    async def announce(self, announcement):
+        return None
+
+    def withdraw(self, service, attempt_id, stage):
+        pass
+
     def free(self, service, results):
         self.freed.extend(results)
 
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -329,7 +329,10 @@
 class Producer:
     """Produces after a time, and notes the order of events."""
 
-    def __init__(self, durations_ms=None, failing=()):
+    def __init__(self, durations_ms=None, failing=(), overloaded=()):
+        self.overloaded = overloaded
+        self.announced = {}
+        self.withdrawn = []
         self.durations_ms = durations_ms or {}
         self.failing = failing
         self.log = []
@@ -347,6 +350,16 @@
             tuple(f'{stage}.{n}' for n in range(len(request.positions)))
         )
 
+    async def announce(self, announcement):
+        self.announced[announcement.stage] = announcement
+        await asyncio.sleep(0.01)
+        if announcement.stage in self.overloaded:
+            return stages.Failure(stages.Reason.OVERLOADED, 700.0)
+        return None
+
+    def withdraw(self, service, attempt_id, stage):
+        self.withdrawn.append(stage)
+
     def free(self, service, results):
         self.log.append(f'free {results[0][0]}')
 
@@ -444,6 +457,48 @@
         # What was begun is finished as long as it is of use.
         self.assertEqual(second.useless_in_ms, second.accept_in_ms)
 
+    async def test_later_stages_are_announced(self):
+        await self.prepare(chain((), (0,), (1,)), (1, 2, 3))
+        self.assertEqual({1, 2}, set(self.producer.announced))
+        last = self.producer.announced[2]
+        self.assertEqual(('desk', 3), (last.service, last.items))
+        # Calls of 160 and 170 ms come first; 150 ms for the engine later.
+        self.assertAlmostEqual(330, last.arrives_in_ms, delta=5)
+        self.assertAlmostEqual(1_900 - 150, last.accept_in_ms, delta=5)
+        self.assertEqual([], self.producer.withdrawn)
+
+    @ddt.data(
+        ('the second', (1,), 700.0),
+        ('the third', (2,), 700.0),
+    )
+    @ddt.unpack
+    async def test_nothing_is_finished_that_a_later_stage_cannot_serve(
+        self, _, overloaded, retry_after_ms
+    ):
+        began_ms = clocks.Clock().monotonic_ms()
+        result = await self.prepare(
+            chain((), (0,), (1,)), (1, 1, 1), overloaded=overloaded
+        )
+        self.assertLess(clocks.Clock().monotonic_ms() - began_ms, 50)
+        self.assertEqual(
+            stages.Failure(stages.Reason.OVERLOADED, retry_after_ms), result
+        )
+        self.assertNotIn('end 0', self.producer.log)
+        self.assertEqual([1, 2], sorted(self.producer.withdrawn))
+
+    async def test_a_failure_takes_back_what_was_announced(self):
+        await self.prepare(chain((), (0,), (1,)), (1, 1, 1), failing=(1,))
+        self.assertEqual([2], self.producer.withdrawn)
+
+    async def test_a_caller_that_leaves_takes_back_what_was_announced(self):
+        preparing = asyncio.create_task(
+            self.prepare(chain((), (0,), (1,)), (1, 1, 1))
+        )
+        await asyncio.sleep(0.25)
+        preparing.cancel()
+        await asyncio.gather(preparing, return_exceptions=True)
+        self.assertEqual([2], self.producer.withdrawn)
+
     async def test_stages_that_took_long_are_expected_to(self):
         times = preparation.StageTimes()
         for now_ms in range(0, 2_000, 100):
--- a/tests/forwarding/test_stage_queue.py
+++ b/tests/forwarding/test_stage_queue.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import attrs
 import ddt
 
 from sycamorebeam.forwarding import stage_queue
@@ -212,6 +213,186 @@
         self.assertIsInstance(result, stage_queue.Accepted)
 
 
+@ddt.ddt
+class AnnouncementTest(base.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.queue = new_queue()
+        self.fleet = replicas('a1')
+
+    def announce(self, group_id, arrives_ms=300, **fields):
+        return self.queue.announce(
+            build.group(group_id, **fields), self.fleet, arrives_ms, 0
+        )
+
+    def is_taken(self, group_id, **fields):
+        result = self.queue.submit(
+            build.group(group_id, **fields), self.fleet, 0
+        )
+        return isinstance(result, stage_queue.Accepted)
+
+    @ddt.data(
+        ('nothing is expected', 0, {}, True),
+        ('much is expected', 80, {}, False),
+        ('less urgent items are expected', 80, {'rank': 2}, True),
+    )
+    @ddt.unpack
+    def test_what_is_expected_counts_as_waiting(
+        self, _, announced, fields, is_taken
+    ):
+        for group_id in range(1, announced + 1):
+            self.announce(group_id, **fields)
+        self.assertEqual(is_taken, self.is_taken(99, accept_ms=500))
+
+    def test_what_was_expected_is_queued_when_it_comes(self):
+        self.announce(1)
+        for group_id in range(2, 82):
+            self.is_taken(group_id, rank=0)
+        self.assertFalse(self.is_taken(98, accept_ms=500))
+        self.assertTrue(self.is_taken(1, accept_ms=500))
+        # Once only.
+        self.assertFalse(self.is_taken(1, accept_ms=500))
+
+    @ddt.data(('in time', 300, True), ('too late', 600, False))
+    @ddt.unpack
+    def test_results_do_not_come_before_their_items(
+        self, _, arrives_ms, is_taken
+    ):
+        self.is_taken(1)
+        result = self.announce(2, arrives_ms, accept_ms=600)
+        self.assertEqual(is_taken, isinstance(result, stage_queue.Accepted))
+
+    @ddt.data(
+        ('withdrawn', True, 0, True),
+        ('long overdue', False, 300 + 1_501, True),
+        ('not overdue yet', False, 300 + 1_499, False),
+    )
+    @ddt.unpack
+    def test_what_will_not_come_is_not_expected(
+        self, _, is_withdrawn, now_ms, is_taken
+    ):
+        for group_id in range(1, 81):
+            self.announce(group_id)
+            if is_withdrawn:
+                self.queue.withdraw(f'r{group_id}', 0)
+        self.queue.expire(now_ms)
+        self.assertEqual(is_taken, self.is_taken(99, accept_ms=500))
+
+
+class ChainLoad:
+    """Plays requests of two stages, of which the second is overloaded.
+
+    The first has three replicas; the second has one, whose full calls carry
+    the four items of 8.7 of the 30 requests a second.
+    """
+
+    def __init__(self, seed, is_announcing):
+        self.is_announcing = is_announcing
+        self.stages = [
+            (new_queue(memory_bytes=1e9), replicas('a1', 'a2', 'b1')),
+            (new_queue(memory_bytes=1e9), replicas('a1')),
+        ]
+        self.left = {}
+        self.in_time = self.late = self.wasted = self.refused_at_once = 0
+        generator = random.Random(seed)
+        events = []
+        at_ms = 0.0
+        for group_id in range(900):
+            at_ms += generator.expovariate(30 / 1_000)
+            events.append((int(at_ms), group_id, 'arrive', None))
+        self.total = len(events)
+        heapq.heapify(events)
+        while events:
+            now_ms, key, kind, entries = heapq.heappop(events)
+            if kind == 'arrive':
+                self.arrive(key, now_ms)
+            else:
+                self.finish(key, entries, now_ms)
+            for stage in (0, 1):
+                self.call(stage, events, now_ms)
+
+    def group(self, group_id, stage, begun_ms, now_ms):
+        objective_ms = begun_ms + (700 if stage == 0 else 1_000)
+        return build.group(
+            group_id,
+            1 + stage * 3,
+            queued_ms=begun_ms,
+            objective_ms=objective_ms,
+            accept_ms=objective_ms,
+            useless_ms=begun_ms + 3_000,
+            work=build.work(f'r{group_id}', stage),
+        )
+
+    def arrive(self, group_id, now_ms):
+        queue, fleet = self.stages[1]
+        later = self.group(group_id, 1, now_ms, now_ms)
+        if self.is_announcing:
+            result = queue.announce(later, fleet, now_ms + 250, now_ms)
+            if isinstance(result, stage_queue.Rejected):
+                self.refused_at_once += 1
+                return
+        queue, fleet = self.stages[0]
+        first = self.group(group_id, 0, now_ms, now_ms)
+        queue.submit(first, fleet, now_ms)
+        self.left[group_id, 0] = 1
+
+    def finish(self, key, entries, now_ms):
+        stage, index = divmod(key, 10)
+        self.stages[stage][1][index].calls = 0
+        for entry in entries:
+            group = entry.group
+            self.left[group.group_id, stage] -= 1
+            if self.left[group.group_id, stage]:
+                continue
+            if stage == 0:
+                self.go_on(group, now_ms)
+            elif now_ms <= group.objective_ms:
+                self.in_time += 1
+            else:
+                self.late += 1
+
+    def go_on(self, first, now_ms):
+        queue, fleet = self.stages[1]
+        second = self.group(first.group_id, 1, first.queued_ms, now_ms)
+        # What was begun is finished as long as it is of use.
+        second = attrs.evolve(second, accept_ms=second.useless_ms)
+        result = queue.submit(second, fleet, now_ms)
+        if isinstance(result, stage_queue.Rejected):
+            self.wasted += 1
+        else:
+            self.left[first.group_id, 1] = second.size
+
+    def call(self, stage, events, now_ms):
+        queue, fleet = self.stages[stage]
+        self.wasted += len(queue.drop_useless(now_ms))
+        for index, replica in enumerate(fleet):
+            if not replica.is_free(1, now_ms):
+                continue
+            entries = queue.next_call(replica, fleet, now_ms)
+            if entries:
+                replica.calls = 1
+                end_ms = now_ms + int(queue.call_ms(len(entries)))
+                replica.busy_until_ms = end_ms
+                key = stage * 10 + index
+                heapq.heappush(events, (end_ms, key, 'finish', entries))
+
+
+@ddt.ddt
+class ChainLoadTest(base.TestCase):
+    @ddt.data(1, 2, 3)
+    def test_callers_of_an_overloaded_chain(self, seed):
+        """Refused at once, or served in time; little is made for nobody."""
+        announcing = ChainLoad(seed, is_announcing=True)
+        silent = ChainLoad(seed, is_announcing=False)
+        # 8.7 requests a second can be served, of 30.
+        servable = 0.29 * announcing.total
+        self.assertGreater(announcing.in_time, 0.9 * servable)
+        self.assertGreater(0.9 * servable, silent.in_time)
+        self.assertLess(announcing.wasted, 0.02 * announcing.total)
+        self.assertGreater(silent.wasted, 0.3 * silent.total)
+        self.assertGreater(announcing.refused_at_once, 0.6 * announcing.total)
+
+
 class Load:
     """Plays arrivals against replicas that work as they state."""
 
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -25,6 +25,9 @@
         self.asked = []
         self.freed = []
         self.cancelled = 0
+        self.announced = []
+        self.withdrawn = []
+        self.refusal = None
         self.delay_ms = 20
         self.outcome = None
 
@@ -49,6 +52,13 @@
     def note(self, future):
         self.cancelled += future.cancelled()
 
+    def announce(self, announcement):
+        self.announced.append(announcement)
+        return self.refusal
+
+    def withdraw(self, service, attempt_id, stage):
+        self.withdrawn.append((service, attempt_id, stage))
+
     def free(self, service, results):
         self.freed.extend(results)
 
@@ -88,6 +98,21 @@
     return test_stage_owner.stage_request(name, 2, **fields)
 
 
+def announcement(name):
+    return stages.Announcement(
+        service='desk',
+        attempt_id=name,
+        stage=2,
+        rank=1,
+        items=3,
+        result_bytes=100.0,
+        arrives_in_ms=300,
+        objective_in_ms=1_000,
+        accept_in_ms=1_200,
+        useless_in_ms=5_000,
+    )
+
+
 @ddt.ddt
 class StageStreamsTest(base.NetworkTestCase):
     async def test_all_ask_the_same_owner(self):
@@ -114,6 +139,30 @@
             await asker.streams.produce(sent)
             self.assertEqual([sent], owner.owner.asked)
 
+    @ddt.data(None, stages.Failure(stages.Reason.OVERLOADED, 750.0))
+    async def test_an_announcement_arrives_as_it_was_sent(self, refusal):
+        async with fleet(2) as nodes:
+            for asker in nodes:
+                owner = split(nodes)[0]
+                owner.owner.refusal = refusal
+                sent = announcement(asker.name)
+                self.assertEqual(refusal, await asker.streams.announce(sent))
+                self.assertEqual(sent, owner.owner.announced[-1])
+                asker.streams.withdraw('desk', asker.name, 2)
+                await asyncio.sleep(0.05)
+                self.assertEqual(
+                    ('desk', asker.name, 2), owner.owner.withdrawn[-1]
+                )
+
+    async def test_a_silent_owner_does_not_hold_an_announcement_up(self):
+        async with fleet(2) as nodes:
+            owner, asker = split(nodes)
+            owner.links._handlers.clear()
+            limit_ms = stage_streams.QUEUED_TIMEOUT_MS + 100
+            async with asyncio.timeout(limit_ms / 1_000):
+                refusal = await asker.streams.announce(announcement('r'))
+            self.assertIsNone(refusal)
+
     async def test_a_failure_is_passed_on(self):
         async with fleet(2) as nodes:
             owner, asker = split(nodes)
