--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -85,6 +85,7 @@
     duration_ms: int = 30
     # Breaks the connection off after so many events, or before any answer.
     breaks_after: int | None = None
+    says_it_leaves: bool = False
     ran: list = attrs.field(factory=list)
     calls: list = attrs.field(factory=list)
     held: set = attrs.field(factory=set)
@@ -126,6 +127,8 @@
         if self.breaks_after == 0:
             request.transport.abort()
         headers = {'X-Attempt-Id': attempt_id, 'X-Server-Signature': 's'}
+        if self.says_it_leaves:
+            headers['Server-Leaving'] = '1'
         if 'X-Input-Items' not in request.headers:
             await asyncio.sleep(self.duration_ms / 1000)
             return web.Response(text=f'served {attempt_id}', headers=headers)
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -154,3 +154,28 @@
                 found = await processes.send(instances[0], f's{n}')
                 self.assertEqual(200, found.status)
             self.assertEqual([], platform.targets[0].ran)
+
+    async def test_all_heed_a_target_that_says_it_leaves(self):
+        """The store, which is away, cannot tell them."""
+        async with self.fleet() as (platform, instances):
+            engine = platform.targets[0]
+            for n in range(12):
+                await processes.send(instances[n % 3], f'before{n}')
+            platform.store.is_away = True
+            engine.says_it_leaves = True
+            engine.ran.clear()
+            for n in range(40):
+                await processes.send(instances[0], f'witness{n}')
+                if engine.ran:
+                    break
+            self.assertEqual(1, len(engine.ran))
+            await asyncio.sleep(0.5)
+            responses = await asyncio.gather(
+                *(
+                    processes.send(instances[n % 3], f'after{n}')
+                    for n in range(30)
+                )
+            )
+            # Within the time for which keys may be relied on.
+            self.assertEqual({200}, {found.status for found in responses})
+            self.assertEqual(1, len(engine.ran))
