--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -59,6 +59,11 @@
         self.assertAlmostEqual(intercept, found.intercept, 6)
         self.assertAlmostEqual(spread, found.spread, 6)
 
+    def test_rounding_is_no_intercept(self):
+        """Its size differs from one processor to the next."""
+        points = [(size, size) for size in (4, 12, 40, 130, 410)]
+        self.assertEqual(0.0, fits.fit(series(*points)).intercept)
+
     def test_a_negative_intercept_is_no_gain(self):
         found = fits.Fit(slope=2, intercept=-50, spread=0)
         self.assertEqual(20, found.at(10))
--- a/tools/capacity_fit.py
+++ b/tools/capacity_fit.py
@@ -13,6 +13,8 @@
 CONVERTER = cattrs.Converter()
 MIN_SIZES = 4
 MIN_RANGE = 100
+# Of the largest value: what is below differs from one processor to the next.
+ROUNDING_SHARE = 1e-9
 
 
 @attrs.frozen
@@ -61,8 +63,10 @@
     sizes = np.array([point.size for point in series.points])
     values = np.array([point.value for point in series.points])
     slope, intercept = np.polyfit(sizes, values, 1)
-    found = slope * sizes + intercept
     largest = float(np.max(np.abs(values))) or 1.0
+    if abs(intercept) < ROUNDING_SHARE * largest:
+        intercept = 0.0
+    found = slope * sizes + intercept
     spread = float(np.max(np.abs(values - found))) / largest
     return Fit(slope=float(slope), intercept=float(intercept), spread=spread)
 
