--- a/tests/forwarding/test_shared_reads.py
+++ b/tests/forwarding/test_shared_reads.py
@@ -425,6 +425,27 @@
             )
             self.assertEqual(1, read.state.version)
 
+    async def test_a_reader_without_the_store_waits_for_one_that_asks(self):
+        """It refuses everybody, so it cannot be part of a circle."""
+        async with fleet(*['north'] * 3) as nodes:
+            reader, asker, silent = nodes
+            reads = await asyncio.gather(
+                *(node.reads.read_state() for node in nodes)
+            )
+            await reader.lose_store()
+            asker.unsettle()
+            silent.links._handlers.clear()
+            asking = asyncio.create_task(
+                asker.reads.wait_state(reads[1].position, WAIT_MS)
+            )
+            await asyncio.sleep(0.1)
+            waiting = asyncio.create_task(
+                reader.reads.wait_state(reads[0].position, WAIT_MS)
+            )
+            asker.platform.versions.append(7)
+            read, _ = await asyncio.gather(waiting, asking)
+            self.assertEqual(7, read.state.version)
+
     async def test_who_reads_alone_for_a_while_asks_again(self):
         async with fleet(*['north'] * 2) as nodes:
             reader, asker = nodes
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -92,6 +92,21 @@
     return stages.StageRequest(**{**values, **fields})
 
 
+def announcement(name):
+    return stages.Announcement(
+        service='desk',
+        attempt_id=name,
+        stage=1,
+        rank=1,
+        items=2,
+        result_bytes=100.0,
+        arrives_in_ms=300,
+        objective_in_ms=9_000,
+        accept_in_ms=10_000,
+        useless_in_ms=10_000,
+    )
+
+
 @ddt.ddt
 class StageOwnerTest(base.TestCase):
     def new_owner(self, targets=2, budget=100.0):
@@ -221,6 +236,21 @@
         """Return how many calls and frees there were."""
         return len(self.replicas.calls), self.replicas.free_calls
 
+    async def test_announced_items_that_do_not_come_are_forgotten(self):
+        """Who announced them may have been killed."""
+        owner = self.new_owner(targets=1)
+        for n in range(60):
+            self.assertIsNone(owner.announce(announcement(f'a{n}')))
+        refused = await owner.submit(
+            stage_request('r', objective_in_ms=9_500, accept_in_ms=500)
+        )
+        self.assertEqual(stages.Reason.OVERLOADED, refused.reason)
+        await asyncio.sleep(2)
+        taken = await owner.submit(
+            stage_request('s', objective_in_ms=9_500, accept_in_ms=500)
+        )
+        self.assertIsInstance(taken, stages.Results)
+
     async def test_repeats_of_items_that_may_have_run_are_bounded(self):
         owner = self.new_owner(budget=4.0)
         self.replicas.scripts = {'t0': ['broken'] * 9, 't1': ['broken'] * 9}
--- a/tests/forwarding/test_stage_queue.py
+++ b/tests/forwarding/test_stage_queue.py
@@ -194,6 +194,19 @@
         )
         self.assertEqual(is_taken, isinstance(result, stage_queue.Accepted))
 
+    @ddt.data(('ample', 1_000_000.0, True), ('scarce', 8_000.0, False))
+    @ddt.unpack
+    def test_memory_bounds_what_is_expected(self, _, memory_bytes, is_taken):
+        """Results of 1,000 bytes are kept for two seconds after a call."""
+        queue = new_queue(memory_bytes=memory_bytes)
+        for _ in range(1_000):
+            queue.note_residence(2_000)
+        fleet = replicas('a1', 'a2')
+        for group_id in range(1, 25):
+            queue.submit(build.group(group_id), fleet, 0)
+        result = queue.submit(build.group(99, accept_ms=1_000), fleet, 0)
+        self.assertEqual(is_taken, isinstance(result, stage_queue.Accepted))
+
     def test_a_refusal_says_when_to_come_back(self):
         queue = new_queue()
         fleet = replicas('a1')
