--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -243,11 +243,11 @@
                 )
         except upstream.NotSentError as error:
             service.end_call(replica, entries, has_run=False)
-            self._pause_broken(service, replica, error)
+            self._pause_broken(service, replica, repr(error))
             self._put_back(service, entries)
         except (upstream.BrokenError, TimeoutError) as error:
             service.end_call(replica, entries, has_run=False)
-            self._pause_broken(service, replica, error)
+            self._pause_broken(service, replica, repr(error))
             self._repeat(service, entries)
         else:
             rest_ms = self._notices.take(target, result.notice)
@@ -379,7 +379,7 @@
         self,
         service: stage_service.StageService,
         replica: stage_replica.Replica,
-        error: BaseException | str,
+        error: str,
     ) -> None:
         pause_ms = service.pause_broken(replica, self._clock.monotonic_ms())
         self._metrics.stage_calls.labels(service.name, 'broken').inc()
@@ -388,7 +388,7 @@
             'WARNING',
             service=service.name,
             target=replica.target_id,
-            error=str(error),
+            error=error,
             pause_ms=pause_ms,
         )
 
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -1,10 +1,12 @@
 """The owner of a stage service's queue, before replicas of ours."""
 
 import asyncio
+from unittest import mock
 
 import ddt
 
 from sycamorebeam import clock as clocks
+from sycamorebeam import telemetry
 from sycamorebeam.forwarding import directory
 from sycamorebeam.forwarding import metrics
 from sycamorebeam.forwarding import model
@@ -236,6 +238,26 @@
         """Return how many calls and frees there were."""
         return len(self.replicas.calls), self.replicas.free_calls
 
+    @ddt.data('refused', 'broken', 'failed', 'silent')
+    async def test_a_broken_call_is_logged_with_its_cause(self, step):
+        owner = self.new_owner(targets=1)
+        self.replicas.scripts = {'t0': [step]}
+        if step == 'silent':
+            self.replicas.duration_ms = 60_000
+        with mock.patch.object(
+            telemetry, 'log_event', autospec=True
+        ) as log_event:
+            waiting = owner.submit(stage_request('r'))
+            await asyncio.sleep(2.5)
+        waiting.cancel()
+        causes = [
+            call.kwargs['error']
+            for call in log_event.call_args_list
+            if call.args[0] == 'stage_call_broken'
+        ]
+        self.assertEqual(1, len(causes))
+        self.assertTrue(causes[0])
+
     async def test_announced_items_that_do_not_come_are_forgotten(self):
         """Who announced them may have been killed."""
         owner = self.new_owner(targets=1)
