--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -73,6 +73,22 @@
     return stages.Work(name, stage, 'k', bool(inputs), inputs)
 
 
+def announcement(name, **fields):
+    values = {
+        'service': 'desk',
+        'attempt_id': name,
+        'stage': 1,
+        'rank': 1,
+        'items': 2,
+        'result_bytes': 100.0,
+        'arrives_in_ms': 300,
+        'objective_in_ms': 9_000,
+        'accept_in_ms': 10_000,
+        'useless_in_ms': 10_000,
+    }
+    return stages.Announcement(**{**values, **fields})
+
+
 def group(group_id, items=1, **fields):
     values = {
         'group_id': group_id,
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -94,21 +94,6 @@
     return stages.StageRequest(**{**values, **fields})
 
 
-def announcement(name):
-    return stages.Announcement(
-        service='desk',
-        attempt_id=name,
-        stage=1,
-        rank=1,
-        items=2,
-        result_bytes=100.0,
-        arrives_in_ms=300,
-        objective_in_ms=9_000,
-        accept_in_ms=10_000,
-        useless_in_ms=10_000,
-    )
-
-
 @ddt.ddt
 class StageOwnerTest(base.TestCase):
     def new_owner(self, targets=2, budget=100.0):
@@ -262,7 +247,7 @@
         """Who announced them may have been killed."""
         owner = self.new_owner(targets=1)
         for n in range(60):
-            self.assertIsNone(owner.announce(announcement(f'a{n}')))
+            self.assertIsNone(owner.announce(build.announcement(f'a{n}')))
         refused = await owner.submit(
             stage_request('r', objective_in_ms=9_500, accept_in_ms=500)
         )
--- a/tests/forwarding/test_stage_streams.py
+++ b/tests/forwarding/test_stage_streams.py
@@ -14,6 +14,7 @@
 from sycamorebeam.peering import messages
 from sycamorebeam.peering import stream
 from tests import base
+from tests.forwarding import build
 from tests.forwarding import nodes as nodes_module
 from tests.forwarding import test_stage_owner
 
@@ -98,21 +99,6 @@
     return test_stage_owner.stage_request(name, 2, **fields)
 
 
-def announcement(name):
-    return stages.Announcement(
-        service='desk',
-        attempt_id=name,
-        stage=2,
-        rank=1,
-        items=3,
-        result_bytes=100.0,
-        arrives_in_ms=300,
-        objective_in_ms=1_000,
-        accept_in_ms=1_200,
-        useless_in_ms=5_000,
-    )
-
-
 @ddt.ddt
 class StageStreamsTest(base.NetworkTestCase):
     async def test_all_ask_the_same_owner(self):
@@ -145,7 +131,7 @@
             for asker in nodes:
                 owner = split(nodes)[0]
                 owner.owner.refusal = refusal
-                sent = announcement(asker.name)
+                sent = build.announcement(asker.name, stage=2)
                 self.assertEqual(refusal, await asker.streams.announce(sent))
                 self.assertEqual(sent, owner.owner.announced[-1])
                 asker.streams.withdraw('desk', asker.name, 2)
@@ -160,7 +146,7 @@
             owner.links._handlers.clear()
             limit_ms = stage_streams.QUEUED_TIMEOUT_MS + 100
             async with asyncio.timeout(limit_ms / 1_000):
-                refusal = await asker.streams.announce(announcement('r'))
+                refusal = await asker.streams.announce(build.announcement('r'))
             self.assertIsNone(refusal)
 
     async def test_a_failure_is_passed_on(self):
