Decode the rate limits of targets, and log requests to limited targets

Change: the adapter decodes Server-Limit into Feedback.requests_per_s. target_limit_changed tells when an instance learns a limit, limited_target_used each request to such a target by path with the number of recent ones; two gauges give the limit and the recent requests. A limit that cannot be read is logged and changes nothing. What is sent, and where, is unchanged. A declined call now carries the feedback that no limit is set, so the test of declined calls names it; it compares as much as before.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -34,6 +34,7 @@
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
+from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
@@ -93,8 +94,9 @@
             self._instances.count,
         )
         self._links = peer_links.PeerLinks(self._clock, self._instances)
+        self._limits = target_limits.TargetLimits()
         self._feedback_handler = target_feedback.FeedbackHandler(
-            self._directory, self._links
+            self._clock, self._directory, self._limits, self._links
         )
         self._stage_owner = stage_owner.StageOwner(
             self._clock,
@@ -323,6 +325,28 @@
             ),
         )
 
+        add_labelled_gauge(
+            'target_requests_per_s_limit',
+            'Rate that a target accepts from all instances together.',
+            ['target'],
+            lambda: (
+                ([target_id], limit.requests_per_s)
+                for (target_id, _), limit in self._limits.limited()
+            ),
+        )
+        add_labelled_gauge(
+            'limited_target_recent_sends',
+            'Requests of this instance to a limited target in 4 s.',
+            ['target'],
+            lambda: (
+                (
+                    [target_id],
+                    limit.recent_send_count(self._clock.monotonic_ms()),
+                )
+                for (target_id, _), limit in self._limits.limited()
+            ),
+        )
+
     def _targets_age_ms(self) -> float:
         read_ms = self._directory.last_read_ms
         return -1 if read_ms is None else self._clock.monotonic_ms() - read_ms
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import enum
+import math
 
 import attrs
 
@@ -10,6 +11,7 @@
 MIN_FIRST_EVENT_TIMEOUT_MS = 2_000.0
 TIMEOUT_IN_OBJECTIVES = 4
 TIMEOUT_IN_PAUSES = 8
+UNLIMITED = math.inf  # a rate
 
 
 class Kind(enum.Enum):
@@ -121,10 +123,13 @@
     """State of a target that it reports along with an answer.
 
     ``backoff_ms`` is how long this instance must not send to the target.
+    ``requests_per_s`` is the rate that the target accepts from all instances
+    together: UNLIMITED if it sets no limit, None if the answer tells nothing.
     """
 
     is_leaving: bool = False
     backoff_ms: float = 0.0
+    requests_per_s: float | None = None
 
 
 NO_FEEDBACK = Feedback()
--- a/sycamorebeam/forwarding/stage_freeing.py
+++ b/sycamorebeam/forwarding/stage_freeing.py
@@ -62,6 +62,13 @@
         address: str,
         results: list[str],
     ) -> None:
+        holders = [
+            target
+            for target in self._directory.usable(service.name)
+            if target.address == address
+        ]
+        for target in holders:
+            self._feedback_handler.record_send(target, 'free')
         try:
             async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
                 feedback = await self._calls.free(address, results)
@@ -80,10 +87,9 @@
             )
             return
         now_ms = self._clock.monotonic_ms()
-        for target in self._directory.usable(service.name):
-            if target.address == address:
-                backoff_ms = self._feedback_handler.handle(target, feedback)
-                service.pause_freeing(address, backoff_ms, now_ms)
+        for target in holders:
+            backoff_ms = self._feedback_handler.handle(target, feedback)
+            service.pause_freeing(address, backoff_ms, now_ms)
         for result in results:
             kept_ms = service.results.remove(result, now_ms)
             if kept_ms is not None:
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -253,6 +253,7 @@
             return
         began_ms = self._clock.monotonic_ms()
         timeout_ms = service.call_timeout_ms(items)
+        self._feedback_handler.record_send(target, 'stage')
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 result = await self._calls.run(
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -170,7 +170,7 @@
                 call.request.path,
                 headers,
                 call.request.body or None,
-                self._new_send_check(call),
+                self._new_send_check(call, target),
             )
         except upstream.NotSentError as error:
             return calls.NotSent(str(error))
@@ -184,7 +184,9 @@
         finally:
             answer.close()
 
-    def _new_send_check(self, call: calls.Call) -> Callable[[], None]:
+    def _new_send_check(
+        self, call: calls.Call, target: model.Target
+    ) -> Callable[[], None]:
         """Return a check of the lease to run once the connection is open.
 
         The process may have been suspended since the request was admitted.
@@ -197,6 +199,7 @@
                 raise upstream.NotSentError('the desired state is too old')
             call.sends += 1
             call.sent_ms = self._clock.monotonic_ms()
+            self._feedback_handler.record_send(target, 'request')
 
         return check
 
--- a/sycamorebeam/forwarding/target_feedback.py
+++ b/sycamorebeam/forwarding/target_feedback.py
@@ -5,10 +5,12 @@
 store does, or while the store is unavailable.
 """
 
+from sycamorebeam import clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding import target_limits
 from sycamorebeam.peering import messages
 
 # Callers wait for seconds, so longer back-offs of a target are capped.
@@ -20,10 +22,14 @@
 
     def __init__(
         self,
+        clock: clocks.Clock,
         directory: target_directory.TargetDirectory,
+        limits: target_limits.TargetLimits,
         links: peer_links.PeerLinks,
     ) -> None:
+        self._clock = clock
         self._directory = directory
+        self._limits = limits
         self._links = links
         links.add_broadcast_handler(self._on_message)
 
@@ -31,6 +37,8 @@
         """Handle feedback; return how long to send nothing to the target."""
         if feedback.is_leaving:
             self._mark_leaving(target.target_id, target.incarnation, 'answer')
+        if feedback.requests_per_s is not None:
+            self._record_limit(target, feedback.requests_per_s)
         if feedback.backoff_ms <= 0:
             return 0.0
         backoff_ms = min(feedback.backoff_ms, MAX_BACKOFF_MS)
@@ -42,6 +50,36 @@
         )
         return backoff_ms
 
+    def record_send(self, target: model.Target, path: str) -> None:
+        """Log a request to a target with a limit; ``path`` names its kind."""
+        limit = self._limits.get(target)
+        if limit is None:
+            return
+        now_ms = self._clock.monotonic_ms()
+        limit.record_send(now_ms)
+        telemetry.log_event(
+            'limited_target_used',
+            target=target.target_id,
+            path=path,
+            requests_per_s=limit.requests_per_s,
+            recent_sends=limit.recent_send_count(now_ms),
+        )
+
+    def _record_limit(
+        self, target: model.Target, requests_per_s: float
+    ) -> None:
+        key = target.target_id, target.incarnation
+        now_ms = self._clock.monotonic_ms()
+        if not self._limits.record(key, requests_per_s, now_ms):
+            return
+        telemetry.log_event(
+            'target_limit_changed',
+            target=target.target_id,
+            incarnation=target.incarnation,
+            requests_per_s=requests_per_s,
+            source='answer',
+        )
+
     def _on_message(self, message: messages.Message) -> None:
         match message:
             case messages.TargetLeaving(target_id, incarnation):
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -131,6 +131,9 @@
             backoff_ms=_parse_retry_after_ms(
                 answer.status, values.get('retry-after')
             ),
+            requests_per_s=None
+            if is_misdirected
+            else _parse_rate_limit(values.get('server-limit')),
         ),
     )
 
@@ -280,6 +283,20 @@
     return seconds * 1_000
 
 
+def _parse_rate_limit(text: str | None) -> float | None:
+    """Return a target's limit in requests a second, None if unreadable."""
+    if text is None:
+        return model.UNLIMITED
+    try:
+        requests_per_s = float(text)
+    except ValueError:
+        requests_per_s = math.nan
+    if not 0 <= requests_per_s < math.inf:
+        telemetry.log_event('server_limit_unreadable', 'WARNING', text=text)
+        return None
+    return requests_per_s
+
+
 def _parse_load(text: str | None) -> tuple[int, int, int] | None:
     if not text:
         return None
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -9,6 +9,7 @@
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_feedback
+from sycamorebeam.forwarding import target_limits
 
 ZONES = {'a1': 'north', 'a2': 'north', 'b1': 'south'}
 
@@ -144,7 +145,12 @@
 
 
 def feedback_handler(directory):
-    return target_feedback.FeedbackHandler(directory, FakeLinks())
+    return target_feedback.FeedbackHandler(
+        clocks.Clock(),
+        directory,
+        target_limits.TargetLimits(),
+        FakeLinks(),
+    )
 
 
 @attrs.define
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -6,9 +6,11 @@
 import attrs
 import ddt
 
+from sycamorebeam import clocks
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
+from sycamorebeam.forwarding import target_limits
 from sycamorebeam.peering import messages
 from tests import base
 from tests.forwarding import build
@@ -32,7 +34,10 @@
     for number in range(count):
         node = await loopback_nodes.start_node(Node, f'i{number}')
         node.feedback_handler = target_feedback.FeedbackHandler(
-            node.directory, node.links
+            clocks.Clock(),
+            node.directory,
+            target_limits.TargetLimits(),
+            node.links,
         )
         node.directory.update(
             [target_directory.TargetEntry('t', build.target('t'))], 0
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -355,6 +355,24 @@
             (feedback.is_leaving, feedback.backoff_ms),
         )
 
+    @ddt.data(
+        (200, {}, model.UNLIMITED),
+        (200, {'server-limit': '1.3'}, 1.3),
+        (503, {'Server-Limit': '12'}, 12.0),
+        (200, {'Server-Limit': '0'}, 0.0),
+        # Another target answered, without its id.
+        (421, {'Server-Limit': '1'}, None),
+        (200, {'Server-Limit': 'few'}, None),
+        (200, {'Server-Limit': '-1'}, None),
+        (200, {'Server-Limit': 'nan'}, None),
+        (200, {'Server-Limit': 'inf'}, None),
+    )
+    @ddt.unpack
+    def test_a_rate_limit_is_decoded(self, status, headers, requests_per_s):
+        answer = RawAnswer(status, tuple(headers.items()))
+        feedback = http_codec.decode_answer_head(answer).feedback
+        self.assertEqual(requests_per_s, feedback.requests_per_s)
+
     def test_connection_headers_are_dropped_and_the_signature_kept(self):
         head = http_codec.decode_answer_head(
             RawAnswer(
@@ -440,14 +458,15 @@
             result.results,
         )
 
-    @ddt.data((503, False), (421, True))
+    @ddt.data((503, False, model.UNLIMITED), (421, True, None))
     @ddt.unpack
     async def test_a_call_that_was_not_executed_is_declined(
-        self, status, is_gone
+        self, status, is_gone, requests_per_s
     ):
         answer = FakeAnswer(status, b'', [('X-Not-Executed', '1')])
         result, _ = await self.call(answer)
-        self.assertEqual(stages.CallDeclined(is_gone), result)
+        feedback = model.Feedback(requests_per_s=requests_per_s)
+        self.assertEqual(stages.CallDeclined(is_gone, feedback), result)
 
     async def test_feedback_comes_with_each_kind_of_result(self):
         headers = [('Server-Leaving', '1'), ('X-Not-Executed', '1')]
