Add a failing test of the rate limit that a target names

Four instances as processes, one of two targets of a service with a limit, 15 requests a second; the test counts arrivals at the target from 4 s after it first names its limit.

--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import struct
+import time
 
 from aiohttp import web
 import attrs
@@ -112,6 +113,9 @@
     # Aborts the connection after this many events; 0 is before any answer.
     abort_after_events: int | None = None
     is_leaving: bool = False
+    # The rate that it accepts from all instances together; None is any.
+    requests_per_s: float | None = None
+    arrivals_s: list = attrs.field(factory=list)
     requests_run: list = attrs.field(factory=list)
     stage_call_sizes: list = attrs.field(factory=list)
     held_results: set = attrs.field(factory=set)
@@ -120,6 +124,15 @@
     _ids: object = attrs.field(factory=lambda: itertools.count(1))
 
     async def handle(self, request):
+        self.arrivals_s.append(time.monotonic())
+        return await self.answer(request)
+
+    def limit_headers(self):
+        if self.requests_per_s is None:
+            return {}
+        return {'Server-Limit': str(self.requests_per_s)}
+
+    async def answer(self, request):
         body = await request.read()
         expected = request.headers.get('X-Expected-Instance', self.target_id)
         if expected != self.target_id:
@@ -128,7 +141,7 @@
             return await self.run_stage(json.loads(body))
         if request.path.endswith('/stage-free'):
             self.held_results.difference_update(json.loads(body)['handles'])
-            return web.json_response({})
+            return web.json_response({}, headers=self.limit_headers())
         return await self.run(request)
 
     async def run_stage(self, body):
@@ -137,7 +150,8 @@
         names = [f'{self.address}/{next(self._ids)}' for _ in body['entries']]
         self.held_results.update(names)
         return web.json_response(
-            {'entries': [{'handle': name} for name in names]}
+            {'entries': [{'handle': name} for name in names]},
+            headers=self.limit_headers(),
         )
 
     async def work(self, request):
@@ -152,7 +166,11 @@
         self.requests_run.append((attempt_id, dict(request.headers)))
         if self.abort_after_events == 0:
             request.transport.abort()
-        headers = {'X-Attempt-Id': attempt_id, 'X-Server-Signature': 's'}
+        headers = {
+            'X-Attempt-Id': attempt_id,
+            'X-Server-Signature': 's',
+            **self.limit_headers(),
+        }
         if self.is_leaving:
             headers['Server-Leaving'] = '1'
         if 'X-Input-Items' not in request.headers:
--- /dev/null
+++ b/tests/forwarding/test_limited_targets.py
@@ -0,0 +1,103 @@
+"""Tests of instances as processes, and targets that limit their rate."""
+
+import asyncio
+import contextlib
+import time
+
+import ddt
+
+from tests import base
+from tests.forwarding import processes
+from tests.forwarding import standin
+
+CONTACT_S = 4.0  # from the first report of a limit to its enforcement
+WINDOW_S = 4.0  # over which requests are counted
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+INSTANCES = 4
+REQUESTS_PER_S = 15
+
+
+def allowed_count(requests_per_s):
+    """Return how many requests the platform allows in a window."""
+    return ALLOWED_FACTOR * requests_per_s * WINDOW_S + ALLOWED_EXTRA
+
+
+def largest_window(times_s):
+    """Return the most requests in any window."""
+    return max(
+        (
+            sum(start <= other < start + WINDOW_S for other in times_s)
+            for start in times_s
+        ),
+        default=0,
+    )
+
+
+@ddt.ddt
+class LimitedTargetsTest(base.NetworkTestCase):
+    @contextlib.asynccontextmanager
+    async def fleet(self):
+        platform = standin.StandinPlatform()
+        await platform.start(
+            [
+                standin.StandinTarget(f'{service[0]}{n}', service)
+                for service in ('engine', 'plain', 'desk')
+                for n in range(2)
+            ]
+        )
+        platform.configure(1, ['k1'])
+        folder = self.make_temp_dir()
+        instances = [
+            processes.start(folder, f'i{n}', platform.store_address)
+            for n in range(INSTANCES)
+        ]
+        try:
+            for process in instances:
+                await process.wait_ready()
+            yield platform, instances
+        finally:
+            for process in instances:
+                process.popen.kill()
+                process.popen.wait()
+            await platform.stop()
+
+    async def send_load(self, instances, path, duration_s):
+        """Send requests to all instances in turn; return the responses."""
+        tasks = []
+        for number in range(int(duration_s * REQUESTS_PER_S)):
+            process = instances[number % len(instances)]
+            tasks.append(
+                asyncio.create_task(
+                    processes.send(process, f'r{number}', path)
+                )
+            )
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        return await asyncio.gather(*tasks)
+
+    @ddt.data(
+        ('plain', '/plain/x', 1.0),
+        ('engine', '/stream/x', 1.3),
+        ('desk', '/stream/x', 0.5),
+    )
+    @ddt.unpack
+    async def test_all_instances_together_keep_to_the_limit_of_a_target(
+        self, service, path, requests_per_s
+    ):
+        async with self.fleet() as (platform, instances):
+            limited = next(t for t in platform.targets if t.service == service)
+            limited.requests_per_s = requests_per_s
+            limited_s = time.monotonic()
+            responses = await self.send_load(instances, path, 12)
+            counted_s = [
+                at_s
+                for at_s in limited.arrivals_s
+                if at_s > limited_s + CONTACT_S
+            ]
+            self.assertLessEqual(
+                largest_window(counted_s), allowed_count(requests_per_s)
+            )
+            # The limit is used, and the other target takes the rest.
+            self.assertGreater(len(counted_s), 0)
+            served = sum(response.status == 200 for response in responses)
+            self.assertGreaterEqual(served, 0.9 * len(responses))
