Keep the rate limit of a target over all instances together

Change: before a request, a stage call or a call that frees results goes to a limited target, its instance takes a permit. One instance issues the permits of a target: the first of two that rendezvous hashing picks from the listed instances; the second serves those that do not reach the first. A refused instance is promised a time, uses other targets until then, and refuses at once, with that time, what no other target can take. Isolated instances get no permits. Stage queues pause a replica without permits and count its limit in their forecasts; results there are freed only if memory is short. A changed or ended limit is passed on to all instances. Ruled out: an equal part of the limit for each instance (at 9 instances a burst of one each is 9 of the 11 requests allowed, at 60 it is five times as many, and a queue's owner makes all calls of its stage alone); leaving a limited target to one instance (its own share of the load is 1/N). The faster first target of the test makes sure that the limited one is preferred; so changed, it fails on the code before as well.

--- a/sycamorebeam/forwarding/held_results.py
+++ b/sycamorebeam/forwarding/held_results.py
@@ -1,6 +1,7 @@
 """The results that replicas of one stage service hold in memory."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 
 import attrs
 
@@ -63,6 +64,18 @@
             del self._unneeded[address]
         return due
 
+    def drop_expired(self, addresses: Iterable[str]) -> None:
+        """Drop unneeded results that their replicas have dropped already."""
+        for address in addresses:
+            if address in self._unneeded:
+                self._unneeded[address] = [
+                    result
+                    for result in self._unneeded[address]
+                    if result in self._held
+                ]
+                if not self._unneeded[address]:
+                    del self._unneeded[address]
+
     def remove(self, result: str, now_ms: int) -> int | None:
         """Stop counting a freed result; return how long it was held, in ms.
 
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -25,6 +25,7 @@
 from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import shared_reads
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_streams
@@ -98,6 +99,9 @@
         self._feedback_handler = target_feedback.FeedbackHandler(
             self._clock, self._directory, self._limits, self._links
         )
+        self._permits = send_permits.SendPermits(
+            self._clock, self._instances, self._links, self._limits
+        )
         self._stage_owner = stage_owner.StageOwner(
             self._clock,
             self._directory,
@@ -107,6 +111,7 @@
             self._metrics,
             self._chooser.round_trip_ms,
             self._feedback_handler,
+            self._permits,
         )
         self._stage_streams = stage_streams.StageStreams(
             self._instances, self._stage_owner, self._links
@@ -145,6 +150,7 @@
                     client=adapter.client,
                     codec=adapter.codec,
                     feedback_handler=self._feedback_handler,
+                    permits=self._permits,
                     metrics=self._metrics,
                 ),
                 metrics=self._metrics,
--- a/sycamorebeam/forwarding/membership.py
+++ b/sycamorebeam/forwarding/membership.py
@@ -21,6 +21,9 @@
 # names of its inputs, and needs these resources for that alone.
 MIN_OWNER_CORES = 0.4
 MIN_OWNER_LINK_MBPS = 50.0
+# An instance that was not reached for this long issues no permits any more;
+# before, it may still do so for others.
+LOST_ISSUER_MS = 5_000
 READING = 'reading'  # hashed to rank the instances that read the store
 
 
@@ -79,7 +82,7 @@
         self._own_entry = own_entry
         self._clock = clock
         self._members: dict[str, _Member] = {}
-        self._unreachable: set[str] = set()
+        self._unreachable_since_ms: dict[str, int] = {}
         self._is_leaving = False
         self._is_listed = False
 
@@ -96,7 +99,7 @@
     @property
     def unreachable_count(self) -> int:
         """How many known instances are skipped as unreachable."""
-        return len(self._unreachable)
+        return len(self._unreachable_since_ms)
 
     def count(self) -> int:
         """Return the number of known instances, this one included."""
@@ -186,16 +189,42 @@
     def mark_unreachable(self, instance_id: str) -> bool:
         """Skip an instance in rankings; return whether that is a change."""
         if (
-            instance_id in self._unreachable
+            instance_id in self._unreachable_since_ms
             or instance_id not in self._members
         ):
             return False
-        self._unreachable.add(instance_id)
+        now_ms = self._clock.monotonic_ms()
+        self._unreachable_since_ms[instance_id] = now_ms
         return True
 
     def mark_reachable(self, instance_id: str) -> None:
         """Include an instance in rankings again."""
-        self._unreachable.discard(instance_id)
+        self._unreachable_since_ms.pop(instance_id, None)
+
+    def is_unreachable(self, instance_id: str) -> bool:
+        """Whether an instance is skipped as unreachable."""
+        return instance_id in self._unreachable_since_ms
+
+    def permit_issuers(self, target_id: str) -> list[str]:
+        """Return the instances that may issue permits for a target, ranked.
+
+        The ranking depends on the listed instances alone, so that instances
+        agree on it even if they reach different ones; only those that were
+        lost for LOST_ISSUER_MS are left out. Before the first listing there
+        is none: this instance would take itself for the only one.
+        """
+        if not self._is_listed:
+            return []
+        lost_before_ms = self._clock.monotonic_ms() - LOST_ISSUER_MS
+        ids = [
+            instance_id
+            for instance_id in self._members
+            if self._unreachable_since_ms.get(instance_id, lost_before_ms + 1)
+            > lost_before_ms
+        ]
+        if not self._is_leaving:
+            ids.append(self._own_entry.instance_id)
+        return hashing.rank(target_id, ids, len(ids))
 
     def owners(self, service: str) -> list[str]:
         """Return the candidates to own a service's queue, best first.
@@ -257,7 +286,7 @@
         others = [
             member.entry
             for instance_id, member in self._members.items()
-            if instance_id not in self._unreachable
+            if instance_id not in self._unreachable_since_ms
         ]
         return [*others, self._own_entry]
 
@@ -274,7 +303,7 @@
 
     def _remove(self, instance_id: str) -> None:
         del self._members[instance_id]
-        self._unreachable.discard(instance_id)
+        self._unreachable_since_ms.pop(instance_id, None)
 
 
 def _is_settled(entry: InstanceEntry, now_ms: int) -> bool:
--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -144,11 +144,11 @@
                 | messages.SharedRead(call_id=call_id)
                 | messages.NoSharedRead(call_id=call_id)
                 | messages.PromptPlaced(call_id=call_id)
+                | messages.PermitAnswer(call_id=call_id)
             ):
-                exchange = self._exchanges.get(call_id)
-                if exchange is not None:
+                if exchange := self._exchanges.get(call_id):
                     exchange.put(message)
-            case messages.TargetLeaving():
+            case messages.TargetLeaving() | messages.TargetLimitChanged():
                 self._on_broadcast(message)
 
 
--- a/sycamorebeam/forwarding/stage_forecast.py
+++ b/sycamorebeam/forwarding/stage_forecast.py
@@ -5,7 +5,7 @@
 take up.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from sycamorebeam.forwarding import model
 
@@ -16,18 +16,18 @@
 
 def capacity_per_ms(
     batching: model.Batching,
-    slownesses: Iterable[float],
+    paces: Sequence[float],
     mean_result_bytes: float,
     residence_ms: float,
 ) -> float:
     """Return how many items the replicas can produce in a millisecond.
 
-    ``slownesses`` has each replica's measured duration of calls as a multiple
-    of the configured one. Results take up memory from the start of their call
-    until they are freed, which limits the throughput of some services;
-    ``residence_ms`` is the part of that time after the call.
+    ``paces`` has each replica's throughput as a share of the configured one,
+    from the measured durations of its calls and its rate limit. Results take
+    up memory from the start of their call until they are freed, which limits
+    the throughput of some services; ``residence_ms`` is the part of that time
+    after the call.
     """
-    paces = [1 / slowness for slowness in slownesses]
     full_call_ms = batching.call_ms + batching.max_items * batching.item_ms
     items_per_ms = batching.max_items * sum(paces) / full_call_ms
     if not mean_result_bytes:
--- a/sycamorebeam/forwarding/stage_freeing.py
+++ b/sycamorebeam/forwarding/stage_freeing.py
@@ -5,6 +5,8 @@
 
 from sycamorebeam import clocks
 from sycamorebeam import telemetry
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import stage_service
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_directory
@@ -26,12 +28,14 @@
         directory: target_directory.TargetDirectory,
         calls: stages.StageCalls,
         feedback_handler: target_feedback.FeedbackHandler,
+        permits: send_permits.SendPermits,
         on_freed: Callable[[stage_service.StageService], None],
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._calls = calls
         self._feedback_handler = feedback_handler
+        self._permits = permits
         self._on_freed = on_freed
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -40,14 +44,23 @@
     ) -> None:
         """Start the calls that free results.
 
-        Unless ``flush_all``, only replicas short of memory are called.
+        Unless ``flush_all``, only replicas short of memory are called, and
+        of those that limit their requests only these in any case: they need
+        their requests for calls that run items.
         """
+        excluded = set(
+            service.freeing_paused_addresses(self._clock.monotonic_ms())
+        )
+        if flush_all:
+            limited = self._limited_addresses()
+            excluded |= limited
+            service.results.drop_expired(limited)
         min_held_bytes = (
             service.queue.batching.memory_bytes * EAGER_FREE_MEMORY_SHARE
         )
         due = service.results.pop_due(
             0.0 if flush_all else min_held_bytes,
-            service.freeing_paused_addresses(self._clock.monotonic_ms()),
+            excluded,
         )
         for address, results in due.items():
             task = asyncio.create_task(
@@ -56,6 +69,28 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _limited_addresses(self) -> set[str]:
+        if not self._permits.are_needed:
+            return set()
+        return {
+            target.address
+            for target in self._directory.targets.values()
+            if self._permits.interval_ms(target)
+        }
+
+    def _postpone(
+        self,
+        service: stage_service.StageService,
+        target: model.Target,
+        results: list[str],
+    ) -> None:
+        """Free results when there may be a permit for their replica."""
+        now_ms = self._clock.monotonic_ms()
+        wait_ms = self._permits.wait_ms(target)
+        service.pause_freeing(target.address, wait_ms, now_ms)
+        for result in results:
+            service.results.mark_unneeded(result, target.address)
+
     async def _free_results(
         self,
         service: stage_service.StageService,
@@ -64,10 +99,13 @@
     ) -> None:
         holders = [
             target
-            for target in self._directory.usable(service.name)
+            for target in self._directory.targets.values()
             if target.address == address
         ]
         for target in holders:
+            if not await self._permits.acquire(target):
+                self._postpone(service, target, results)
+                return
             self._feedback_handler.record_send(target, 'free')
         try:
             async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -14,6 +14,7 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import stage_freeing
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_queue
@@ -44,10 +45,12 @@
         metrics: prometheus_metrics.Metrics,
         round_trip_ms: Callable[[str], float],
         feedback_handler: target_feedback.FeedbackHandler,
+        permits: send_permits.SendPermits,
     ) -> None:
         self._clock = clock
         self._round_trip_ms = round_trip_ms
         self._feedback_handler = feedback_handler
+        self._permits = permits
         self._directory = directory
         self._find_service = find_service
         self._calls = calls
@@ -55,7 +58,12 @@
         self._metrics = metrics
         self._services: dict[str, stage_service.StageService] = {}
         self._result_freeing = stage_freeing.StageFreeing(
-            clock, directory, calls, feedback_handler, self._start_calls
+            clock,
+            directory,
+            calls,
+            feedback_handler,
+            permits,
+            self._start_calls,
         )
         self._waiting = waiting_groups.WaitingGroups()
         self._group_ids = itertools.count(1)
@@ -209,11 +217,13 @@
     def _usable_replicas(
         self, service: stage_service.StageService
     ) -> list[stage_replica.Replica]:
-        return service.refresh_replicas(
-            self._directory.usable(service.name),
-            self._lead_ms,
-            self._clock.monotonic_ms(),
+        targets = self._directory.usable(service.name)
+        replicas = service.refresh_replicas(
+            targets, self._lead_ms, self._clock.monotonic_ms()
         )
+        for target, replica in zip(targets, replicas, strict=True):
+            replica.min_interval_ms = self._permits.interval_ms(target)
+        return replicas
 
     def _lead_ms(self, zone: str) -> int:
         """Return how far ahead calls to a zone are sent.
@@ -251,6 +261,13 @@
             service.end_call(replica, items, has_run=False)
             self._requeue(service, items)
             return
+        if not await self._permits.acquire(target):
+            service.end_call(replica, items, has_run=False)
+            wait_ms = self._permits.wait_ms(target)
+            replica.pause(wait_ms, self._clock.monotonic_ms())
+            self._requeue(service, items)
+            self._start_calls(service)
+            return
         began_ms = self._clock.monotonic_ms()
         timeout_ms = service.call_timeout_ms(items)
         self._feedback_handler.record_send(target, 'stage')
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -409,9 +409,10 @@
 
         The size of results is the mean over the waiting items and ``group``.
         """
+        full_call_ms = self.call_ms(self._batching.max_items)
         return stage_forecast.capacity_per_ms(
             self._batching,
-            [replica.slowness for replica in replicas],
+            [replica.pace(full_call_ms) for replica in replicas],
             self._mean_result_bytes(group),
             self.residence_ms,
         )
--- a/sycamorebeam/forwarding/stage_replica.py
+++ b/sycamorebeam/forwarding/stage_replica.py
@@ -9,6 +9,7 @@
 
     ``slowness`` is the duration of its calls as a multiple of the configured
     one; ``lead_ms`` is how long before the end of a call the next one is sent.
+    ``min_interval_ms`` is the time between calls that its rate limit allows.
     """
 
     target_id: str
@@ -20,6 +21,7 @@
     busy_until_ms: int = 0
     lead_ms: int = 0
     last_call_ended_ms: int = 0
+    min_interval_ms: float = 0.0
 
     def pause(self, pause_ms: float, now_ms: int) -> None:
         """Send no calls for a time; never shorten a pause."""
@@ -39,6 +41,10 @@
         left_ms = self.busy_until_ms - now_ms
         return self.calls_in_flight == slots and left_ms <= self.lead_ms
 
+    def pace(self, full_call_ms: float) -> float:
+        """Return its throughput as a share of the configured one."""
+        return 1 / max(self.slowness, self.min_interval_ms / full_call_ms)
+
     def free_in_ms(self, now_ms: int) -> int:
         """Return the time until the replica is expected to take a call."""
         until_ms = max(self.busy_until_ms, self.paused_until_ms)
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -1,6 +1,8 @@
 """Attempts at targets: choice of the target, exchange, relay of the answer."""
 
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
 
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import active_state
@@ -13,6 +15,7 @@
 from sycamorebeam.forwarding import prompt_placing
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
@@ -36,6 +39,7 @@
         client: upstream.Upstream,
         codec: calls.Codec,
         feedback_handler: target_feedback.FeedbackHandler,
+        permits: send_permits.SendPermits,
         metrics: prometheus_metrics.Metrics,
     ) -> None:
         self._clock = clock
@@ -47,27 +51,42 @@
         self._client = client
         self._codec = codec
         self._feedback_handler = feedback_handler
+        self._permits = permits
         self._metrics = metrics
 
-    def pick_target(self, call: calls.Call) -> model.Target | None:
-        """Return the target to try next, None when none is left."""
+    def pick_target(
+        self, call: calls.Call, refused: Collection[str] = ()
+    ) -> model.Target | None:
+        """Return the target to try next, None when none is left.
+
+        ``refused`` has the ids of targets that have just refused a permit.
+        """
         now_ms = self._clock.monotonic_ms()
         usable = self._directory.usable(call.service)
+        excluded = call.excluded.union(refused, self._without_permit(usable))
         service = self._state.service(call.service)
         if service is not None and service.has_engine:
             return self._chooser.pick_engine(
                 usable,
-                call.excluded,
+                excluded,
                 call.request.session_part,
                 call.request.attempt_id,
                 now_ms,
             )
-        return self._chooser.pick_service_target(usable, call.excluded, now_ms)
+        return self._chooser.pick_service_target(usable, excluded, now_ms)
 
     def retry_after_ms(self, call: calls.Call) -> float:
         """Return how soon a target accepts requests, 0 if one does now."""
-        return self._chooser.backoff_left_ms(
-            self._directory.usable(call.service), self._clock.monotonic_ms()
+        now_ms = self._clock.monotonic_ms()
+        return min(
+            (
+                max(
+                    self._chooser.backoff_left_ms([target], now_ms),
+                    self._permits.wait_ms(target),
+                )
+                for target in self._directory.usable(call.service)
+            ),
+            default=0.0,
         )
 
     async def attempt(
@@ -82,7 +101,7 @@
         ``results`` are those of the request's stages, produced for the zone
         of ``first_choice``; ``prepared`` holds them until they are read.
         """
-        target = await self._choose_target(call, results, first_choice)
+        target = await self._choose_permitted(call, results, first_choice)
         if target is None:
             return calls.NotSent('no target is left')
         call.last_target_id = target.target_id
@@ -112,11 +131,39 @@
                     stats.record_success(now_ms - began_ms, now_ms)
         return outcome
 
+    def _without_permit(self, targets: Iterable[model.Target]) -> set[str]:
+        """Return the ids of limited targets for which there is no permit."""
+        if not self._permits.are_needed:
+            return set()
+        return {
+            target.target_id
+            for target in targets
+            if self._permits.wait_ms(target) > 0
+        }
+
+    async def _choose_permitted(
+        self,
+        call: calls.Call,
+        results: tuple[str, ...] | None,
+        first_choice: model.Target,
+    ) -> model.Target | None:
+        """Choose a target that a request may be sent to now, if any."""
+        refused: set[str] = set()
+        while True:
+            target = await self._choose_target(
+                call, results, first_choice, refused
+            )
+            if target is None or await self._permits.acquire(target):
+                return target
+            self._prompt_placer.remove(call.request.attempt_id)
+            refused.add(target.target_id)
+
     async def _choose_target(
         self,
         call: calls.Call,
         results: tuple[str, ...] | None,
         first_choice: model.Target,
+        refused: Collection[str],
     ) -> model.Target | None:
         """Return the target to send to, None when none is left.
 
@@ -125,7 +172,8 @@
         """
         service = self._state.service(call.service)
         if service is None or not service.has_engine:
-            return self.pick_target(call)
+            return self.pick_target(call, refused)
+        usable = self._directory.usable(call.service)
         return await self._prompt_placer.place(
             call.service,
             prompt_placing.Prompt(
@@ -134,7 +182,7 @@
                 zone=first_choice.availability_zone,
                 input_bytes=call.input_bytes if results else 0.0,
             ),
-            call.excluded,
+            call.excluded.union(refused, self._without_permit(usable)),
         )
 
     async def _exchange(
--- a/sycamorebeam/forwarding/target_feedback.py
+++ b/sycamorebeam/forwarding/target_feedback.py
@@ -38,7 +38,7 @@
         if feedback.is_leaving:
             self._mark_leaving(target.target_id, target.incarnation, 'answer')
         if feedback.requests_per_s is not None:
-            self._record_limit(target, feedback.requests_per_s)
+            self._handle_limit(target, feedback.requests_per_s)
         if feedback.backoff_ms <= 0:
             return 0.0
         backoff_ms = min(feedback.backoff_ms, MAX_BACKOFF_MS)
@@ -65,25 +65,43 @@
             recent_sends=limit.recent_send_count(now_ms),
         )
 
-    def _record_limit(
+    def _handle_limit(
         self, target: model.Target, requests_per_s: float
     ) -> None:
+        """Record a target's limit, and tell the others if it has changed.
+
+        Only the instance that the target told does so: instances that passed
+        changes on could do so in a circle.
+        """
         key = target.target_id, target.incarnation
+        if self._record_limit(key, requests_per_s, 'answer'):
+            self._links.broadcast(
+                messages.TargetLimitChanged(*key, requests_per_s)
+            )
+
+    def _record_limit(
+        self, key: target_limits.Key, requests_per_s: float, source: str
+    ) -> bool:
+        """Record a limit reported now; return whether it has changed."""
         now_ms = self._clock.monotonic_ms()
         if not self._limits.record(key, requests_per_s, now_ms):
-            return
+            return False
+        target_id, incarnation = key
         telemetry.log_event(
             'target_limit_changed',
-            target=target.target_id,
-            incarnation=target.incarnation,
+            target=target_id,
+            incarnation=incarnation,
             requests_per_s=requests_per_s,
-            source='answer',
+            source=source,
         )
+        return True
 
     def _on_message(self, message: messages.Message) -> None:
         match message:
             case messages.TargetLeaving(target_id, incarnation):
                 self._mark_leaving(target_id, incarnation, 'instance')
+            case messages.TargetLimitChanged(target_id, incarnation, limit):
+                self._record_limit((target_id, incarnation), limit, 'instance')
 
     def _mark_leaving(
         self, target_id: str, incarnation: int, source: str
--- a/sycamorebeam/forwarding/target_limits.py
+++ b/sycamorebeam/forwarding/target_limits.py
@@ -25,10 +25,12 @@
     """The newest limit of one incarnation of a target.
 
     ``requests_per_s`` is UNLIMITED once the target sets no limit any more.
+    Until ``refused_until_ms`` no permit to send is to be had.
     """
 
     requests_per_s: float
     reported_ms: int
+    refused_until_ms: float = 0.0
     _sends_ms: deque[int] = attrs.field(factory=deque)
 
     def record_send(self, now_ms: int) -> None:
@@ -49,6 +51,11 @@
     def __init__(self) -> None:
         self._limits: dict[Key, TargetLimit] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any target has set a limit; most of the time none has."""
+        return bool(self._limits)
+
     def get(self, target: model.Target) -> TargetLimit | None:
         """Return the limit of a target, None if it sets none now."""
         limit = self._limits.get((target.target_id, target.incarnation))
@@ -56,22 +63,32 @@
             return None
         return limit
 
-    def record(self, key: Key, requests_per_s: float, now_ms: int) -> bool:
-        """Record a target's limit; return whether it has changed."""
+    def requests_per_s(self, key: Key) -> float:
+        """Return the limit of a target, UNLIMITED if it sets none now."""
+        limit = self._limits.get(key)
+        return model.UNLIMITED if limit is None else limit.requests_per_s
+
+    def record(
+        self, key: Key, requests_per_s: float, reported_ms: int
+    ) -> bool:
+        """Record a report unless older; return whether the limit changed."""
         known = self._limits.get(key)
         if known is None:
             if requests_per_s == model.UNLIMITED:
                 return False
-            self._limits[key] = TargetLimit(requests_per_s, now_ms)
+            self._limits[key] = TargetLimit(requests_per_s, reported_ms)
             if len(self._limits) > MAX_LIMITS_KEPT:
                 del self._limits[next(iter(self._limits))]
             return True
+        newer_by_ms = reported_ms - known.reported_ms
+        if newer_by_ms < 0:
+            return False
         if (
             requests_per_s == model.UNLIMITED != known.requests_per_s
-            and now_ms - known.reported_ms < REORDERING_MS
+            and newer_by_ms < REORDERING_MS
         ):
             return False
-        known.reported_ms = now_ms
+        known.reported_ms = reported_ms
         has_changed = known.requests_per_s != requests_per_s
         known.requests_per_s = requests_per_s
         return has_changed
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -58,6 +58,43 @@
     incarnation: int
 
 
+@attrs.frozen
+class TargetLimitChanged:
+    """One incarnation of a target has changed its limit of requests.
+
+    ``requests_per_s`` is infinite if it sets none any more.
+    """
+
+    target_id: str
+    incarnation: int
+    requests_per_s: float
+
+
+@attrs.frozen
+class RequestPermit:
+    """Requests a permit to send to a target that limits its requests.
+
+    The target reported its limit ``age_ms`` before.
+    """
+
+    call_id: int
+    target_id: str
+    incarnation: int
+    requests_per_s: float
+    age_ms: int
+
+
+@attrs.frozen
+class PermitAnswer:
+    """Answers ``RequestPermit``: issued if ``wait_ms`` is 0.
+
+    Otherwise a permit is expected after ``wait_ms``.
+    """
+
+    call_id: int
+    wait_ms: float
+
+
 @attrs.frozen
 class FetchCatalogue:
     """Requests the folded catalogue if its offset is higher than ``above``."""
@@ -274,6 +311,9 @@
     | Ping
     | TargetsLeaving
     | TargetLeaving
+    | TargetLimitChanged
+    | RequestPermit
+    | PermitAnswer
     | FetchCatalogue
     | CatalogueState
     | SubmitItems
@@ -301,6 +341,9 @@
     'ping': Ping,
     'leaving': TargetsLeaving,
     'target_leaving': TargetLeaving,
+    'target_limit': TargetLimitChanged,
+    'request_permit': RequestPermit,
+    'permit': PermitAnswer,
     'fetch': FetchCatalogue,
     'state': CatalogueState,
     'submit': SubmitItems,
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -6,6 +6,7 @@
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_feedback
@@ -143,16 +144,29 @@
     def broadcast(self, message):
         self.broadcasts.append(message)
 
+    is_isolated = False
 
-def feedback_handler(directory):
+    def is_stopping(self, instance_id):
+        return False
+
+
+def feedback_handler(directory, limits=None):
     return target_feedback.FeedbackHandler(
         clocks.Clock(),
         directory,
-        target_limits.TargetLimits(),
+        limits or target_limits.TargetLimits(),
         FakeLinks(),
     )
 
 
+def send_permits_alone(limits):
+    """Return the permits of an instance that has no others around it."""
+    clock = clocks.Clock()
+    members = membership.Membership(instance('i0'), clock)
+    members.replace([])
+    return send_permits.SendPermits(clock, members, FakeLinks(), limits)
+
+
 @attrs.define
 class ManualClock:
     """A clock that tests set."""
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -22,6 +22,7 @@
 from sycamorebeam.forwarding import target_attempts
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import http_codec
 from tests import base
@@ -109,6 +110,7 @@
         0,
     )
     chooser = target_choice.TargetChooser('a1', build.ZONES)
+    limits = target_limits.TargetLimits()
     client = upstream.Upstream(100)
     producer = FakeProducer()
     metrics = prometheus_metrics.Metrics()
@@ -135,7 +137,8 @@
                 ),
                 client=client,
                 codec=http_codec,
-                feedback_handler=build.feedback_handler(directory),
+                feedback_handler=build.feedback_handler(directory, limits),
+                permits=build.send_permits_alone(limits),
                 metrics=metrics,
             ),
             metrics=metrics,
@@ -294,6 +297,38 @@
             response = await call(setup.address)
             self.assertEqual(200, response.status)
 
+    async def test_requests_beyond_a_limit_are_refused_until_a_permit(self):
+        limited = [wire.answer(b'served', headers=['Server-Limit: 0.5'])]
+        async with (
+            wire.serving(limited, limited) as target,
+            running(
+                [target.address], kind=NON_IDEMPOTENT, timeout_ms=9_000.0
+            ) as setup,
+        ):
+            response = await call(setup.address)
+            self.assertEqual(200, response.status)
+            for _ in range(3):
+                response = await call(setup.address)
+                self.assertEqual(503, response.status)
+                retry_after_s = float(response.headers['retry-after'])
+                self.assertGreaterEqual(retry_after_s, 2.0)
+            self.assertEqual(1, len(target.requests))
+            await asyncio.sleep(retry_after_s + 0.1)
+            response = await call(setup.address)
+            self.assertEqual(200, response.status)
+
+    async def test_other_targets_serve_what_is_beyond_a_limit(self):
+        limited = [wire.answer(b'served', headers=['Server-Limit: 0.5'])]
+        async with (
+            wire.serving(limited, limited, limited) as slow,
+            wire.serving(OK) as other,
+            running([slow.address, other.address]) as setup,
+        ):
+            for _ in range(8):
+                response = await call(setup.address)
+                self.assertEqual(200, response.status)
+            self.assertLessEqual(len(slow.requests), 1)
+
     async def test_other_targets_serve_during_a_retry_after(self):
         script = [wire.answer(b'', '503 Full', DECLINED_RETRY_AFTER)]
         async with wire.serving(script, OK) as full, wire.serving(OK) as idle:
--- a/tests/forwarding/test_limited_targets.py
+++ b/tests/forwarding/test_limited_targets.py
@@ -41,7 +41,10 @@
         platform = standin.StandinPlatform()
         await platform.start(
             [
-                standin.StandinTarget(f'{service[0]}{n}', service)
+                # The first of each service is faster, so it is preferred.
+                standin.StandinTarget(
+                    f'{service[0]}{n}', service, duration_ms=30 + 120 * n
+                )
                 for service in ('engine', 'plain', 'desk')
                 for n in range(2)
             ]
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -12,8 +12,10 @@
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import stage_owner
+from sycamorebeam.forwarding import stage_queue
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
 from tests import base
 from tests.forwarding import build
@@ -121,6 +123,7 @@
         )
         described = build.service('desk', batching=BATCHING)
         self.listed = listed
+        self.limits = target_limits.TargetLimits()
         owner = stage_owner.StageOwner(
             clocks.Clock(),
             listed,
@@ -129,7 +132,8 @@
             retry_budget.RetryBudgets(0.0, budget, 10_000, lambda: 1),
             prometheus_metrics.Metrics(),
             lambda zone: 0.0,
-            build.feedback_handler(listed),
+            build.feedback_handler(listed, self.limits),
+            build.send_permits_alone(self.limits),
         )
         self.ticking = asyncio.create_task(owner.run_forever())
         return owner
@@ -227,6 +231,70 @@
         self.assertGreater(outcome.retry_after_ms, 6_000)
         waiting.cancel()
 
+    async def test_calls_to_a_limited_replica_keep_to_its_limit(self):
+        owner = self.new_owner(targets=1)
+        self.replicas.feedback = {'t0': model.Feedback(requests_per_s=2.0)}
+        futures = [
+            owner.submit(stage_request(f'r{n}', expires_in_ms=60_000))
+            for n in range(60)
+        ]
+        await asyncio.wait(futures[:1])
+        self.limits.record(('t0', 1), 2.0, 0)
+        called = sum(self.call_counts())
+        await asyncio.sleep(4)
+        # 1.5 permits a second, and a burst of 2.
+        self.assertLessEqual(sum(self.call_counts()) - called, 8)
+        self.assertGreaterEqual(sum(self.call_counts()) - called, 5)
+        await asyncio.gather(*futures)
+
+    async def test_results_at_a_limited_replica_are_freed_only_for_memory(
+        self,
+    ):
+        owner = self.new_owner(targets=1)
+        outcome = await owner.submit(stage_request('r'))
+        self.limits.record(('t0', 1), 10.0, 0)
+        owner.free('desk', list(outcome.results))
+        await asyncio.sleep(2)
+        self.assertEqual(0, self.replicas.free_calls)
+        big = await owner.submit(stage_request('s', 8, result_bytes=500.0))
+        owner.free('desk', list(big.results))
+        await asyncio.sleep(2)
+        self.assertLessEqual(set(big.results), set(self.replicas.freed))
+
+    async def test_results_that_expired_at_a_limited_replica_are_forgotten(
+        self,
+    ):
+        owner = self.new_owner(targets=1)
+        outcome = await owner.submit(stage_request('r'))
+        self.limits.record(('t0', 1), 10.0, 0)
+        owner.free('desk', list(outcome.results))
+        await asyncio.sleep(5)
+        self.limits.record(('t0', 1), model.UNLIMITED, 5_000)
+        await asyncio.sleep(2)
+        self.assertEqual(0, self.replicas.free_calls)
+
+    async def test_requests_beyond_the_limits_of_replicas_are_refused(self):
+        owner = self.new_owner()
+        for replica in ('t0', 't1'):
+            self.limits.record((replica, 1), 0.5, 0)
+        futures = [
+            owner.submit(
+                stage_request(
+                    f'r{n}', 8, accept_within_ms=4_000, expires_in_ms=9_000
+                )
+            )
+            for n in range(40)
+        ]
+        await asyncio.sleep(0)
+        refused = [future.result() for future in futures[1:] if future.done()]
+        self.assertGreaterEqual(len(refused), 30)
+        for outcome in refused:
+            self.assertGreaterEqual(
+                outcome.retry_after_ms, stage_queue.MIN_RETRY_AFTER_MS
+            )
+        for future in futures:
+            future.cancel()
+
     def call_counts(self):
         """Return the numbers of stage calls and of calls that free results."""
         return len(self.replicas.calls), self.replicas.free_calls
