Let the first issuer issue a target's whole limit

Cause: each of two issuers issued 0.75 of a limit, so that a quarter of what a target in need takes was left unused all the time, for the rare case of two issuers at once. Change: the first in the ranking of all listed instances, lost ones included, issues the whole limit, any other half of it. Listings agree on the first, so two issuers at once still stay within 1.5 times the limit, also on both sides of a split. Instances that have just started rank last, as for queues, since others may not know them yet.

--- a/sycamorebeam/forwarding/membership.py
+++ b/sycamorebeam/forwarding/membership.py
@@ -213,18 +213,34 @@
         lost for LOST_ISSUER_MS are left out. Before the first listing there
         is none: this instance would take itself for the only one.
         """
-        if not self._is_listed:
-            return []
         lost_before_ms = self._clock.monotonic_ms() - LOST_ISSUER_MS
-        ids = [
+        return [
             instance_id
-            for instance_id in self._members
+            for instance_id in self._ranked_issuers(target_id)
             if self._unreachable_since_ms.get(instance_id, lost_before_ms + 1)
             > lost_before_ms
         ]
+
+    def is_first_issuer(self, target_id: str) -> bool:
+        """Whether this instance ranks first, lost instances included."""
+        ranked = self._ranked_issuers(target_id)
+        return ranked[:1] == [self._own_entry.instance_id]
+
+    def _ranked_issuers(self, target_id: str) -> list[str]:
+        if not self._is_listed:
+            return []
+        now_ms = self._clock.wall_ms()
+        entries = [member.entry for member in self._members.values()]
         if not self._is_leaving:
-            ids.append(self._own_entry.instance_id)
-        return hashing.rank(target_id, ids, len(ids))
+            entries.append(self._own_entry)
+        entries.sort(
+            key=lambda entry: (
+                _is_settled(entry, now_ms),
+                hashing.weight(target_id, entry.instance_id),
+            ),
+            reverse=True,
+        )
+        return [entry.instance_id for entry in entries]
 
     def owners(self, service: str) -> list[str]:
         """Return the candidates to own a service's queue, best first.
--- a/sycamorebeam/forwarding/permit_issuer.py
+++ b/sycamorebeam/forwarding/permit_issuer.py
@@ -2,8 +2,8 @@
 
 Instances ask one of them, the issuer of a target, before each request to a
 target that sets a limit. While instances disagree about who is reachable, two
-issuers may be in use, so each issues at most half of what a target tolerates.
-It does no I/O.
+issuers may be in use: the first in the ranking of all listed instances, and
+one other. Both together issue no more than a target tolerates. It does no I/O.
 """
 
 import attrs
@@ -11,8 +11,9 @@
 from sycamorebeam.forwarding import target_limits
 
 # Targets tolerate 1.5 times their limit plus 5 requests in any 4 s
-# (protocol). Two issuers with this rate and burst stay within that.
-ISSUED_SHARE = 0.75
+# (protocol). Two issuers with these shares and this burst stay within that.
+FIRST_ISSUER_SHARE = 1.0
+OTHER_ISSUER_SHARE = 0.5
 MAX_BURST = 2.0
 # A target whose limit is 0 is still sent a request now and then, since only
 # its answers tell that the limit has ended.
@@ -23,9 +24,11 @@
 MIN_WAIT_MS = 50.0  # a few round trips
 
 
-def issued_per_ms(requests_per_s: float) -> float:
-    """Return the rate at which one issuer issues permits for a target."""
-    return max(MIN_REQUESTS_PER_S, requests_per_s * ISSUED_SHARE) / 1_000
+def issued_per_ms(
+    requests_per_s: float, share: float = FIRST_ISSUER_SHARE
+) -> float:
+    """Return the rate at which an issuer issues permits for a target."""
+    return max(MIN_REQUESTS_PER_S, requests_per_s * share) / 1_000
 
 
 @attrs.define
@@ -40,7 +43,7 @@
     _permits: float = 0.0
     _promised_ms: dict[str, float] = attrs.field(factory=dict)
 
-    def take(self, instance_id: str, now_ms: int) -> float:
+    def take(self, instance_id: str, per_ms: float, now_ms: int) -> float:
         """Take a permit and return 0, or return the time until there is one.
 
         Refused instances are promised successive permits, so that they do
@@ -49,6 +52,7 @@
         earned = (now_ms - self._updated_ms) * self.per_ms
         self._permits = min(MAX_BURST, self._permits + earned)
         self._updated_ms = now_ms
+        self.per_ms = per_ms
         if self._permits >= 1:
             self._permits -= 1
             self._promised_ms.pop(instance_id, None)
@@ -78,16 +82,18 @@
         requests_per_s: float,
         instance_id: str,
         now_ms: int,
+        *,
+        is_first: bool,
     ) -> float:
         """Issue a permit to an instance and return 0.
 
         If there is none, return after which time to ask again, in ms.
         """
-        per_ms = issued_per_ms(requests_per_s)
+        share = FIRST_ISSUER_SHARE if is_first else OTHER_ISSUER_SHARE
+        per_ms = issued_per_ms(requests_per_s, share)
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = self._buckets[key] = _PermitBucket(per_ms, now_ms)
             if len(self._buckets) > target_limits.MAX_LIMITS_KEPT:
                 del self._buckets[next(iter(self._buckets))]
-        bucket.per_ms = per_ms
-        return bucket.take(instance_id, now_ms)
+        return bucket.take(instance_id, per_ms, now_ms)
--- a/sycamorebeam/forwarding/send_permits.py
+++ b/sycamorebeam/forwarding/send_permits.py
@@ -136,7 +136,13 @@
         self, key: target_limits.Key, requests_per_s: float, instance_id: str
     ) -> float:
         now_ms = self._clock.monotonic_ms()
-        return self._issuer.take(key, requests_per_s, instance_id, now_ms)
+        return self._issuer.take(
+            key,
+            requests_per_s,
+            instance_id,
+            now_ms,
+            is_first=self._instances.is_first_issuer(key[0]),
+        )
 
     def _on_message(
         self, inbound: peer_links.InboundLink, message: messages.Message
