Log permits that are refused

Cause: a request refused because all its targets are limited ended with "no target is left", and no line told why. Change: permit_refused names target, issuer, limit and wait. An instance logs one line for each wait, so a busy target does not flood the log.

--- a/sycamorebeam/forwarding/send_permits.py
+++ b/sycamorebeam/forwarding/send_permits.py
@@ -6,6 +6,7 @@
 """
 
 from sycamorebeam import clocks
+from sycamorebeam import telemetry
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_links
@@ -55,10 +56,17 @@
         now_ms = self._clock.monotonic_ms()
         if limit.refused_until_ms > now_ms:
             return False
-        wait_ms = await self._request_permit(target, limit)
+        issuer_id, wait_ms = await self._request_permit(target, limit)
         if wait_ms <= 0:
             return True
         limit.refused_until_ms = self._clock.monotonic_ms() + wait_ms
+        telemetry.log_event(
+            'permit_refused',
+            target=target.target_id,
+            issuer=issuer_id,
+            requests_per_s=limit.requests_per_s,
+            wait_ms=round(wait_ms),
+        )
         return False
 
     def wait_ms(self, target: model.Target) -> float:
@@ -77,25 +85,26 @@
 
     async def _request_permit(
         self, target: model.Target, limit: target_limits.TargetLimit
-    ) -> float:
-        """Return 0 if a permit was issued, else when to ask again.
+    ) -> tuple[str, float]:
+        """Return the issuer that answered, and 0 or when to ask again.
 
-        An isolated instance gets none: if each took itself for the only
-        issuer left, all together would exceed the limit.
+        The wait is 0 if a permit was issued. Without an answer the issuer's
+        id is empty. An isolated instance gets no permit: if each took itself
+        for the only issuer left, all together would exceed the limit.
         """
         if self._links.is_isolated:
-            return NO_ISSUER_WAIT_MS
+            return '', NO_ISSUER_WAIT_MS
         key = target.target_id, target.incarnation
         own_id = self._instances.own_entry.instance_id
         for issuer_id in self._issuers(target.target_id):
             if issuer_id == own_id:
-                return self._issue(key, limit.requests_per_s, own_id)
+                return own_id, self._issue(key, limit.requests_per_s, own_id)
             if self._instances.is_unreachable(issuer_id):
                 continue
             wait_ms = await self._ask(issuer_id, key, limit)
             if wait_ms is not None:
-                return wait_ms
-        return NO_ISSUER_WAIT_MS
+                return issuer_id, wait_ms
+        return '', NO_ISSUER_WAIT_MS
 
     def _issuers(self, target_id: str) -> list[str]:
         """Return the issuers of a target, the one to ask first in front."""
