Set limits of targets among the faults of the soak

Change: limits are set, changed and ended among the other faults; after them the soak sets one, waits for 4 s and counts requests in windows of 4 s. The count of windows is shared with the other tests of limits.

--- a/tests/forwarding/soak.py
+++ b/tests/forwarding/soak.py
@@ -17,12 +17,15 @@
 from tests.forwarding import processes
 from tests.forwarding import standin
 from tests.forwarding import test_forwarding
+from tests.forwarding import windows
 
 FAULT_PERIOD_S = 12.0
 RECOVERY_S = 12.0  # the platform's limit for serving again after a fault
 REVOCATION_S = 5.0  # the platform's limit for accepting revoked keys
 DRAIN_S = 2.5  # the platform's limit for using a draining target
 DRAINABLE = ('e0', 'p0', 'd0')  # each service has another target
+LIMITABLE = DRAINABLE
+LIMITS_PER_S = (0.5, 1.0, 3.0)
 CALLERS = 6
 READ_BYTES = 65_536
 LINK_FAULTS = ('delay', 'silent', 'one_way', 'reset')
@@ -131,6 +134,7 @@
                 )
                 self._heal()
                 await self._check_recovery()
+                await self._check_limit()
                 await self._check_drained()
                 for caller in callers:
                     caller.cancel()
@@ -218,6 +222,7 @@
                     self._store_back_from_copy,
                     self._revoke,
                     self._drain,
+                    self._limit,
                 )
             )
             self.log.append(fault.__name__)
@@ -276,13 +281,23 @@
     async def _drain(self, folder):
         if self.draining_target is None:
             name = self.fault_random.choice(DRAINABLE)
-            self.draining_target = next(
-                target
-                for target in self.platform.targets
-                if target.target_id == name
-            )
+            self.draining_target = self._target(name)
             self.platform.announce(self.draining_target, 'draining')
 
+    async def _limit(self, folder):
+        """Set, change or end the limit of a target."""
+        name = self.fault_random.choice(LIMITABLE)
+        self._target(name).requests_per_s = self.fault_random.choice(
+            (*LIMITS_PER_S, None)
+        )
+
+    def _target(self, name):
+        return next(
+            target
+            for target in self.platform.targets
+            if target.target_id == name
+        )
+
     def _restart(self, folder, index):
         old = self.instances[index]
         self.instances[index] = processes.start(
@@ -328,6 +343,23 @@
         if served < 20:
             self.problems.append('not serving within the recovery limit')
 
+    async def _check_limit(self):
+        """Check that all instances together keep to a target's limit."""
+        target = self._target(self.caller_random.choice(LIMITABLE))
+        target.requests_per_s = self.caller_random.choice(LIMITS_PER_S)
+        await asyncio.sleep(windows.CONTACT_S)
+        begin_s = time.monotonic()
+        await asyncio.sleep(2 * windows.WINDOW_S)
+        counted = windows.largest(
+            [at_s for at_s in target.arrivals_s if at_s >= begin_s]
+        )
+        if counted > windows.allowed_count(target.requests_per_s):
+            self.problems.append(
+                f'{target.target_id} got {counted} requests in 4 s at a '
+                f'limit of {target.requests_per_s}'
+            )
+        target.requests_per_s = None
+
     async def _check_drained(self):
         """Check that a draining target gets no work after ``DRAIN_S``."""
         if self.draining_target is None:
--- a/tests/forwarding/test_limited_targets.py
+++ b/tests/forwarding/test_limited_targets.py
@@ -9,31 +9,12 @@
 from tests import base
 from tests.forwarding import processes
 from tests.forwarding import standin
+from tests.forwarding import windows
 
-CONTACT_S = 4.0  # from the first report of a limit to its enforcement
-WINDOW_S = 4.0  # over which requests are counted
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5
 INSTANCES = 4
 REQUESTS_PER_S = 15
 
 
-def allowed_count(requests_per_s):
-    """Return how many requests the platform allows in a window."""
-    return ALLOWED_FACTOR * requests_per_s * WINDOW_S + ALLOWED_EXTRA
-
-
-def largest_window(times_s):
-    """Return the most requests in any window."""
-    return max(
-        (
-            sum(start <= other < start + WINDOW_S for other in times_s)
-            for start in times_s
-        ),
-        default=0,
-    )
-
-
 @ddt.ddt
 class LimitedTargetsTest(base.NetworkTestCase):
     @contextlib.asynccontextmanager
@@ -95,10 +76,11 @@
             counted_s = [
                 at_s
                 for at_s in limited.arrivals_s
-                if at_s > limited_s + CONTACT_S
+                if at_s > limited_s + windows.CONTACT_S
             ]
             self.assertLessEqual(
-                largest_window(counted_s), allowed_count(requests_per_s)
+                windows.largest(counted_s),
+                windows.allowed_count(requests_per_s),
             )
             # The limit is used, and the other target takes the rest.
             self.assertGreater(len(counted_s), 0)
--- a/tests/forwarding/test_send_permits.py
+++ b/tests/forwarding/test_send_permits.py
@@ -1,7 +1,6 @@
 """Tests of the permits to send to targets that limit their requests."""
 
 import asyncio
-import bisect
 import contextlib
 import random
 
@@ -18,27 +17,11 @@
 from sycamorebeam.peering import messages
 from tests import base
 from tests.forwarding import build
+from tests.forwarding import windows
 
 TARGET = build.target('t')
 KEY = ('t', 1)
 LATENCY_S = 0.012
-# The platform allows 1.5 times the limit and 5 more in any 4 s.
-WINDOW_S = 4.0
-
-
-def allowed_count(requests_per_s):
-    return 1.5 * requests_per_s * WINDOW_S + 5
-
-
-def largest_window(times_s):
-    """Return the most of some sorted times in any window."""
-    return max(
-        (
-            bisect.bisect_left(times_s, start_s + WINDOW_S) - index
-            for index, start_s in enumerate(times_s)
-        ),
-        default=0,
-    )
 
 
 @attrs.define
@@ -295,7 +278,7 @@
     ):
         arrivals_s = await self.run_fleet(count, requests_per_s, trouble)
         self.assertLessEqual(
-            largest_window(arrivals_s), allowed_count(requests_per_s)
+            windows.largest(arrivals_s), windows.allowed_count(requests_per_s)
         )
 
     @ddt.data((2, 1.3), (9, 1.3), (9, 20.0), (60, 5.0))
@@ -322,8 +305,8 @@
         network = Network(3)
         arrivals_s = await self.changed(network, 20.0, 1.0)
         self.assertLessEqual(
-            largest_window([s for s in arrivals_s if s > 10.5]),
-            allowed_count(1.0),
+            windows.largest([s for s in arrivals_s if s > 10.5]),
+            windows.allowed_count(1.0),
         )
 
     async def test_a_raised_limit_is_used(self):
