Report ready only after the first read of targets

Callers of an instance that had just started could be refused with "no target is left" for as long as the store was away, though it was reported ready. Cause: readiness asked for the desired state only. If the store fails between the first read of it and the first read of targets, the instance knows no target. Change: an instance that has never read targets is not ready. Ruled out: stalls of the test process. Evidence: the new test failed before (ready without targets) and passes.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -168,9 +168,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers' requests can be served."""
-        if self._stop_requested.is_set() or self._state.desired is None:
+        if self._state.desired is None or self._directory.last_read_ms is None:
             return False
-        if self._links.is_isolated:
+        if self._stop_requested.is_set() or self._links.is_isolated:
             return False
         return self._lease.is_valid(self._clock.boottime_ms())
 
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -15,6 +15,7 @@
 import attrs
 
 WAIT_STEP_S = 0.02
+TARGETS_TOPIC = 'keyed.servers'
 
 
 class StandinStore:
@@ -24,6 +25,7 @@
         self.topics = collections.defaultdict(list)
         self.published = collections.defaultdict(dict)
         self.is_unavailable = False
+        self.unavailable_topics = set()
         self.era = 1
         # Replacements of addresses in instances' entries (for proxies).
         self.aliases = {}
@@ -55,9 +57,10 @@
         return response
 
     async def answer(self, request):
-        if self.is_unavailable:
+        topic = request.query['topic']
+        if self.is_unavailable or topic in self.unavailable_topics:
             return web.Response(status=503)
-        records = self.topics[request.query['topic']]
+        records = self.topics[topic]
         if request.path.endswith('/log-append'):
             content = (await request.read())[4:]
             end = 1 + content[0]
@@ -217,7 +220,7 @@
 
     def announce(self, target, state='ready'):
         self.store.put(
-            'keyed.servers',
+            TARGETS_TOPIC,
             target.target_id,
             {
                 'service': target.service,
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -154,6 +154,23 @@
             back = await processes.send(instances[0], 's2')
             self.assertEqual(200, back.status)
 
+    async def test_an_instance_that_has_read_no_targets_is_not_ready(self):
+        async with self.fleet(0) as (platform, instances):
+            platform.store.unavailable_topics.add(standin.TARGETS_TOPIC)
+            process = processes.start(
+                self.make_temp_dir(), 'i0', platform.store_address
+            )
+            instances.append(process)
+            await processes.wait_until(
+                lambda: 'event=state_in_force' in process.log(),
+                processes.START_TIMEOUT_S,
+            )
+            self.assertFalse(await process.is_ready())
+            platform.store.unavailable_topics.clear()
+            await process.wait_ready()
+            response = await processes.send(process, 's0')
+            self.assertEqual(200, response.status)
+
     async def test_a_draining_target_gets_no_new_work(self):
         async with self.fleet(1) as (platform, instances):
             platform.announce(platform.targets[0], 'draining')
