Say what two docstrings of rate limits mean

Cause: read as a newcomer would: "0 if any" reads as the opposite of what it means, and has_limits stays true after the last limit has ended. A field of a test double stood between its methods.

--- a/sycamorebeam/forwarding/send_permits.py
+++ b/sycamorebeam/forwarding/send_permits.py
@@ -77,7 +77,7 @@
         return max(0.0, limit.refused_until_ms - self._clock.monotonic_ms())
 
     def interval_ms(self, target: model.Target) -> float:
-        """Return the mean time between permits for a target, 0 if any."""
+        """Return the mean time between permits, 0 without a limit."""
         limit = self._limits.get(target)
         if limit is None:
             return 0.0
--- a/sycamorebeam/forwarding/target_limits.py
+++ b/sycamorebeam/forwarding/target_limits.py
@@ -53,7 +53,7 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether any target has set a limit; most of the time none has."""
+        """Whether any target has set a limit since the start."""
         return bool(self._limits)
 
     def get(self, target: model.Target) -> TargetLimit | None:
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -132,6 +132,8 @@
 class FakeLinks:
     """Peer links without peers; records the messages of broadcasts."""
 
+    is_isolated = False
+
     def __init__(self):
         self.broadcasts = []
 
@@ -144,8 +146,6 @@
     def broadcast(self, message):
         self.broadcasts.append(message)
 
-    is_isolated = False
-
     def is_stopping(self, instance_id):
         return False
 
