Mark the rate of a permit bucket private, and reword two docstrings

Cause: read as a newcomer would: one attribute of the bucket lacked the underscore, the docstring of flush had to be read twice, and a trouble of the tests was named keep. Change: names and docstrings only; tests play the same cases.

--- a/sycamorebeam/forwarding/permit_issuer.py
+++ b/sycamorebeam/forwarding/permit_issuer.py
@@ -35,10 +35,10 @@
 class _PermitBucket:
     """The permits left for a target, and when refused instances get theirs.
 
-    It starts empty: an issuer before may have issued permits just now.
+    It starts empty: a previous issuer may have issued permits just now.
     """
 
-    per_ms: float
+    _per_ms: float
     _updated_ms: int
     _permits: float = 0.0
     _promised_ms: dict[str, float] = attrs.field(factory=dict)
@@ -49,10 +49,10 @@
         Refused instances are promised successive permits, so that they do
         not all return for the same one.
         """
-        earned = (now_ms - self._updated_ms) * self.per_ms
+        earned = (now_ms - self._updated_ms) * self._per_ms
         self._permits = min(MAX_BURST, self._permits + earned)
         self._updated_ms = now_ms
-        self.per_ms = per_ms
+        self._per_ms = per_ms
         if self._permits >= 1:
             self._permits -= 1
             self._promised_ms.pop(instance_id, None)
@@ -65,7 +65,7 @@
         at_ms = self._promised_ms.get(instance_id)
         if at_ms is None:
             missing = 1 - self._permits + len(self._promised_ms)
-            at_ms = now_ms + missing / self.per_ms
+            at_ms = now_ms + missing / self._per_ms
             self._promised_ms[instance_id] = at_ms
         return max(MIN_WAIT_MS, min(MAX_WAIT_MS, at_ms - now_ms))
 
--- a/sycamorebeam/forwarding/stage_freeing.py
+++ b/sycamorebeam/forwarding/stage_freeing.py
@@ -44,9 +44,9 @@
     ) -> None:
         """Start the calls that free results.
 
-        Unless ``flush_all``, only replicas short of memory are called, and
-        of those that limit their requests only these in any case: they need
-        their requests for calls that run items.
+        Unless ``flush_all``, only replicas short of memory are called. Limited
+        replicas are called only when short of memory in either case, since
+        calls that run items need their permits.
         """
         excluded = set(
             service.freeing_paused_addresses(self._clock.monotonic_ms())
--- a/tests/forwarding/test_send_permits.py
+++ b/tests/forwarding/test_send_permits.py
@@ -189,7 +189,7 @@
                 node.limits.record(KEY, self.requests_per_s, now_ms)
 
 
-async def keep(network):
+async def no_trouble(network):
     """The target's limit holds undisturbed."""
 
 
@@ -263,7 +263,7 @@
             for count in (2, 9, 60, 300)
             for requests_per_s in (0.0, 0.5, 1.3, 20.0)
             for trouble in (
-                keep,
+                no_trouble,
                 kill_issuers,
                 restart_issuers,
                 remove_issuers,
@@ -284,7 +284,7 @@
     @ddt.data((2, 1.3), (9, 1.3), (9, 20.0), (60, 5.0))
     @ddt.unpack
     async def test_a_fleet_uses_what_issuers_issue(self, count, limit):
-        arrivals_s = await self.run_fleet(count, limit, keep)
+        arrivals_s = await self.run_fleet(count, limit, no_trouble)
         issued = 21 * limit * permit_issuer.FIRST_ISSUER_SHARE
         self.assertGreater(len(arrivals_s), 0.7 * issued)
 
