Log crashes of targets with the prompts that were unanswered

A target that breaks off a prompt's answer at its beginning is now checked by one connection: if it accepts none, target_crashed is logged with the ids of the requests and of their shared parts, and counted. request_ended names the shared parts as well. No decision depends on it yet.

--- a/sycamorebeam/forwarding/calls.py
+++ b/sycamorebeam/forwarding/calls.py
@@ -95,7 +95,9 @@
 class Call:
     """A request in progress, with what the log reports at its end.
 
-    ``elapsed_ms`` is how long the caller waited before this attempt.
+    ``elapsed_ms`` is how long the caller waited before this attempt. The
+    first event of any target arrived at ``begun_ms``, that of the last target
+    at ``attempt_begun_ms``.
     """
 
     request: requests.CallerRequest
@@ -116,6 +118,7 @@
     stages_ms: dict[int, int] = attrs.field(factory=dict)
     sent_ms: int | None = None
     begun_ms: int | None = None
+    attempt_begun_ms: int | None = None
 
     @property
     def rank(self) -> int:
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -323,4 +323,5 @@
             took_ms=took_ms,
             left_ms=call.deadline.remaining_ms(self._clock),
             state_version=self._state_version(),
+            prompt=','.join(call.request.shared_part_ids),
         )
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -33,6 +33,7 @@
 from sycamorebeam.forwarding import store_outage
 from sycamorebeam.forwarding import target_attempts
 from sycamorebeam.forwarding import target_choice
+from sycamorebeam.forwarding import target_crashes
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import target_limits
@@ -151,6 +152,9 @@
                     codec=adapter.codec,
                     feedback_handler=self._feedback_handler,
                     permits=self._permits,
+                    crash_detector=target_crashes.CrashDetector(
+                        adapter.client, self._metrics
+                    ),
                     metrics=self._metrics,
                 ),
                 metrics=self._metrics,
--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -58,6 +58,9 @@
         self.attempts = self._counter(
             'attempts', 'Attempts at targets.', 'kind', 'outcome'
         )
+        self.target_crashes = self._counter(
+            'target_crashes', 'Crashes of targets with unanswered prompts.'
+        )
         self.repeats_denied = self._counter(
             'repeats_denied', 'Repeats beyond the retry budget.'
         )
--- a/sycamorebeam/forwarding/requests.py
+++ b/sycamorebeam/forwarding/requests.py
@@ -37,6 +37,11 @@
     item_key: str = ''
     last_event_id: str | None = None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.prompt[:-1])
+
     @property
     def session_part(self) -> PromptPart | None:
         """The last part that other requests may share."""
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -17,11 +17,15 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
+from sycamorebeam.forwarding import target_crashes
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
 
 MIN_REMAINING_MS = 20  # no target can serve a request in less
+# A stream that goes on for this long after its first event has not crashed
+# its engine by its prompt.
+BEGINNING_MS = 500
 
 
 class Attempts:
@@ -40,6 +44,7 @@
         codec: calls.Codec,
         feedback_handler: target_feedback.FeedbackHandler,
         permits: send_permits.SendPermits,
+        crash_detector: target_crashes.CrashDetector,
         metrics: prometheus_metrics.Metrics,
     ) -> None:
         self._clock = clock
@@ -52,6 +57,7 @@
         self._codec = codec
         self._feedback_handler = feedback_handler
         self._permits = permits
+        self._crash_detector = crash_detector
         self._metrics = metrics
 
     def pick_target(
@@ -105,6 +111,7 @@
         if target is None:
             return calls.NotSent('no target is left')
         call.last_target_id = target.target_id
+        call.attempt_begun_ms = None
         stats = self._chooser.stats(target)
         began_ms = self._clock.monotonic_ms()
         stats.record_start()
@@ -126,11 +133,28 @@
             case calls.Broken():
                 call.excluded.add(target.target_id)
                 stats.record_failure(now_ms)
+                self._record_unanswered(call, target, now_ms)
             case calls.Delivered():
                 if call.route.kind is not model.Kind.STREAM:
                     stats.record_success(now_ms - began_ms, now_ms)
         return outcome
 
+    def _record_unanswered(
+        self, call: calls.Call, target: model.Target, now_ms: int
+    ) -> None:
+        """Have a target checked whose answer broke off at its beginning."""
+        part_ids = call.request.shared_part_ids
+        begun_ms = call.attempt_begun_ms
+        if not part_ids or call.sent_ms is None:
+            return
+        if begun_ms is None or now_ms - begun_ms < BEGINNING_MS:
+            self._crash_detector.record_broken(
+                target,
+                target_crashes.UnansweredPrompt(
+                    call.request.attempt_id, part_ids, call.sent_ms
+                ),
+            )
+
     def _without_permit(self, targets: Iterable[model.Target]) -> set[str]:
         """Return the ids of limited targets for which there is no permit."""
         if not self._permits.are_needed:
@@ -308,6 +332,8 @@
             if prepared is not None:
                 # An engine reads its inputs before it sends its first event.
                 prepared.free()
+            if call.attempt_begun_ms is None:
+                call.attempt_begun_ms = self._clock.monotonic_ms()
             if not call.has_begun:
                 self._prompt_placer.mark_read(call.request.attempt_id)
                 call.has_begun = True
--- a/sycamorebeam/forwarding/upstream.py
+++ b/sycamorebeam/forwarding/upstream.py
@@ -4,6 +4,7 @@
 nor carry an answer that belongs to an earlier exchange.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import socket
@@ -13,6 +14,7 @@
 import attrs
 import yarl
 
+from sycamorebeam import checking
 from sycamorebeam.clients import oneshot
 
 # A few round trips between regions. A lost SYN is resent only after a second;
@@ -172,6 +174,17 @@
             )
         return Answer(response, protocol)
 
+    async def accepts_connections(self, address: str) -> bool:
+        """Return whether a server accepts a new connection in time."""
+        host, port = checking.split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                _, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -21,6 +21,7 @@
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_attempts
 from sycamorebeam.forwarding import target_choice
+from sycamorebeam.forwarding import target_crashes
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
@@ -139,6 +140,7 @@
                 codec=http_codec,
                 feedback_handler=build.feedback_handler(directory, limits),
                 permits=build.send_permits_alone(limits),
+                crash_detector=target_crashes.CrashDetector(client, metrics),
                 metrics=metrics,
             ),
             metrics=metrics,
--- a/tests/forwarding/test_upstream.py
+++ b/tests/forwarding/test_upstream.py
@@ -30,6 +30,21 @@
             finally:
                 await client.close()
 
+    @ddt.data(('open', True), ('closed', False))
+    @ddt.unpack
+    async def test_a_server_that_accepts_no_connections_is_noticed(
+        self, state, accepts
+    ):
+        async with wire.serving([]) as server:
+            if state == 'open':
+                await self.check_accepts(server.address, accepts)
+        if state == 'closed':
+            await self.check_accepts(server.address, accepts)
+
+    async def check_accepts(self, address, accepts):
+        client = upstream.Upstream(10)
+        self.assertEqual(accepts, await client.accepts_connections(address))
+
     async def test_a_request_is_sent_unchanged(self):
         body = await self.exchange(wire.answer(b'answer'))
         self.assertEqual(b'answer', body)
