--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -152,13 +152,15 @@
     )
 
 
-async def send(process, name, path='/stream/x', key='k1'):
+async def send(process, name, path='/stream/x', key='k1', prompt=None):
+    prompt_line = '' if prompt is None else f'X-Prompt-Prefix: {prompt}\r\n'
     return await test_forwarding.call(
         process.callers_address,
         raw=(
             f'POST {path} HTTP/1.1\r\nHost: h.example\r\n'
             f'X-Attempt-Id: {name}\r\nX-Deadline-Ms: 5000\r\n'
-            f'X-Credential: {key}\r\nX-Chunks: 2\r\nX-Chunk-Key: k\r\n'
+            f'X-Credential: {key}\r\n{prompt_line}'
+            'X-Chunks: 2\r\nX-Chunk-Key: k\r\n'
             'Content-Length: 0\r\nConnection: close\r\n\r\n'
         ).encode(),
     )
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import collections
+import functools
 import itertools
 import json
 import struct
@@ -15,6 +16,7 @@
 import attrs
 
 WAIT_STEP_S = 0.02
+CRASH_DOWN_S = 1.0  # how long an engine is down after a crash
 TARGETS_TOPIC = 'keyed.servers'
 
 
@@ -116,11 +118,16 @@
     # Aborts the connection after this many events; 0 is before any answer.
     abort_after_events: int | None = None
     is_leaving: bool = False
+    # Prompt parts that crash an engine when it begins its answer.
+    crashing_parts: set = attrs.field(factory=set)
+    crash: object = None  # called to crash this target
     # The rate that it accepts from all instances together; None is any.
     requests_per_s: float | None = None
     arrivals_s: list = attrs.field(factory=list)
     requests_run: list = attrs.field(factory=list)
     stage_call_sizes: list = attrs.field(factory=list)
+    # Parts of each prompt that arrived, with the time of its arrival.
+    prompts: list = attrs.field(factory=list)
     held_results: set = attrs.field(factory=set)
     abandoned: list = attrs.field(factory=list)
     address: str = ''
@@ -179,9 +186,15 @@
         if 'X-Input-Items' not in request.headers:
             await asyncio.sleep(self.duration_ms / 1000)
             return web.Response(text=f'served {attempt_id}', headers=headers)
+        parts = request.headers.get('X-Prompt-Prefix', '').split(',')
+        part_ids = [part.partition(':')[0] for part in parts]
+        self.prompts.append((time.monotonic(), part_ids))
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
+        if self.crashing_parts.intersection(part_ids):
+            await self.work(request)
+            self.crash()
         try:
             for number in range(1, 4):
                 await self.work(request)
@@ -205,19 +218,45 @@
         self.store = StandinStore()
         self.store_address = ''
         self.targets = []
-        self._runners = []
+        self.crashes_s = []
+        self._runners = {}
+        self._tasks = set()
 
     async def start(self, targets):
         self.store_address = await self._serve(self.store.handle)
         for target in targets:
             target.address = await self._serve(target.handle)
+            target.crash = functools.partial(self.crash, target)
             self.targets.append(target)
             self.announce(target)
 
     async def stop(self):
-        for runner in self._runners:
+        for task in self._tasks:
+            task.cancel()
+        for runner in self._runners.values():
             await runner.cleanup()
 
+    def crash(self, target):
+        """Crash a target; it is back after a time under another id."""
+        runner = self._runners.pop(target.address, None)
+        if runner is None:
+            return  # it is down already
+        self.crashes_s.append(time.monotonic())
+        for connection in runner.server.connections:
+            connection.transport.abort()
+        task = asyncio.create_task(self._restart(target, runner))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self, target, runner):
+        await runner.cleanup()
+        await asyncio.sleep(CRASH_DOWN_S)
+        self.store.put(TARGETS_TOPIC, target.target_id, None)
+        target.target_id += '+'
+        host, port = target.address.split(':')
+        await self._serve(target.handle, host, int(port))
+        self.announce(target)
+
     def announce(self, target, state='ready'):
         self.store.put(
             TARGETS_TOPIC,
@@ -237,14 +276,15 @@
     def configure(self, version, keys):
         self.store.put('keyed.op', 'config', desired_state(version, keys))
 
-    async def _serve(self, handler):
+    async def _serve(self, handler, host='127.0.0.1', port=0):
         runner = web.ServerRunner(
             web.Server(handler, access_log=None), shutdown_timeout=0.1
         )
         await runner.setup()
-        await web.TCPSite(runner, '127.0.0.1', 0).start()
-        self._runners.append(runner)
-        return f'127.0.0.1:{runner.addresses[0][1]}'
+        await web.TCPSite(runner, host, port).start()
+        address = f'{host}:{runner.addresses[0][1]}'
+        self._runners[address] = runner
+        return address
 
 
 def desired_state(version, keys):
