--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -8,9 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Iterator
 import contextlib
-import itertools
 from typing import Any
 
 import attrs
@@ -18,13 +16,12 @@
 from sycamorebeam import clocks
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import membership
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.peering import messages
 from sycamorebeam.peering import peer_stream
 
 # Allows for a few round trips between regions and a busy instance.
 DIAL_TIMEOUT_MS = 300
-PING_MS = 400
-MAX_SILENCE_MS = 1_300  # three unanswered pings
 IDLE_TIMEOUT_S = 20.0
 # Instances of a deployment communicate on a closed network, and the platform
 # provides no shared secret.
@@ -35,123 +32,6 @@
 ISOLATED_AFTER_MS = 1_500
 
 
-class LinkLostError(Exception):
-    """The other instance did not answer or cannot be reached."""
-
-
-@attrs.define
-class Exchange:
-    """A request to another instance, and the queue of its answers."""
-
-    call_id: int
-    _answers: asyncio.Queue[messages.Message | None] = attrs.field(
-        factory=asyncio.Queue
-    )
-
-    def put(self, message: messages.Message | None) -> None:
-        """Queue an answer; None means that the stream has ended."""
-        self._answers.put_nowait(message)
-
-    async def next(self, timeout_ms: float | None = None) -> messages.Message:
-        """Return the next answer.
-
-        Raises LinkLostError on a timeout or when the stream has ended.
-        """
-        timeout_s = None if timeout_ms is None else timeout_ms / 1000
-        try:
-            async with asyncio.timeout(timeout_s):
-                message = await self._answers.get()
-        except TimeoutError as error:
-            raise LinkLostError(f'no answer in {timeout_ms} ms') from error
-        if message is None:
-            raise LinkLostError('the stream has ended')
-        return message
-
-
-class Link:
-    """An outbound stream to another instance, and its open exchanges."""
-
-    def __init__(
-        self,
-        stream: peer_stream.PeerStream,
-        clock: clocks.Clock,
-        on_received: Callable[[], None],
-        on_broadcast: Callable[[messages.Message], None],
-    ) -> None:
-        self._stream = stream
-        self._clock = clock
-        self._on_received = on_received
-        self._on_broadcast = on_broadcast
-        self._call_ids = itertools.count(1)
-        self._exchanges: dict[int, Exchange] = {}
-        self._last_received_ms = clock.monotonic_ms()
-        self.is_stopping = False
-        self.is_closed = False
-
-    @contextlib.contextmanager
-    def exchange(self) -> Iterator[Exchange]:
-        """Yield a new exchange; answers after its end are dropped."""
-        exchange = Exchange(next(self._call_ids))
-        self._exchanges[exchange.call_id] = exchange
-        if self.is_closed:
-            exchange.put(None)
-        try:
-            yield exchange
-        finally:
-            del self._exchanges[exchange.call_id]
-
-    def send(self, message: messages.Message) -> None:
-        """Queue a message."""
-        self._stream.send(message)
-
-    def abort(self) -> None:
-        """Close the stream at once, without sending queued messages."""
-        self._stream.abort()
-
-    async def receive(self) -> None:
-        """Dispatch messages until the stream ends or times out."""
-        pings = asyncio.create_task(self._ping_until_silent())
-        try:
-            async for message in self._stream.receive():
-                self._last_received_ms = self._clock.monotonic_ms()
-                self._on_received()
-                self._dispatch(message)
-        finally:
-            pings.cancel()
-            self.is_closed = True
-            for exchange in self._exchanges.values():
-                exchange.put(None)
-            await self._stream.close()
-
-    async def _ping_until_silent(self) -> None:
-        while True:
-            await self._clock.sleep_ms(PING_MS)
-            silent_ms = self._clock.monotonic_ms() - self._last_received_ms
-            if silent_ms > MAX_SILENCE_MS:
-                self._stream.abort()
-                return
-            self._stream.send(messages.Ping(-1, b''))
-
-    def _dispatch(self, message: messages.Message) -> None:
-        match message:
-            case messages.Stopping():
-                self.is_stopping = True
-            case (
-                messages.ItemsQueued(call_id=call_id)
-                | messages.ItemsDone(call_id=call_id)
-                | messages.ItemsFailed(call_id=call_id)
-                | messages.ReadArriving(call_id=call_id)
-                | messages.SharedRead(call_id=call_id)
-                | messages.NoSharedRead(call_id=call_id)
-                | messages.PromptPlaced(call_id=call_id)
-                | messages.PermitAnswer(call_id=call_id)
-            ):
-                if exchange := self._exchanges.get(call_id):
-                    exchange.put(message)
-            case messages.TargetLeaving() | messages.TargetLimitChanged():
-                self._on_broadcast(message)
-
-
 @attrs.define
 class InboundLink:
     """A stream that another instance dialled, and its pending calls.
@@ -204,8 +84,8 @@
         self._instances = instances
         self._handlers: list[MessageHandler] = []
         self._broadcast_handlers: list[BroadcastHandler] = []
-        self._links: dict[str, Link] = {}
-        self._dialling: dict[str, asyncio.Task[Link | None]] = {}
+        self._links: dict[str, peer_link.Link] = {}
+        self._dialling: dict[str, asyncio.Task[peer_link.Link | None]] = {}
         self._inbound_streams: set[peer_stream.PeerStream] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
@@ -245,7 +125,7 @@
         for link in self._links.values():
             link.send(message)
 
-    def existing(self, instance_id: str) -> Link | None:
+    def existing(self, instance_id: str) -> peer_link.Link | None:
         """Return the link to an instance, or None; never dial."""
         return self._links.get(instance_id)
 
@@ -289,7 +169,7 @@
                 future.cancel()
             await stream.close()
 
-    async def connect(self, instance_id: str) -> Link | None:
+    async def connect(self, instance_id: str) -> peer_link.Link | None:
         """Return an open link to an instance, dialling it if needed.
 
         None when it cannot be reached.
@@ -306,14 +186,14 @@
             )
         return await asyncio.shield(dialling)
 
-    async def connect_or_raise(self, instance_id: str) -> Link:
+    async def connect_or_raise(self, instance_id: str) -> peer_link.Link:
         """Return an open link to an instance.
 
         Raises LinkLostError when it cannot be reached.
         """
         link = await self.connect(instance_id)
         if link is None:
-            raise LinkLostError('the instance cannot be reached')
+            raise peer_link.LinkLostError('the instance cannot be reached')
         return link
 
     def mark_unreachable(self, instance_id: str, error: BaseException) -> None:
@@ -328,7 +208,7 @@
         )
         self._start_task(self._reconnect(instance_id))
 
-    async def _dial(self, instance_id: str) -> Link | None:
+    async def _dial(self, instance_id: str) -> peer_link.Link | None:
         address = self._instances.address(instance_id)
         if address is None:
             return None
@@ -341,7 +221,7 @@
         except (OSError, TimeoutError, peer_stream.HandshakeError) as error:
             self.mark_unreachable(instance_id, error)
             return None
-        link = Link(
+        link = peer_link.Link(
             stream, self._clock, self._record_received, self._handle_broadcast
         )
         self._links[instance_id] = link
@@ -379,7 +259,7 @@
             reader, writer, IDLE_TIMEOUT_S, may_drop=False
         )
 
-    async def _receive(self, instance_id: str, link: Link) -> None:
+    async def _receive(self, instance_id: str, link: peer_link.Link) -> None:
         with contextlib.suppress(OSError):
             await link.receive()
         if self._links.get(instance_id) is link:
--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -10,6 +10,7 @@
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import prompt_placing
 from sycamorebeam.forwarding import requests
@@ -38,7 +39,7 @@
         self._directory = directory
         self._chooser = chooser
         self._placer = prompt_placing.PromptPlacer()
-        self._link_by_attempt: dict[str, peer_links.Link] = {}
+        self._link_by_attempt: dict[str, peer_link.Link] = {}
         links.add_handler(self._on_message)
 
     async def place(
@@ -100,7 +101,7 @@
 
     async def _request_placement(
         self,
-        link: peer_links.Link,
+        link: peer_link.Link,
         service: str,
         prompt: prompt_placing.Prompt,
         excluded: Collection[str],
@@ -119,7 +120,7 @@
             )
             try:
                 answer = await exchange.next(ANSWER_TIMEOUT_MS)
-            except peer_links.LinkLostError:
+            except peer_link.LinkLostError:
                 return None
         if isinstance(answer, messages.PromptPlaced):
             return answer.target_id
--- a/sycamorebeam/forwarding/send_permits.py
+++ b/sycamorebeam/forwarding/send_permits.py
@@ -9,6 +9,7 @@
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import permit_issuer
 from sycamorebeam.forwarding import target_limits
@@ -135,7 +136,7 @@
             )
             try:
                 answer = await exchange.next(ANSWER_TIMEOUT_MS)
-            except peer_links.LinkLostError:
+            except peer_link.LinkLostError:
                 return None
         if isinstance(answer, messages.PermitAnswer):
             return answer.wait_ms
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -19,6 +19,7 @@
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import membership
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import positions
 from sycamorebeam.forwarding import read_cache
@@ -230,7 +231,7 @@
                     answer = await self._exchange(
                         instance_id, topic, position, left_ms, is_waiting
                     )
-                except peer_links.LinkLostError as error:
+                except peer_link.LinkLostError as error:
                     self._back_off(topic, instance_id, str(error))
                     continue
                 match answer:
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -8,6 +8,7 @@
 import attrs
 
 from sycamorebeam.forwarding import membership
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stages
@@ -76,7 +77,7 @@
             )
             try:
                 message = await exchange.next(QUEUED_TIMEOUT_MS)
-            except peer_links.LinkLostError:
+            except peer_link.LinkLostError:
                 return None
         if isinstance(message, messages.ItemsFailed):
             return _failure_from(message)
@@ -109,7 +110,7 @@
         if link is not None and not link.is_stopping:
             try:
                 return await _submit_and_wait(link, request)
-            except peer_links.LinkLostError as error:
+            except peer_link.LinkLostError as error:
                 self._links.mark_unreachable(instance_id, error)
         return stages.Failure(stages.FailureReason.OWNER_LOST, 0.0)
 
@@ -154,7 +155,7 @@
 
 
 async def _submit_and_wait(
-    link: peer_links.Link, request: stages.StageRequest
+    link: peer_link.Link, request: stages.StageRequest
 ) -> stages.Outcome:
     """Submit a request to the owner at the other end; return its outcome.
 
@@ -166,7 +167,7 @@
             message = await exchange.next(QUEUED_TIMEOUT_MS)
             while isinstance(message, messages.ItemsQueued):
                 message = await exchange.next()
-        except (peer_links.LinkLostError, asyncio.CancelledError):
+        except (peer_link.LinkLostError, asyncio.CancelledError):
             link.send(messages.CancelItems(exchange.call_id))
             raise
     match message:
@@ -174,7 +175,7 @@
             return stages.Results(tuple(results))
         case messages.ItemsFailed():
             return _failure_from(message)
-    raise peer_links.LinkLostError(f'unexpected stage answer: {message!r}')
+    raise peer_link.LinkLostError(f'unexpected stage answer: {message!r}')
 
 
 def _failure_from(message: messages.ItemsFailed) -> stages.Failure:
--- a/tests/forwarding/test_send_permits.py
+++ b/tests/forwarding/test_send_permits.py
@@ -10,7 +10,7 @@
 
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
-from sycamorebeam.forwarding import peer_links
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import permit_issuer
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_limits
@@ -54,7 +54,7 @@
 
     @contextlib.contextmanager
     def exchange(self):
-        exchange = peer_links.Exchange(len(self.exchanges) + 1)
+        exchange = peer_link.Exchange(len(self.exchanges) + 1)
         self.exchanges[exchange.call_id] = exchange
         yield exchange
 
