Never pass on an error as a part of a stream

Cause: only statuses from 500 on were handled apart; all others were sent as a whole answer, although the answer to the caller had begun.

Evidence: test_an_error_after_a_broken_stream_is_not_part_of_it failed for 404 and 302 before (the head of the error was read as a chunk); 500, 503, unsigned and foreign answers were cut off correctly. All pass now: the caller gets the events and then a broken connection.

--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -322,6 +322,10 @@
             )
         if head.status < 300 and call.route.kind is model.Kind.STREAM:
             return await self._relay_stream(call, head, answer, prepared)
+        if call.has_begun:
+            return calls.Broken(
+                f'status {head.status} instead of the rest of the stream'
+            )
         body = await answer.read_body()
         if head.status >= 500:
             return calls.Broken(f'status {head.status}', (head, body))
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -682,6 +682,33 @@
         if runs == 2:
             self.assertIn(b'Last-Event-Id: 2', target.requests[1])
 
+    @ddt.data(
+        ('not found', wire.answer(b'oops', '404 Not Found')),
+        ('failed', wire.answer(b'oops', '500 Internal Server Error')),
+        ('moved', wire.answer(b'oops', '302 Found', ['Location: /x'])),
+        (
+            'full',
+            wire.answer(b'', '503 Service Unavailable', ['X-Not-Executed: 1']),
+        ),
+        ('unsigned', b'HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n\r\noops'),
+        ('of another', wire.answer(b'oops', attempt_id='id-2')),
+    )
+    @ddt.unpack
+    async def test_an_error_after_a_broken_stream_is_not_part_of_it(
+        self, _, error
+    ):
+        script = [stream(1, 2, end=False), [error]]
+        async with (
+            wire.serving(*script) as target,
+            running(
+                [target.address] * 2, kind=STREAM, is_resumable=True
+            ) as setup,
+        ):
+            response = await call(setup.address)
+        self.assertEqual(2, len(target.requests))
+        self.assertEqual(EVENTS[0] + EVENTS[1], response.body)
+        self.assertFalse(response.is_whole)
+
     async def test_events_are_passed_on_as_they_arrive(self):
         steps = [*stream(1, end=False), 400, *stream(2)[1:]]
         async with (
