Take a stream that ends within an event as broken off

What callers could see: such a stream, or a chunked one, ended as if it were complete, with a part of an event as its end; and a 200 that closed before any event was passed on as an empty whole stream.

Cause: the bytes after the last whole event were sent on as its end.

Evidence: of the five new cases, in an event (close and chunks) and before any event failed before; whole and reset passed. An answer with a length is whole by its length and is passed on unchanged, as test_a_leaving_target requires.

--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -369,6 +369,11 @@
                 await call.reply.begin(head)
             await call.reply.write(data)
         rest = call.splitter.drop_rest()
+        if rest and not answer.has_length:
+            raise upstream.BrokenError('the answer ends within an event')
+        if answer.is_delimited_by_close and call.attempt_begun_ms is None:
+            # A target that crashes closes its connections as well.
+            raise upstream.BrokenError('the answer ends before its events')
         if not call.has_begun:
             call.has_begun = True
             await call.reply.begin(head)
--- a/sycamorebeam/forwarding/upstream.py
+++ b/sycamorebeam/forwarding/upstream.py
@@ -75,6 +75,19 @@
             for name, value in self._response.raw_headers
         )
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the head has the length of the body."""
+        return 'Content-Length' in self._response.headers
+
+    @property
+    def is_delimited_by_close(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return (
+            not self.has_length
+            and 'Transfer-Encoding' not in self._response.headers
+        )
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -88,7 +101,7 @@
                 f'reading the answer failed: {error!r}'
             ) from error
         if (
-            self._is_delimited_by_close
+            self.is_delimited_by_close
             and self._protocol.connection_error is not None
         ):
             raise BrokenError(
@@ -110,14 +123,6 @@
         """Close the connection, even if the answer was not read."""
         self._response.close()
 
-    @property
-    def _is_delimited_by_close(self) -> bool:
-        headers = self._response.headers
-        return (
-            'Content-Length' not in headers
-            and 'Transfer-Encoding' not in headers
-        )
-
 
 class Upstream:
     """Sends requests to targets, each at most once."""
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -611,6 +611,11 @@
 EVENTS = [wire.event(n) for n in range(1, 5)]
 
 
+UNDELIMITED_STREAM_HEAD = wire.STREAM_HEAD.replace(
+    b'Transfer-Encoding: chunked\r\n', b''
+)
+
+
 def stream(*numbers, end=True):
     steps = [wire.STREAM_HEAD]
     steps.extend(wire.chunk(wire.event(n)) for n in numbers)
@@ -709,6 +714,41 @@
         self.assertEqual(EVENTS[0] + EVENTS[1], response.body)
         self.assertFalse(response.is_whole)
 
+    @ddt.data(
+        ('whole', [*EVENTS[:2]], 200, 2, True),
+        ('in an event', [EVENTS[0], b'id: 2\nda'], 200, 1, False),
+        ('before any event', [], 502, 0, True),
+        ('reset', [*EVENTS[:2], 50, wire.RESET], 200, 2, False),
+    )
+    @ddt.unpack
+    async def test_a_stream_without_length_is_whole_if_its_events_are(
+        self, _, steps, status, events, is_whole
+    ):
+        steps = [UNDELIMITED_STREAM_HEAD, *steps]
+        async with (
+            wire.serving(steps) as target,
+            running([target.address], kind=STREAM) as setup,
+        ):
+            response = await call(setup.address)
+        self.assertEqual(status, response.status)
+        self.assertEqual(is_whole, response.is_whole)
+        if status == 200:
+            self.assertEqual(b''.join(EVENTS[:events]), response.body)
+
+    async def test_a_chunked_stream_that_ends_in_an_event_is_broken(self):
+        steps = [
+            *stream(1, end=False),
+            wire.chunk(b'id: 2\nda'),
+            wire.STREAM_END,
+        ]
+        async with (
+            wire.serving(steps) as target,
+            running([target.address], kind=STREAM) as setup,
+        ):
+            response = await call(setup.address)
+        self.assertEqual(EVENTS[0], response.body)
+        self.assertFalse(response.is_whole)
+
     async def test_events_are_passed_on_as_they_arrive(self):
         steps = [*stream(1, end=False), 400, *stream(2)[1:]]
         async with (
