Survive odd entries beside those of targets

What callers could see: one entry of another writer, nested too deeply or with a number beyond 64 bits, and the machines stopped following the list of targets, or a reader failed to pass it on (other operators' report).

Cause: json raises RecursionError, which is no ValueError, so the follower's task failed again and again (task_failed); numbers beyond 64 bits and lone surrogates were taken over, and cannot be packed for other instances. A port out of range was refused already.

The same parser now serves entries of instances, the desired state and the results of stage calls, where a RecursionError would have left a call open for good. An entry that cannot be used is logged (target_undecodable).

--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -1,9 +1,9 @@
 """Decodes the operator's desired state."""
 
-import json
 from typing import Any
 
 from sycamorebeam.forwarding import model
+from sycamorebeam.platform import json_records
 
 BYTES_PER_MB = 1_000_000
 _KINDS = {
@@ -23,7 +23,7 @@
     Raises UndecodableError; the remedy is to publish a valid version.
     """
     try:
-        body = json.loads(data)
+        body = json_records.parse(data)
         tenants = body.get('tenants')
         return model.DesiredState(
             version=int(body['version']),
@@ -35,7 +35,13 @@
             team_of_key=_decode_teams(tenants or []),
             has_teams=tenants is not None,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise UndecodableError(
             f'the desired state cannot be decoded ({error!r}); '
             'publish a valid version'
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -9,6 +9,7 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.platform import json_records
 
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
 STAGE_FREE_PATH = '/sycamorebeam/stage-free'
@@ -220,7 +221,7 @@
 
 
 def _decode_results(data: bytes, count: int) -> tuple[stages.ItemResult, ...]:
-    entries = json.loads(data)['entries']
+    entries = json_records.parse(data)['entries']
     if len(entries) != count:
         raise ValueError(f'{len(entries)} results for {count} items')
     return tuple(_decode_result(entry) for entry in entries)
--- a/sycamorebeam/platform/store_platform.py
+++ b/sycamorebeam/platform/store_platform.py
@@ -12,6 +12,7 @@
 from sycamorebeam.forwarding import positions
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.platform import desired_state
+from sycamorebeam.platform import json_records
 from sycamorebeam.platform import store_client
 from sycamorebeam.platform import target_records
 
@@ -164,7 +165,7 @@
     if not record.value:
         return None
     try:
-        value = json.loads(record.value)
+        value = json_records.parse(record.value)
         return membership.InstanceEntry(
             record.key,
             str(value['address']),
@@ -173,7 +174,7 @@
             int(value['started']),
             int(value['renewal']),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         telemetry.log_event(
             'instance_undecodable',
             'WARNING',
--- a/sycamorebeam/platform/target_records.py
+++ b/sycamorebeam/platform/target_records.py
@@ -1,17 +1,23 @@
 """Decodes the records that targets write to the store."""
 
-import json
-
 from sycamorebeam import checking
+from sycamorebeam import telemetry
 from sycamorebeam.forwarding import model
+from sycamorebeam.platform import json_records
 
+# Instances pass on numbers of up to 64 bits to each other.
+MAX_INCARNATION = 2**63 - 1
+MAX_SLOTS = 2**31 - 1
+MAX_ERROR_CHARS = 200
 _IS_DRAINING_BY_STATE = {'ready': False, 'draining': True}
 
 
 def decode(target_id: str, data: bytes) -> model.Target | None:
     """Return the target in a record, None if it is deleted or invalid."""
+    if not data:
+        return None
     try:
-        body = json.loads(data)
+        body = json_records.parse(data)
         target = model.Target(
             target_id=target_id,
             service=_require_text(body['service']),
@@ -19,23 +25,33 @@
             availability_zone=_require_text(body['zone']),
             is_draining=_IS_DRAINING_BY_STATE[body['state']],
             # 'born' is the start time, which differs between incarnations.
-            incarnation=_require_int(body.get('born', 0)),
-            slots=_require_int(body['slots']),
+            incarnation=_require_int(body.get('born', 0), MAX_INCARNATION),
+            slots=_require_int(body['slots'], MAX_SLOTS),
+        )
+        if not checking.holds(checking.Address(), target.address):
+            raise ValueError(f'{target.address!r} is not an address')
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        telemetry.log_event(
+            'target_undecodable',
+            'WARNING',
+            target=target_id,
+            error=repr(error)[:MAX_ERROR_CHARS],
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return None
-    if not checking.holds(checking.Address(), target.address):
         return None
     return target
 
 
 def _require_text(value: object) -> str:
     if isinstance(value, str) and value:
+        # Lone surrogates, which JSON allows, cannot be sent on.
+        value.encode()
         return value
     raise ValueError(f'{value!r} is not a non-empty string')
 
 
-def _require_int(value: object) -> int:
+def _require_int(value: object, highest: int) -> int:
     if isinstance(value, int) and not isinstance(value, bool):
-        return value
+        if 0 <= value <= highest:
+            return value
+        raise ValueError(f'the number is not from 0 to {highest}')
     raise ValueError(f'{value!r} is not an integer')
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -225,10 +225,14 @@
     async def start(self, targets):
         self.store_address = await self._serve(self.store.handle)
         for target in targets:
-            target.address = await self._serve(target.handle)
-            target.crash = functools.partial(self.crash, target)
-            self.targets.append(target)
-            self.announce(target)
+            await self.add(target)
+
+    async def add(self, target):
+        """Start a target and announce it."""
+        target.address = await self._serve(target.handle)
+        target.crash = functools.partial(self.crash, target)
+        self.targets.append(target)
+        self.announce(target)
 
     async def stop(self):
         for task in self._tasks:
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -1,6 +1,7 @@
 """Tests of decoding and encoding the platform's formats."""
 
 import json
+import math
 
 import attrs
 import ddt
@@ -135,6 +136,10 @@
         json.dumps(
             {**STATE, 'routes': [{**ROUTE, 'route_kind': 'other'}]}
         ).encode(),
+        json.dumps(
+            {**STATE, 'routes': [{**ROUTE, 'timeout_ms': 10**400}]}
+        ).encode(),
+        b'[' * 200_000,
     )
     def test_invalid_states_are_refused(self, data):
         with self.assertRaisesRegex(ValueError, 'publish a valid version'):
@@ -174,8 +179,23 @@
                 {'slots': '128'},
                 {'born': '1700'},
                 {'born': 1.5},
+                {'born': 2**64},
+                {'born': -1},
+                {'slots': 10**400},
+                {'slots': -1},
+                {'slots': math.nan},
+                {'slots': math.inf},
+                {'address': '10.0.0.9:65536'},
+                {'address': '10.0.0.9:0'},
+                {'address': '10.0.0.9:' + '9' * 400},
+                {'zone': '\ud800'},
+                {'service': '\ud800'},
             )
         ),
+        b'[' * 200_000,
+        b'{"zone":' * 200_000,
+        json.dumps(RECORD).replace('128', '1' * 5_000).encode(),
+        json.dumps(RECORD).replace('128', '1e999').encode(),
     )
     def test_an_invalid_record_has_no_target(self, data):
         self.assertIsNone(target_records.decode('i-1', data))
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -8,6 +8,18 @@
 from tests.forwarding import processes
 from tests.forwarding import standin
 
+# Texts in a target's entry, and what another writer may write instead.
+ODD_FIELDS = [
+    (b'"born": 1', b'"born": 1' + b'0' * 400),
+    (b'"born": 1', b'"born": 1' + b'0' * 5_000),
+    (b'"born": 1', b'"born": 1e999'),
+    (b'"slots": 8', b'"slots": 8' + b'0' * 400),
+    (b'"slots": 8', b'"slots": NaN'),
+    (b'"zone": "a1"', b'"zone": "\\ud800"'),
+    (b'"address": "', b'"address": "1'),
+    (b'", "zone"', b'00000", "zone"'),
+]
+
 
 class ProcessesTest(base.NetworkTestCase):
     @contextlib.asynccontextmanager
@@ -82,6 +94,26 @@
                     any(line in text for text in metrics_pages), name
                 )
 
+    async def test_odd_entries_beside_those_of_targets_change_nothing(self):
+        async with self.fleet() as (platform, instances):
+            entries = platform.store.topics[standin.TARGETS_TOPIC]
+            record = entries[0][1]
+            for number, (text, odd) in enumerate(ODD_FIELDS):
+                self.assertIn(text, record)
+                entries.append((f'odd{number}', record.replace(text, odd)))
+            entries.append(('nested', b'[' * 200_000))
+            late = standin.StandinTarget('p1', 'plain')
+            await platform.add(late)
+            platform.announce(platform.targets[2], state='draining')
+            await asyncio.sleep(2.5)
+            for process in instances:
+                for path in ('/plain/x', '/stream/x'):
+                    response = await processes.send(process, 'r', path)
+                    self.assertEqual(200, response.status)
+                self.assertIsNone(process.popen.poll())
+                self.assertNotIn('task_failed', process.log())
+            self.assertEqual(len(instances), len(late.requests_run))
+
     async def test_a_killed_instance_loses_only_its_own_requests(self):
         async with self.fleet() as (platform, instances):
             names = [f's{n}' for n in range(20)]
