Trust a refusal only if it does not name another request

What callers could be told: 'not run, try again' for a request that a target had run, if the target wrote an earlier refusal once more (other operators' report).

Cause: the id was compared after the checks for 421 and X-Not-Executed.

Evidence: the three cases of test_a_refusal_of_another_request_proves_nothing failed before (two were sent again and answered 200), and get 502 now.

--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -305,6 +305,8 @@
         if head.load is not None:
             running, waiting, _ = head.load
             stats.record_load(running + waiting, now_ms)
+        if head.attempt_id not in (None, call.request.attempt_id):
+            return calls.Broken('the answer belongs to another request')
         if head.is_misdirected:
             # The target is gone and another one has its address, so this
             # doesn't count as an attempt.
@@ -312,8 +314,8 @@
             return calls.NotSent('the address now belongs to another target')
         if not head.is_executed:
             return calls.Declined(head.status)
-        if head.attempt_id != call.request.attempt_id:
-            return calls.Broken('the answer belongs to another request')
+        if head.attempt_id is None:
+            return calls.Broken('the answer does not name its request')
         if head.status < 300 and not head.is_signed:
             return calls.Broken('the answer is not signed by its target')
         if head.has_encoding:
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -483,6 +483,34 @@
         if status == 503:
             self.assertIn('retry-after', response.headers)
 
+    @ddt.data(
+        ('full', '503 Service Unavailable', ['X-Not-Executed: 1']),
+        ('limited', '429 Too Many Requests', ['X-Not-Executed: 1']),
+        ('misdirected', '421 Misdirected Request', []),
+    )
+    @ddt.unpack
+    async def test_a_refusal_of_another_request_proves_nothing(
+        self, _, status, headers
+    ):
+        stale = wire.answer(b'', status, headers, attempt_id='id-0')
+        async with (
+            wire.serving([stale], OK) as target,
+            running([target.address] * 2, kind=NON_IDEMPOTENT) as setup,
+        ):
+            response = await call(setup.address)
+        self.assertEqual(502, response.status)
+        self.assertEqual(1, len(target.requests))
+
+    async def test_a_refusal_written_once_more_reaches_no_other_request(self):
+        refusal = wire.answer(
+            b'', '503 Service Unavailable', ['X-Not-Executed: 1']
+        )
+        async with wire.serving([refusal, refusal], OK) as target:
+            async with running([target.address], kind=NON_IDEMPOTENT) as setup:
+                responses = [await call(setup.address) for _ in range(2)]
+        self.assertEqual([503, 200], [each.status for each in responses])
+        self.assertEqual(2, len(target.requests))
+
     async def test_the_budget_bounds_retries(self):
         async with wire.serving(ERROR) as target:
             targets = [target.address, target.address]
