Give up stage items that break several calls in a row

Items of a group that was in three broken or failed calls are now given up with FAILED and a retry time. Calls that were declined or never sent, and items that a replica reports as failed one by one, do not count.

Evidence: test_an_item_that_breaks_each_call_is_given_up failed before (the item went on until it was too late, or another replica survived it).

--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -285,7 +285,7 @@
         except (upstream.BrokenError, TimeoutError) as error:
             service.end_call(replica, items, has_run=False)
             self._pause_after_broken_call(service, replica, repr(error))
-            self._retry(service, items)
+            self._retry_broken_call(service, items)
         else:
             backoff_ms = self._feedback_handler.handle(target, result.feedback)
             now_ms = self._clock.monotonic_ms()
@@ -321,7 +321,7 @@
             case stages.CallFailed(error):
                 service.end_call(replica, items, has_run=False)
                 self._pause_after_broken_call(service, replica, error)
-                self._retry(service, items)
+                self._retry_broken_call(service, items)
             case stages.CallCompleted(results):
                 service.end_call(replica, items, has_run=True)
                 service.update_slowness(replica, len(items), began_ms, now_ms)
@@ -384,6 +384,23 @@
             case _:
                 self._waiting.fail(item.group, reason, 0)
 
+    def _retry_broken_call(
+        self,
+        service: stage_service.StageService,
+        items: list[stage_groups.GroupItem],
+    ) -> None:
+        """Requeue the items of a call, but those that broke several calls."""
+        given_up = self._waiting.record_broken_call(items)
+        for group in given_up:
+            self._waiting.fail(
+                group,
+                stages.FailureReason.FAILED,
+                stage_service.MIN_BROKEN_PAUSE_MS,
+            )
+        self._retry(
+            service, [item for item in items if item.group not in given_up]
+        )
+
     def _retry(
         self,
         service: stage_service.StageService,
--- a/sycamorebeam/forwarding/waiting_groups.py
+++ b/sycamorebeam/forwarding/waiting_groups.py
@@ -14,6 +14,12 @@
     future: asyncio.Future[stages.Outcome]
     results: dict[int, str] = attrs.field(factory=dict)
     is_started: bool = False
+    broken_calls: int = 0
+
+
+# A group may be the reason why replicas break off its calls; beyond this
+# number it is not passed on to further ones.
+MAX_BROKEN_CALLS = 3
 
 
 class WaitingGroups:
@@ -45,6 +51,23 @@
             if waiting is not None:
                 waiting.is_started = True
 
+    def record_broken_call(
+        self, items: list[stage_groups.GroupItem]
+    ) -> list[stage_groups.Group]:
+        """Count a broken call of the groups of items.
+
+        Returns the groups that are not to be called again.
+        """
+        given_up = []
+        for group_id in {item.group.group_id for item in items}:
+            waiting = self._waiting.get(group_id)
+            if waiting is None:
+                continue
+            waiting.broken_calls += 1
+            if waiting.broken_calls >= MAX_BROKEN_CALLS:
+                given_up.append(waiting.group)
+        return given_up
+
     def unstarted(self) -> list[stage_groups.Group]:
         """Return the groups of which no call has taken an item."""
         return [
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -17,6 +17,7 @@
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding import waiting_groups
 from tests import base
 from tests.forwarding import build
 
@@ -61,6 +62,8 @@
                     )
             await asyncio.sleep(self.duration_ms / 1_000)
             match step:
+                case 'silent':
+                    await asyncio.Event().wait()
                 case 'broken':
                     raise upstream.BrokenError('broken')
                 case stages.FailureReason():
@@ -342,6 +345,16 @@
         # Two repeats of one item: 0.7 of the budget of four may be spent.
         self.assertEqual(3, len(self.replicas.calls))
 
+    @ddt.data('broken', 'failed', 'silent')
+    async def test_an_item_that_breaks_each_call_is_given_up(self, step):
+        owner = self.new_owner(targets=4)
+        self.replicas.scripts = {f't{n}': [step] * 9 for n in range(4)}
+        outcome = await owner.submit(stage_request('r', 2))
+        self.assertEqual(stages.FailureReason.FAILED, outcome.reason)
+        self.assertLessEqual(
+            len(self.replicas.calls), waiting_groups.MAX_BROKEN_CALLS
+        )
+
     async def test_replica_memory_bounds_the_results_it_holds(self):
         """A replica holds 80 results of 100 bytes until some are freed."""
         owner = self.new_owner(targets=1)
