Keep blocks of prompt parts in the store

After all instances had restarted at once, each knew no blocked part any more, and the crashing prompts went to engines again. Blocks only lived in the memory of the instances.

The two instances that rank first for a part write its block to a keyed topic of the platform's store, and remove it when a prompt with the part is answered. Each instance reads the topic once at its start. An entry that ended an hour ago without a trial is removed then.

Evidence: without the read at the start, on a scratch copy, test_instances_that_all_restart_know_a_crashing_part and the kill of all instances in test_crash_reports (9 and 195 instances at 20 crashing prompts a second, one instance) fail; they pass with it.

--- a/sycamorebeam/forwarding/crashing_prompts.py
+++ b/sycamorebeam/forwarding/crashing_prompts.py
@@ -11,6 +11,7 @@
 
 from sycamorebeam import clocks
 from sycamorebeam import telemetry
+from sycamorebeam.forwarding import blocked_parts
 from sycamorebeam.forwarding import crashing_parts
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
@@ -38,7 +39,9 @@
         links: peer_links.PeerLinks,
         client: upstream.Upstream,
         metrics: prometheus_metrics.Metrics,
+        keeper: blocked_parts.BlockKeeper,
     ) -> None:
+        self._keeper = keeper
         self._clock = clock
         self._instances = instances
         self._links = links
@@ -51,6 +54,14 @@
         links.add_broadcast_handler(self._on_message)
         links.add_greeting(self._greet)
 
+    async def load(self) -> None:
+        """Block the parts that were blocked before this process started."""
+        await self._keeper.load(
+            lambda part_id, left_ms, duration_ms: self._adopt(
+                [[part_id, left_ms, duration_ms]], 'store'
+            )
+        )
+
     @property
     def blocked_part_count(self) -> int:
         """How many parts are blocked."""
@@ -64,10 +75,16 @@
 
     def record_survival(self, part_ids: Sequence[str]) -> None:
         """Record that an engine answers a prompt with these parts."""
-        now_ms = self._clock.monotonic_ms()
-        cleared = self._parts.record_survival(part_ids, now_ms)
-        if cleared:
-            self._share_survival(cleared)
+        blocked = self._parts.blocks.keys() & part_ids
+        cleared = self._parts.record_survival(
+            part_ids, self._clock.monotonic_ms()
+        )
+        if not cleared:
+            return
+        telemetry.log_event('prompt_parts_survived', parts=','.join(cleared))
+        for part_id in blocked:
+            self._keeper.remove(part_id)
+        self._links.broadcast(crash_messages.PartsSurvived(cleared))
 
     def wait_ms(self, part_ids: Sequence[str]) -> float:
         """Return how long a prompt is withheld, 0 if it may be sent now."""
@@ -129,12 +146,9 @@
             case crash_messages.EngineCrashed():
                 self._handle_crash(message)
             case crash_messages.PartsSurvived(part_ids):
-                now_ms = self._clock.monotonic_ms()
-                cleared = self._parts.record_survival(part_ids, now_ms)
-                if cleared:
-                    self._share_survival(cleared)
+                self.record_survival(part_ids)
             case crash_messages.PartsBlocked(rows):
-                self._adopt(rows)
+                self._adopt(rows, 'instance')
 
     def _handle_crash(self, message: crash_messages.EngineCrashed) -> None:
         """Record a crash and pass it on, unless it is known."""
@@ -158,12 +172,11 @@
         for part_id in blocked:
             block = self._parts.blocks[part_id]
             self._log_block(part_id, block.duration_ms, message.target_id)
+            self._keeper.save(
+                part_id, block.until_ms - now_ms, block.duration_ms
+            )
         self._links.broadcast(message)
 
-    def _share_survival(self, part_ids: list[str]) -> None:
-        telemetry.log_event('prompt_parts_survived', parts=','.join(part_ids))
-        self._links.broadcast(crash_messages.PartsSurvived(part_ids))
-
     def _greet(self) -> messages.Message | None:
         """Return what an instance at a new stream may not know."""
         now_ms = self._clock.monotonic_ms()
@@ -173,14 +186,14 @@
         ]
         return crash_messages.PartsBlocked(rows) if rows else None
 
-    def _adopt(self, rows: list[list[Any]]) -> None:
-        """Block parts that another instance blocks, and pass new ones on."""
+    def _adopt(self, rows: list[list[Any]], source: str) -> None:
+        """Block parts that are blocked elsewhere, and pass new ones on."""
         now_ms = self._clock.monotonic_ms()
         new_rows = []
         for part_id, left_ms, duration_ms in rows:
             if self._parts.adopt(part_id, left_ms, duration_ms, now_ms):
                 new_rows.append([part_id, left_ms, duration_ms])
-                self._log_block(part_id, duration_ms, 'instance')
+                self._log_block(part_id, duration_ms, source)
         if new_rows:
             self._links.broadcast(crash_messages.PartsBlocked(new_rows))
 
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -13,6 +13,7 @@
 from sycamorebeam import supervision
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import active_state
+from sycamorebeam.forwarding import blocked_parts
 from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import crashing_prompts
 from sycamorebeam.forwarding import followers
@@ -109,6 +110,9 @@
             self._links,
             adapter.client,
             self._metrics,
+            blocked_parts.BlockKeeper(
+                self._clock, self._instances, adapter.platform
+            ),
         )
         self._stage_owner = stage_owner.StageOwner(
             self._clock,
@@ -219,6 +223,7 @@
             ).follow,
             'instances': self._instances_follower.follow,
             'stages': self._stage_owner.run_forever,
+            'blocked_parts': self._crashing_prompts.load,
         }
         for name, work in work_by_name.items():
             supervised = supervision.keep_running(name, work, self._clock)
--- a/sycamorebeam/forwarding/record_platform.py
+++ b/sycamorebeam/forwarding/record_platform.py
@@ -2,11 +2,12 @@
 
 from typing import Protocol
 
+from sycamorebeam.forwarding import blocked_parts
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import model
 
 
-class RecordPlatform(followers.Platform, Protocol):
+class RecordPlatform(followers.Platform, blocked_parts.BlockStore, Protocol):
     """The platform's store, with states as records that can be passed on.
 
     ``on_arriving`` is called as parts of an answer arrive.
--- a/sycamorebeam/platform/store_platform.py
+++ b/sycamorebeam/platform/store_platform.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sycamorebeam import telemetry
+from sycamorebeam.forwarding import blocked_parts
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
@@ -88,11 +89,40 @@
             'started': entry.started_wall_ms,
             'renewal': entry.renewal,
         }
-        await self._append(entry.instance_id, json.dumps(value).encode())
+        await self._append(
+            store_client.INSTANCES_TOPIC,
+            entry.instance_id,
+            json.dumps(value).encode(),
+        )
 
     async def remove_instance(self, instance_id: str) -> None:
         """Remove this instance's entry."""
-        await self._append(instance_id, b'')
+        await self._append(store_client.INSTANCES_TOPIC, instance_id, b'')
+
+    async def read_blocks(self) -> Iterable[blocked_parts.StoredBlock]:
+        """Return the blocks of parts of prompts."""
+        records = await self._read_newest(store_client.BLOCKS_TOPIC)
+        blocks = [_decode_block(record) for record in records.items]
+        return [block for block in blocks if block is not None]
+
+    async def write_block(self, block: blocked_parts.StoredBlock) -> None:
+        """Write the block of a part, unless its id is too long for a key."""
+        if len(block.part_id.encode()) > store_client.MAX_KEY_BYTES:
+            telemetry.log_event('block_not_written', part=block.part_id)
+            return
+        value = {
+            'until': block.until_wall_ms,
+            'duration_ms': block.duration_ms,
+        }
+        await self._append(
+            store_client.BLOCKS_TOPIC,
+            block.part_id,
+            json.dumps(value).encode(),
+        )
+
+    async def remove_block(self, part_id: str) -> None:
+        """Remove the block of a part."""
+        await self._append(store_client.BLOCKS_TOPIC, part_id, b'')
 
     def _newest_state(
         self, records: store_client.Records
@@ -108,9 +138,9 @@
                 )
         return followers.StateRead(None, _position(records))
 
-    async def _append(self, key: str, value: bytes) -> None:
+    async def _append(self, topic: str, key: str, value: bytes) -> None:
         try:
-            await self._store.append(store_client.INSTANCES_TOPIC, key, value)
+            await self._store.append(topic, key, value)
         except store_client.StoreError as error:
             raise followers.ReadError(str(error)) from error
 
@@ -182,3 +212,23 @@
             error=repr(error),
         )
         return None
+
+
+def _decode_block(
+    record: store_client.Record,
+) -> blocked_parts.StoredBlock | None:
+    if not record.value:
+        return None
+    try:
+        value = json_records.parse(record.value)
+        return blocked_parts.StoredBlock(
+            record.key, int(value['until']), int(value['duration_ms'])
+        )
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        telemetry.log_event(
+            'block_undecodable',
+            'WARNING',
+            part=record.key,
+            error=repr(error),
+        )
+        return None
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -77,6 +77,8 @@
         if not value:
             return value
         fields = json.loads(value)
+        if 'address' not in fields:
+            return value
         alias = self.aliases.get(fields['address'], fields['address'])
         return json.dumps({**fields, 'address': alias}).encode()
 
