--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -5,7 +5,6 @@
 import signal
 
 from aiohttp import web
-import attrs
 
 from sycamorebeam import checking
 from sycamorebeam import clocks
@@ -14,7 +13,6 @@
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import active_state
 from sycamorebeam.forwarding import blocked_parts
-from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import crashing_prompts
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import forwarder
@@ -23,22 +21,20 @@
 from sycamorebeam.forwarding import instance_settings
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import peer_links
+from sycamorebeam.forwarding import platform_adapter
 from sycamorebeam.forwarding import prometheus_metrics
-from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import shared_reads
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_streams
-from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import store_outage
 from sycamorebeam.forwarding import target_attempts
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import target_limits
-from sycamorebeam.forwarding import upstream
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 # The balancer checks readiness each second and removes an instance after two
@@ -49,22 +45,13 @@
 KEEPALIVE_MARGIN_S = 1.0  # callers may reuse connections up to the limit
 
 
-@attrs.frozen(kw_only=True)
-class PlatformAdapter:
-    """Holds a platform's implementations of what an instance needs."""
-
-    platform: record_platform.RecordPlatform
-    decode_request: frontend.Decoder
-    codec: calls.Codec
-    stage_calls: stages.StageCalls
-    client: upstream.Upstream
-
-
 class Instance:
     """Holds all parts of one instance and runs them."""
 
     def __init__(
-        self, settings: instance_settings.Settings, adapter: PlatformAdapter
+        self,
+        settings: instance_settings.Settings,
+        adapter: platform_adapter.PlatformAdapter,
     ) -> None:
         self._settings = settings
         self._adapter = adapter
--- a/sycamorebeam/platform/__main__.py
+++ b/sycamorebeam/platform/__main__.py
@@ -10,6 +10,7 @@
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import instance
 from sycamorebeam.forwarding import instance_settings
+from sycamorebeam.forwarding import platform_adapter
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import http_codec
 from sycamorebeam.platform import store_client
@@ -21,7 +22,7 @@
 
 async def _run(settings: instance_settings.Settings) -> None:
     client = upstream.Upstream(instance.MAX_TARGET_CONNECTIONS)
-    adapter = instance.PlatformAdapter(
+    adapter = platform_adapter.PlatformAdapter(
         platform=store_platform.StorePlatform(
             store_client.StoreClient(settings.store.address)
         ),
