Share new blocks of prompt parts, and reports over new streams

Found by a test of instances without streams between them: the report of a crash was sent before the streams to the relays were open, so it was lost, and an instance that had missed a report came to no block of its own.

Reports now go to the relays once their streams are open, and a new or longer block is passed on like a report.

--- a/sycamorebeam/forwarding/crashing_parts.py
+++ b/sycamorebeam/forwarding/crashing_parts.py
@@ -124,11 +124,15 @@
     def adopt(
         self, part_id: str, left_ms: int, duration_ms: int, now_ms: int
     ) -> bool:
-        """Block a part that another instance blocks; return if it is new.
+        """Block a part that is blocked elsewhere; return whether it is new.
 
-        A part that has survived here is not blocked on another's word.
+        Of two blocks of a part the longer one holds. A part that has survived
+        here is not blocked on another's word.
         """
-        if part_id in self._blocks or part_id in self._survived_ms:
+        known = self._blocks.get(part_id)
+        if part_id in self._survived_ms or (
+            known is not None and known.duration_ms >= duration_ms
+        ):
             return False
         self._add_block(part_id, Block(now_ms, now_ms + left_ms, duration_ms))
         return True
--- a/sycamorebeam/forwarding/crashing_prompts.py
+++ b/sycamorebeam/forwarding/crashing_prompts.py
@@ -5,6 +5,7 @@
 parts that are suspected. Each instance judges for itself.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import itertools
 from typing import Any
@@ -138,7 +139,7 @@
         )
         for relay_id in self._instances.permit_issuers(RELAYING)[:RELAYS]:
             if relay_id != own_id:
-                self._links.connect_soon(relay_id)
+                self._links.send_soon(relay_id, message)
         self._handle_crash(message)
 
     def _on_message(self, message: messages.Message) -> None:
@@ -169,33 +170,45 @@
             ],
             now_ms,
         )
-        for part_id in blocked:
-            block = self._parts.blocks[part_id]
-            self._log_block(part_id, block.duration_ms, message.target_id)
-            self._keeper.save(
-                part_id, block.until_ms - now_ms, block.duration_ms
-            )
         self._links.broadcast(message)
+        for part_id in blocked:
+            duration_ms = self._parts.blocks[part_id].duration_ms
+            self._log_block(part_id, duration_ms, message.target_id)
+            self._keeper.save(part_id, duration_ms, duration_ms)
+        if blocked:
+            # Others may not know of all crashes that speak against a part.
+            self._share_blocks(blocked)
 
     def _greet(self) -> messages.Message | None:
         """Return what an instance at a new stream may not know."""
+        if not self._parts.blocks:
+            return None
+        return self._blocks_message(self._parts.blocks)
+
+    def _share_blocks(self, part_ids: Iterable[str]) -> None:
+        self._links.broadcast(self._blocks_message(part_ids))
+
+    def _blocks_message(
+        self, part_ids: Iterable[str]
+    ) -> crash_messages.PartsBlocked:
         now_ms = self._clock.monotonic_ms()
-        rows = [
-            [part_id, max(0, block.until_ms - now_ms), block.duration_ms]
-            for part_id, block in self._parts.blocks.items()
-        ]
-        return crash_messages.PartsBlocked(rows) if rows else None
+        rows = []
+        for part_id in part_ids:
+            block = self._parts.blocks[part_id]
+            left_ms = max(0, block.until_ms - now_ms)
+            rows.append([part_id, left_ms, block.duration_ms])
+        return crash_messages.PartsBlocked(rows)
 
     def _adopt(self, rows: list[list[Any]], source: str) -> None:
         """Block parts that are blocked elsewhere, and pass new ones on."""
         now_ms = self._clock.monotonic_ms()
-        new_rows = []
+        adopted = []
         for part_id, left_ms, duration_ms in rows:
             if self._parts.adopt(part_id, left_ms, duration_ms, now_ms):
-                new_rows.append([part_id, left_ms, duration_ms])
+                adopted.append(part_id)
                 self._log_block(part_id, duration_ms, source)
-        if new_rows:
-            self._links.broadcast(crash_messages.PartsBlocked(new_rows))
+        if adopted:
+            self._share_blocks(adopted)
 
     def _log_block(self, part_id: str, duration_ms: int, source: str) -> None:
         telemetry.log_event(
--- a/sycamorebeam/forwarding/peer_links.py
+++ b/sycamorebeam/forwarding/peer_links.py
@@ -89,7 +89,7 @@
         self._links: dict[str, peer_link.Link] = {}
         self._dialling: dict[str, asyncio.Task[peer_link.Link | None]] = {}
         self._inbound_streams: set[peer_stream.PeerStream] = set()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
         self._last_received_ms = clock.monotonic_ms()
         self._was_isolated = False
@@ -193,9 +193,12 @@
             )
         return await asyncio.shield(dialling)
 
-    def connect_soon(self, instance_id: str) -> None:
-        """Open a link to an instance in the background, if there is none."""
-        self._start_task(self.connect(instance_id))
+    def send_soon(self, instance_id: str, message: messages.Message) -> None:
+        """Send a message to an instance, over a new stream if needed.
+
+        It is lost if the instance cannot be reached.
+        """
+        self._start_task(self._connect_and_send(instance_id, message))
 
     async def connect_or_raise(self, instance_id: str) -> peer_link.Link:
         """Return an open link to an instance.
@@ -241,6 +244,13 @@
         telemetry.log_event('peer_connected', peer=instance_id)
         return link
 
+    async def _connect_and_send(
+        self, instance_id: str, message: messages.Message
+    ) -> None:
+        link = await self.connect(instance_id)
+        if link is not None:
+            link.send(message)
+
     async def _handshake(self, stream: peer_stream.PeerStream) -> None:
         """Open a stream, and detect a restart of the other instance.
 
@@ -292,7 +302,7 @@
                 telemetry.log_event('peer_regained', peer=instance_id)
                 return
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/sycamorebeam/peering/crash_messages.py
+++ b/sycamorebeam/peering/crash_messages.py
@@ -33,7 +33,7 @@
 
 @attrs.frozen
 class PartsBlocked:
-    """The parts that the sender blocks, sent on each new stream.
+    """Parts that the sender blocks: new ones, or all on a new stream.
 
     ``rows`` has the id of a part, the time left until a trial and the time
     that the block began with, in ms.
--- a/tests/forwarding/test_crash_reports.py
+++ b/tests/forwarding/test_crash_reports.py
@@ -60,9 +60,10 @@
     def add_greeting(self, greeting):
         self.greeting = greeting
 
-    def connect_soon(self, instance_id):
+    def send_soon(self, instance_id, message):
         if self.network.reaches(self.name, instance_id):
             self.network.connect(self.name, instance_id)
+            self.send(instance_id, message)
 
     def broadcast(self, message):
         for peer in self.peers:
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -179,6 +179,17 @@
         self.assertEqual(adopted, parts.adopt('bad', 5_000, 30_000, 10))
         self.assertEqual(adopted, 'bad' in parts.blocks)
 
+    @ddt.data(('longer', 120_000, True), ('the same', 30_000, False))
+    @ddt.unpack
+    def test_the_longer_of_two_blocks_holds(self, _, duration_ms, adopted):
+        parts = crashing_parts.CrashingParts()
+        parts.adopt('bad', 5_000, 30_000, 0)
+        self.assertEqual(
+            adopted, parts.adopt('bad', duration_ms, duration_ms, 10)
+        )
+        wait_ms = parts.wait_ms(['bad'], 10, may_try=True)
+        self.assertEqual(duration_ms if adopted else 4_990, wait_ms)
+
     def test_what_is_kept_is_bounded(self):
         parts = crashing_parts.CrashingParts()
         for number in range(2 * crashing_parts.MAX_PARTS_KEPT):
--- a/tests/forwarding/test_store.py
+++ b/tests/forwarding/test_store.py
@@ -6,8 +6,10 @@
 import struct
 
 from aiohttp import web
+import attrs
 import ddt
 
+from sycamorebeam.forwarding import blocked_parts
 from sycamorebeam.platform import store_client
 from sycamorebeam.platform import store_platform
 from tests import base
@@ -173,3 +175,25 @@
         self.assertEqual('/sycamorebeam/log-append', path)
         self.assertEqual('keyed.instances', query['topic'])
         self.assertEqual(keyed(b'i0', b'v'), body)
+
+    async def test_a_block_is_read_as_it_was_written(self):
+        block = blocked_parts.StoredBlock('5c1e', 1_700_000_000_000, 30_000)
+        async with serving((200, {'offset': 1})) as (fake, client):
+            platform = store_platform.StorePlatform(client)
+            await platform.write_block(block)
+            await platform.write_block(attrs.evolve(block, part_id='x' * 256))
+        self.assertEqual(1, len(fake.requests))
+        _, query, body = fake.requests[0]
+        self.assertEqual('keyed.blocked_parts', query['topic'])
+        listing = {
+            'entries': [
+                entry('5c1e', body[9:], 1),
+                entry('odd', b'[' * 200_000, 2),
+                entry('odder', b'{"until": 1e999, "duration_ms": 1}', 3),
+            ],
+            'has_more': False,
+            'end_offset': 4,
+        }
+        async with serving((200, listing)) as (_, client):
+            platform = store_platform.StorePlatform(client)
+            self.assertEqual([block], await platform.read_blocks())
