--- a/tests/forwarding/test_crash_reports.py
+++ b/tests/forwarding/test_crash_reports.py
@@ -313,3 +313,30 @@
         ]
         if len(sound) >= MIN_SOUND:
             self.assertGreaterEqual(2 * sum(sound), len(sound))
+
+    @ddt.data(
+        *itertools.product(
+            (9, 195), ('all', 'one'), (no_trouble, all_restarts)
+        )
+    )
+    @ddt.unpack
+    async def test_crashes_without_a_cause_in_prompts_block_nothing(
+        self, instances, which, trouble
+    ):
+        network = Network(instances)
+        engines = Engines(network, seed=1)
+        sound = asyncio.create_task(engines.load(False, 30, 40))
+        troubled = asyncio.create_task(trouble(network))
+        for _ in range(8):
+            await asyncio.sleep(4.5)
+            count = {'all': ENGINES, 'most': ENGINES - 2, 'one': 1}[which]
+            for engine in engines.random.sample(range(ENGINES), count):
+                if engine in engines.up:
+                    engines.crash(engine)
+            await asyncio.sleep(0.1)
+            blocked = {
+                node.prompts.blocked_part_count
+                for node in network.nodes.values()
+            }
+            self.assertEqual({0}, blocked)
+        await asyncio.gather(sound, troubled)
