Name the ranking of instances for a duty by what it is

permit_issuers now also ranks the instances that try a blocked part, write its block or relay reports of crashes, so it is ranked_instances. A property moves before the methods. Nothing else changes.

--- a/sycamorebeam/forwarding/blocked_parts.py
+++ b/sycamorebeam/forwarding/blocked_parts.py
@@ -99,7 +99,7 @@
     def _write(
         self, part_id: str, write: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
-        writers = self._instances.permit_issuers(part_id)[:WRITERS]
+        writers = self._instances.ranked_instances(part_id)[:WRITERS]
         if self._instances.own_entry.instance_id not in writers:
             return
         task = asyncio.create_task(self._write_with_retries(part_id, write))
--- a/sycamorebeam/forwarding/crashing_prompts.py
+++ b/sycamorebeam/forwarding/crashing_prompts.py
@@ -55,6 +55,11 @@
         links.add_broadcast_handler(self._on_message)
         links.add_greeting(self._greet)
 
+    @property
+    def blocked_part_count(self) -> int:
+        """How many parts are blocked."""
+        return len(self._parts.blocks)
+
     async def load(self) -> None:
         """Block the parts that were blocked before this process started."""
         await self._keeper.load(
@@ -63,11 +68,6 @@
             )
         )
 
-    @property
-    def blocked_part_count(self) -> int:
-        """How many parts are blocked."""
-        return len(self._parts.blocks)
-
     def record_broken(
         self, target: model.Target, prompt: target_crashes.UnansweredPrompt
     ) -> None:
@@ -115,7 +115,7 @@
             return False
         own_id = self._instances.own_entry.instance_id
         return all(
-            self._instances.permit_issuers(part_id)[:1] == [own_id]
+            self._instances.ranked_instances(part_id)[:1] == [own_id]
             for part_id in part_ids
             if part_id in self._parts.blocks
         )
@@ -137,7 +137,7 @@
                 for prompt in prompts
             ],
         )
-        for relay_id in self._instances.permit_issuers(RELAYING)[:RELAYS]:
+        for relay_id in self._instances.ranked_instances(RELAYING)[:RELAYS]:
             if relay_id != own_id:
                 self._links.send_soon(relay_id, message)
         self._handle_crash(message)
--- a/sycamorebeam/forwarding/membership.py
+++ b/sycamorebeam/forwarding/membership.py
@@ -205,8 +205,8 @@
         """Whether an instance is skipped as unreachable."""
         return instance_id in self._unreachable_since_ms
 
-    def permit_issuers(self, target_id: str) -> list[str]:
-        """Return the instances that may issue permits for a target, ranked.
+    def ranked_instances(self, duty: str) -> list[str]:
+        """Return the instances ranked for a duty, such as issuing permits.
 
         The ranking depends on the listed instances alone, so that instances
         agree on it even if they reach different ones; only those that were
@@ -216,17 +216,17 @@
         lost_before_ms = self._clock.monotonic_ms() - LOST_ISSUER_MS
         return [
             instance_id
-            for instance_id in self._ranked_issuers(target_id)
+            for instance_id in self._ranked_by_listing(duty)
             if self._unreachable_since_ms.get(instance_id, lost_before_ms + 1)
             > lost_before_ms
         ]
 
     def is_first_issuer(self, target_id: str) -> bool:
         """Whether this instance ranks first, lost instances included."""
-        ranked = self._ranked_issuers(target_id)
+        ranked = self._ranked_by_listing(target_id)
         return ranked[:1] == [self._own_entry.instance_id]
 
-    def _ranked_issuers(self, target_id: str) -> list[str]:
+    def _ranked_by_listing(self, duty: str) -> list[str]:
         if not self._is_listed:
             return []
         now_ms = self._clock.wall_ms()
@@ -236,7 +236,7 @@
         entries.sort(
             key=lambda entry: (
                 _is_settled(entry, now_ms),
-                hashing.weight(target_id, entry.instance_id),
+                hashing.weight(duty, entry.instance_id),
             ),
             reverse=True,
         )
--- a/sycamorebeam/forwarding/send_permits.py
+++ b/sycamorebeam/forwarding/send_permits.py
@@ -109,7 +109,7 @@
 
     def _issuers(self, target_id: str) -> list[str]:
         """Return the issuers of a target, the one to ask first in front."""
-        ranked = self._instances.permit_issuers(target_id)
+        ranked = self._instances.ranked_instances(target_id)
         staying = [
             instance_id
             for instance_id in ranked
--- a/tests/forwarding/test_send_permits.py
+++ b/tests/forwarding/test_send_permits.py
@@ -163,7 +163,7 @@
 
     def issuers(self):
         """Return the nodes that rank first as issuers."""
-        return self.nodes['i0'].members.permit_issuers('t')
+        return self.nodes['i0'].members.ranked_instances('t')
 
 
 class Target:
