Tell all instances which suspected parts were answered before

An instance that receives a report of a crash now tells the others which of its parts were answered before, after a random time that grows with the number of instances, unless another one has.

--- a/sycamorebeam/forwarding/crashing_parts.py
+++ b/sycamorebeam/forwarding/crashing_parts.py
@@ -31,6 +31,7 @@
 # A trial without a result by then has not reached an engine.
 TRIAL_TIMEOUT_MS = 15_000
 OTHER_TRIAL_WAIT_MS = 1_000.0
+BEFORE_ALL_CRASHES_MS = -1
 
 
 @attrs.define
@@ -83,17 +84,31 @@
         """
         cleared = []
         for part_id in part_ids:
-            # Insert again, so that the first key is the oldest one.
-            self._survived_ms.pop(part_id, None)
-            self._survived_ms[part_id] = now_ms
-            if len(self._survived_ms) > MAX_PARTS_KEPT:
-                del self._survived_ms[next(iter(self._survived_ms))]
+            self._set_survived(part_id, now_ms)
             was_blocked = self._blocks.pop(part_id, None) is not None
             if part_id in self._suspects or was_blocked:
                 self._suspects.discard(part_id)
                 cleared.append(part_id)
         return cleared
 
+    def survived(self, part_ids: Iterable[str]) -> list[str]:
+        """Return those parts that prompts have been answered with."""
+        return [
+            part_id for part_id in part_ids if part_id in self._survived_ms
+        ]
+
+    def record_earlier_survival(self, part_ids: Iterable[str]) -> list[str]:
+        """Record that prompts were answered before any known crash.
+
+        Returns the parts of which this was not known.
+        """
+        new = [
+            part_id for part_id in part_ids if part_id not in self._survived_ms
+        ]
+        for part_id in new:
+            self._set_survived(part_id, BEFORE_ALL_CRASHES_MS)
+        return new
+
     def record_crash(
         self,
         key: tuple[str, int],
@@ -245,6 +260,13 @@
             )
         return len(crashes) >= MIN_CRASHES and successive >= MIN_SUCCESSIVE
 
+    def _set_survived(self, part_id: str, at_ms: int) -> None:
+        # Insert again, so that the first key is the oldest one.
+        self._survived_ms.pop(part_id, None)
+        self._survived_ms[part_id] = at_ms
+        if len(self._survived_ms) > MAX_PARTS_KEPT:
+            del self._survived_ms[next(iter(self._survived_ms))]
+
     def _add_block(self, part_id: str, block: Block) -> None:
         self._blocks[part_id] = block
         if len(self._blocks) > MAX_BLOCKED_PARTS:
--- a/sycamorebeam/forwarding/crashing_prompts.py
+++ b/sycamorebeam/forwarding/crashing_prompts.py
@@ -5,9 +5,11 @@
 parts that are suspected. Each instance judges for itself.
 """
 
+import asyncio
 from collections.abc import Iterable
 from collections.abc import Sequence
 import itertools
+import random
 from typing import Any
 
 from sycamorebeam import clocks
@@ -28,6 +30,9 @@
 # regions that have no other streams between them.
 RELAYS = 2
 RELAYING = 'crash reports'  # hashed to rank the relays
+# Instances that know parts in a report to be answered say so after a random
+# time, which grows with their number, unless another one did.
+ANSWERED_DELAY_MS = 5.0
 
 
 class CrashingPrompts:
@@ -52,6 +57,8 @@
         self._parts = crashing_parts.CrashingParts()
         self._report_numbers = itertools.count(1)
         self._known_reports: dict[str, None] = {}
+        # Parts that were heard of as answered before the last crash.
+        self._heard: dict[str, None] = {}
         links.add_broadcast_handler(self._on_message)
         links.add_greeting(self._greet)
 
@@ -146,8 +153,10 @@
         match message:
             case crash_messages.EngineCrashed():
                 self._handle_crash(message)
-            case crash_messages.PartsSurvived(part_ids):
+            case crash_messages.PartsSurvived(part_ids, is_earlier=False):
                 self.record_survival(part_ids)
+            case crash_messages.PartsSurvived(part_ids):
+                self._handle_earlier_survival(part_ids)
             case crash_messages.PartsBlocked(rows):
                 self._adopt(rows, 'instance')
 
@@ -171,6 +180,7 @@
             now_ms,
         )
         self._links.broadcast(message)
+        self._share_earlier_survival(message)
         for part_id in blocked:
             duration_ms = self._parts.blocks[part_id].duration_ms
             self._log_block(part_id, duration_ms, message.target_id)
@@ -179,6 +189,47 @@
             # Others may not know of all crashes that speak against a part.
             self._share_blocks(blocked)
 
+    def _share_earlier_survival(
+        self, message: crash_messages.EngineCrashed
+    ) -> None:
+        """Tell others which parts in a report were answered before.
+
+        Few instances may have seen that, and a part that was never answered
+        is blocked sooner.
+        """
+        part_ids = {
+            part_id for _, part_ids in message.prompts for part_id in part_ids
+        }
+        known = self._parts.survived(part_ids)
+        for part_id in known:
+            self._heard.pop(part_id, None)
+        if known:
+            highest_ms = ANSWERED_DELAY_MS * self._instances.count()
+            delay_ms = random.uniform(0, highest_ms)
+            asyncio.get_running_loop().call_later(
+                delay_ms / 1_000, self._send_earlier_survival, known
+            )
+
+    def _send_earlier_survival(self, known: list[str]) -> None:
+        unheard = [part_id for part_id in known if part_id not in self._heard]
+        if unheard:
+            self._handle_earlier_survival(unheard)
+
+    def _handle_earlier_survival(self, part_ids: list[str]) -> None:
+        """Record earlier answers and pass them on, once for each crash."""
+        self._parts.record_earlier_survival(part_ids)
+        unheard = [
+            part_id for part_id in part_ids if part_id not in self._heard
+        ]
+        if not unheard:
+            return
+        self._heard.update(dict.fromkeys(unheard))
+        while len(self._heard) > MAX_REPORTS_KEPT:
+            del self._heard[next(iter(self._heard))]
+        self._links.broadcast(
+            crash_messages.PartsSurvived(unheard, is_earlier=True)
+        )
+
     def _greet(self) -> messages.Message | None:
         """Return what an instance at a new stream may not know."""
         if not self._parts.blocks:
--- a/sycamorebeam/peering/crash_messages.py
+++ b/sycamorebeam/peering/crash_messages.py
@@ -26,9 +26,13 @@
 
 @attrs.frozen
 class PartsSurvived:
-    """Prompts with these suspected parts were answered."""
+    """Prompts with these suspected parts were answered.
+
+    If ``is_earlier``, that was before the crashes that they are suspected of.
+    """
 
     part_ids: list[str]
+    is_earlier: bool = False
 
 
 @attrs.frozen
--- a/tests/forwarding/test_crash_streams.py
+++ b/tests/forwarding/test_crash_streams.py
@@ -93,6 +93,14 @@
             await asyncio.sleep(0.1)
             self.assertEqual([True] * 4, [node.blocks() for node in nodes])
 
+    async def test_answers_that_one_instance_saw_before_speak_for_a_part(
+        self,
+    ):
+        async with fleet(5, [(n, 0) for n in range(1, 5)]) as nodes:
+            nodes[4].prompts.record_survival(PART_IDS)
+            await crash_three_engines(nodes[1:3])
+            self.assertEqual([False] * 5, [node.blocks() for node in nodes])
+
     async def test_an_answered_prompt_ends_the_block_at_all_instances(self):
         async with fleet(4, [(n, 0) for n in range(1, 4)]) as nodes:
             await crash_three_engines(nodes)
