--- a/review/standins.py
+++ b/review/standins.py
@@ -347,10 +347,15 @@
         }
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Start the process with its settings file."""
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings file and return its path."""
         path = self._folder / f'{self.name}.json'
         path.write_text(json.dumps(self._settings))
+        return path
+
+    def start(self) -> None:
+        """Start the process with its settings file."""
+        path = self.write_settings()
         kept = ('PATH', 'HOME', 'LANG')
         environment = {
             name: os.environ[name] for name in kept if name in os.environ
