Review case 5: a restarted process trusts a store's copy (CONFIG)

What breaks: a process that starts after the store has come back from a copy renews its lease by its first read of it, and serves requests with a key that a version lost in the copy has taken away, over 5 s after its confirmation.

--- a/review/standins.py
+++ b/review/standins.py
@@ -128,6 +128,10 @@
         """Stop listening and reset all connections."""
         assert self._server is not None
         self._server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -154,10 +158,13 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.server = Server(self._handle)
         self._changed = asyncio.Event()
-        self.refuses: Callable[[str], bool] = lambda path: False
+        self._is_away = False
+        self._era = 1
 
     def put(self, topic: str, key: str, value: object | None) -> None:
         """Append a record; without a value it drops the key."""
+        if self._is_away:
+            return
         data = b'' if value is None else json.dumps(value).encode()
         self._append(topic, key, data)
 
@@ -169,6 +176,21 @@
             if value
         }
 
+    def go_away(self) -> None:
+        """Answer no call any more."""
+        self._is_away = True
+        self.server.reset()
+
+    def come_back(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Come back from a copy, without what was written since."""
+        self.topics = {topic: list(kept) for topic, kept in copy.items()}
+        self._era += 1
+        self._is_away = False
+
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all records."""
+        return {topic: list(kept) for topic, kept in self.topics.items()}
+
     def _append(self, topic: str, key: str, value: bytes) -> None:
         self.topics.setdefault(topic, []).append((key, value))
         changed, self._changed = self._changed, asyncio.Event()
@@ -188,7 +210,7 @@
         topic = query['topic']
         status, answer = '200 OK', b'{}'
         await asyncio.sleep(0.004)
-        if self.refuses(path):
+        if self._is_away:
             status = '503 Service Unavailable'
         elif path.endswith('/log-append'):
             end = 5 + body[4]
@@ -209,9 +231,12 @@
                     'end_offset': len(self.topics.get(topic, [])),
                 }
             ).encode()
+        elif int(query['source']) > len(self.topics.get(topic, [])):
+            status, answer = '410 Gone', b'{"first_offset":0}'
         else:
             answer = await self._read(topic, query)
-        writer.write(encode_answer(status, answer, {'Store-Era': '1'}))
+        headers = {'Store-Era': str(self._era)}
+        writer.write(encode_answer(status, answer, headers))
         await writer.drain()
 
     async def _read(self, topic: str, query: dict[str, str]) -> bytes:
