--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import gc
 import json
 import os
 import pathlib
@@ -522,6 +523,8 @@
     for task in left:
         task.cancel()
     await asyncio.gather(*left, return_exceptions=True)
+    # Writers close their connections when they are collected.
+    gc.collect()
     await asyncio.sleep(0.1)
 
 
