--- a/review/standins.py
+++ b/review/standins.py
@@ -300,17 +300,9 @@
             self._store.put(
                 'keyed.servers',
                 self.target_id,
-                {
-                    'service': self.service,
-                    'address': self.server.address,
-                    'zone': 'zone-a',
-                    'version': 'v1',
-                    'slots': 6,
-                    'state': 'ready',
-                    'cold_remaining_ms': 0,
-                    'sequence': sequence,
-                    'born': born,
-                },
+                target_entry(
+                    self.service, self.server.address, sequence, born
+                ),
             )
             await asyncio.sleep(REPORT_INTERVAL_S)
 
@@ -479,6 +471,23 @@
         self.writer.close()
 
 
+def target_entry(
+    service: str, address: str, sequence: int, born: int
+) -> dict[str, Any]:
+    """Return a replica's entry in the store."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'zone-a',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': sequence,
+        'born': born,
+    }
+
+
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that are free now."""
     opened = [socket.socket() for _ in range(count)]
