--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,9 +1,8 @@
-"""A machine is killed; its clients' long answers cross the regions' link."""
+"""Two of three replicas send answers that have no end."""
 
 import asyncio
-import contextlib
 import pathlib
-import socket
+import subprocess
 import sys
 import time
 
@@ -11,251 +10,185 @@
 
 import standins
 
-REGION_LINK_BYTES_PER_S = 15_000_000 / 8
-REGION_DELAY_S = 0.012
-WINDOW_BYTES = 65_536
-DOWN_S = 3.5
-CHECK_INTERVAL_S = 1.0
-MISSES_TO_REMOVE = 2
-CLIENTS = 3
-REPORT_BYTES = 6_500_000
-RUN_S = 0.09
+MACHINES = 1
 TIMEOUT_MS = 2_000
-CLIENT_DEADLINE_MS = 15_000
-# A second answer is due no earlier than the route's timeout after its request.
-EARLY_S = 1.0
+LATE_S = 0.5  # the rule: after the route's timeout
+DEADLINE_MS = 5_000
+RUN_S = 0.09
+LENGTH_S = 20.0
+# A machine's requests a second to the service with the faulty replicas, and
+# to another service, which has none.
+COMMANDS_PER_S = 12.5
+READS_PER_S = 5.0
+REPLICAS = 3
+FAULTY_REPLICAS = 2
+# Of each faulty replica; the machine's link has 125,000,000.
+BYTES_PER_S = 50_000_000
+MIN_UNANSWERED = 8
 
 
-class RegionLink:
-    """The way back from the other region, for all channels together."""
+class Clients:
+    """Clients that measure how long their answers take."""
 
     def __init__(self) -> None:
-        self._free_at_s = 0.0
-
-    async def carry(self, size: int) -> None:
-        """Wait until the link has carried some bytes."""
-        now_s = time.monotonic()
-        begin_s = max(now_s, self._free_at_s)
-        self._free_at_s = begin_s + size / REGION_LINK_BYTES_PER_S
-        await asyncio.sleep(self._free_at_s - now_s)
-
-
-class Ingress:
-    """The platform's address for clients in the zone of one instance.
-
-    Each new channel goes to the near instance while it is in rotation, else
-    to the far one, over the link between the regions.
-    """
-
-    def __init__(
-        self,
-        record: standins.Record,
-        near: standins.Instance,
-        far: standins.Instance,
-    ) -> None:
-        self._record = record
-        self._near = near
-        self._far = far
-        self._link = RegionLink()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
-        self.is_near_in_rotation = True
-        self.near_removed = asyncio.Event()
-        self.address = ''
-
-    async def start(self) -> None:
-        """Listen for clients and check the near instance."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        self._tasks.add(asyncio.create_task(self._check()))
-
-    def stop(self) -> None:
-        """Stop listening and checking."""
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    async def _check(self) -> None:
-        misses = 0
-        while True:
-            misses = 0 if await self._near.is_ready() else misses + 1
-            in_rotation = misses < MISSES_TO_REMOVE
-            if in_rotation != self.is_near_in_rotation:
-                self.is_near_in_rotation = in_rotation
-                self._record.write(f'near instance in rotation: {in_rotation}')
-            if not in_rotation:
-                self.near_removed.set()
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        near = self.is_near_in_rotation
-        target = self._near if near else self._far
-        self._record.write(f'new channel to {target.name}')
-        host, _, port = target.callers.partition(':')
-        opened = socket.socket()
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        opened.setblocking(False)
-        loop = asyncio.get_running_loop()
+        self._number = 0
+        # Route, status or error, and duration of each request.
+        self.ends: list[tuple[str, str, float]] = []
+
+    async def send(self, edge: standins.Instance, route: str) -> None:
+        """Send requests on a route at its rate, and wait for all answers."""
+        per_s = COMMANDS_PER_S if route == 'command' else READS_PER_S
+        until_s = time.monotonic() + LENGTH_S
+        while time.monotonic() < until_s:
+            task = asyncio.create_task(self._ask(edge, route))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / per_s)
+        await asyncio.gather(*self._tasks)
+
+    async def _ask(self, edge: standins.Instance, route: str) -> None:
+        self._number += 1
+        began_s = time.monotonic()
         try:
-            await loop.sock_connect(opened, (host, int(port)))
-        except OSError:
-            writer.transport.abort()
-            opened.close()
-            return
-        up_reader, up_writer = await asyncio.open_connection(
-            sock=opened, limit=WINDOW_BYTES
-        )
-        await asyncio.gather(
-            self._pass_on(reader, up_writer, None if near else 0.0),
-            self._pass_on(up_reader, writer, None if near else 1.0),
-        )
-
-    async def _pass_on(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        link_share: float | None,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(16_384):
-                if link_share is not None:
-                    await asyncio.sleep(
-                        REGION_DELAY_S if not link_share else 0
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                client = await standins.Client.connect(edge.callers)
+                try:
+                    head, _ = await client.ask(
+                        f'GET /{route}/x',
+                        {
+                            'Host': 'front.example',
+                            'X-Credential': 'key-1',
+                            'X-Deadline-Ms': str(DEADLINE_MS),
+                            'X-Attempt-Id': f'{route}-{self._number}',
+                        },
                     )
-                    await self._link.carry(int(len(data) * link_share))
-                writer.write(data)
-                await writer.drain()
-        writer.close()
+                finally:
+                    client.writer.transport.abort()
+            end = str(head.status)
+        except TimeoutError:
+            end = 'no answer'
+        except (OSError, asyncio.IncompleteReadError):
+            end = 'closed'
+        self.ends.append((route, end, time.monotonic() - began_s))
+
+
+def publish(store: standins.Store) -> None:
+    """Write the desired state: two services with a route each."""
+    services = [
+        {
+            'name': name,
+            'health_check_path': '/healthz',
+            'connection_limit': 96,
+        }
+        for name in ('station-control', 'readings')
+    ]
+    routes = [
+        standins.route('command', timeout_ms=TIMEOUT_MS),
+        standins.route('read', service='readings', timeout_ms=TIMEOUT_MS),
+    ]
+    store.put(
+        'keyed.op', 'config', standins.desired_state(1, routes, services)
+    )
 
 
-async def use_channel(
-    record: standins.Record, address: str, number: int
+async def run_request(
+    head: standins.Head, body: bytes, writer: asyncio.StreamWriter
 ) -> None:
-    """Ask for a report and then send a command, on one kept channel."""
-    client = await standins.Client.connect(address)
-    common = {
-        'Host': 'front.example',
-        'X-Credential': 'key-1',
-        'X-Deadline-Ms': str(CLIENT_DEADLINE_MS),
-    }
-    report, command = f'report-{number}', f'command-{number}'
-    client.send('GET /report/x', {**common, 'X-Attempt-Id': report})
-    record.write(f'{report}: sent')
-    head, body = await client.receive()
-    record.write(
-        f'{report}: answer {head.status} for {head.get("x-attempt-id")!r}, '
-        f'{len(body)} bytes'
-    )
-    if number == 0:
-        # No request waits for an answer on this channel.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.2):
-                extra = await standins.read_head(client.reader)
-                record.break_rule(
-                    f'{report}: after its whole answer a second one comes '
-                    f'while no request waits: {extra.line!r}'
-                )
-        client.close()
-        return
-    sent_s = time.monotonic()
-    client.send('POST /command/x', {**common, 'X-Attempt-Id': command})
-    record.write(f'{command}: sent on the same channel')
-    try:
-        head, body = await client.receive()
-    except (OSError, asyncio.IncompleteReadError) as error:
-        record.write(f'{command}: no answer ({error!r})')
-        return
-    finally:
-        client.close()
-    took_s = time.monotonic() - sent_s
-    record.write(
-        f'{command}: answer {head.status} for {head.get("x-attempt-id")!r} '
-        f'after {took_s:.3f} s: {body[:60]!r}'
+    """Run a request at a sound replica."""
+    await asyncio.sleep(RUN_S)
+    attempt_id = head.get('x-attempt-id')
+    headers = {'X-Attempt-Id': attempt_id, 'X-Server-Signature': attempt_id}
+    writer.write(standins.encode_answer('200 OK', b'.' * 800, headers))
+
+
+def start_endless(
+    store: standins.Store, number: int
+) -> subprocess.Popen[bytes]:
+    """Start and announce a replica whose answers have no end."""
+    address = standins.free_addresses(1)[0]
+    port = address.partition(':')[2]
+    program = pathlib.Path(__file__).resolve().parent / 'endless_replica.py'
+    process = subprocess.Popen(['python3', program, port, str(BYTES_PER_S)])
+    store.put(
+        'keyed.servers',
+        f'i-endless-{number}',
+        standins.target_entry('station-control', address, 1, 1),
     )
-    is_own = head.get('x-attempt-id') == command
-    if not is_own and took_s < EARLY_S and head.status == 504:
-        record.break_rule(
-            f'{command} is answered with the 504 of {report} '
-            f'{took_s:.3f} s after it was sent'
-        )
+    return process
 
 
 async def scenario(record: standins.Record, folder: pathlib.Path) -> None:
     """Run the case."""
     store = standins.Store()
     await store.server.start()
-    store.put(
-        'keyed.op',
-        'config',
-        standins.desired_state(
-            1,
-            [
-                standins.route('report', timeout_ms=TIMEOUT_MS),
-                standins.route(
-                    'command',
-                    route_kind='non_idempotent',
-                    timeout_ms=TIMEOUT_MS,
-                ),
-            ],
-            [
-                {
-                    'name': 'station-control',
-                    'health_check_path': '/healthz',
-                    'connection_limit': 96,
-                }
-            ],
-        ),
-    )
-
-    async def run(
-        head: standins.Head, body: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        attempt_id = head.get('x-attempt-id')
-        await asyncio.sleep(RUN_S)
-        is_report = attempt_id.startswith('report')
-        size = REPORT_BYTES if is_report else 800
-        writer.write(
-            standins.encode_answer(
-                '200 OK', b'.' * size, replica.answer_headers(attempt_id)
+    publish(store)
+    faulty_count = FAULTY_REPLICAS if standins.has_trouble() else 0
+    names = ['station-control'] * (REPLICAS - faulty_count)
+    names += ['readings'] * REPLICAS
+    replicas = [
+        standins.Replica(store, f'i-{number}', name, run_request)
+        for number, name in enumerate(names)
+    ]
+    edges = [
+        standins.Instance(folder, f'edge-{number}', store.server.address)
+        for number in range(MACHINES)
+    ]
+    clients = Clients()
+    faulty: list[subprocess.Popen[bytes]] = []
+    try:
+        for replica in replicas:
+            await replica.start()
+        for number in range(faulty_count):
+            faulty.append(start_endless(store, number))
+        for edge in edges:
+            edge.start()
+        for edge in edges:
+            await edge.wait_ready()
+        record.write('traffic begins')
+        await asyncio.gather(
+            *(
+                clients.send(edge, route)
+                for edge in edges
+                for route in ('command', 'read')
             )
         )
-
-    replica = standins.Replica(store, 'i-1', 'station-control', run)
-    await replica.start()
-    near = standins.Instance(folder, 'edge-near', store.server.address)
-    far = standins.Instance(folder, 'edge-far', store.server.address)
-    ingress = Ingress(record, near, far)
-    try:
-        near.start()
-        far.start()
-        await near.wait_ready()
-        await far.wait_ready()
-        await ingress.start()
-        await asyncio.sleep(2)
-        if standins.has_trouble():
-            near.stop()
-            record.write(f'killed {near.name} for {DOWN_S} s')
-            restart = asyncio.get_running_loop().call_later(DOWN_S, near.start)
-            await ingress.near_removed.wait()
-        async with asyncio.TaskGroup() as group:
-            for number in range(CLIENTS):
-                group.create_task(use_channel(record, ingress.address, number))
-        record.write(f'ran: {" ".join(replica.ran)}')
-        for line in far.log().splitlines():
-            if 'event=request_ended' in line:
-                record.write(f'log of {far.name}: {line[:250]}')
     finally:
-        if standins.has_trouble():
-            restart.cancel()
-        ingress.stop()
-        near.stop()
-        far.stop()
-        replica.stop()
+        for process in faulty:
+            process.kill()
+            process.wait()
+        for edge in edges:
+            edge.stop()
+        for replica in replicas:
+            replica.stop()
         store.server.stop()
+    report(record, clients)
+
+
+def report(record: standins.Record, clients: Clients) -> None:
+    """Judge the run."""
+    timeout_s = TIMEOUT_MS / 1000
+    for route in ('command', 'read'):
+        took_s = sorted(s for name, _, s in clients.ends if name == route)
+        counts: dict[str, int] = {}
+        for name, end, _ in clients.ends:
+            if name == route:
+                counts[end] = counts.get(end, 0) + 1
+        record.write(
+            f'{route}: {counts}; median {took_s[len(took_s) // 2]:.2f} s, '
+            f'longest {took_s[-1]:.2f} s'
+        )
+    unanswered = [s for _, _, s in clients.ends if s > timeout_s]
+    late = [s for s in unanswered if s > timeout_s + LATE_S]
+    record.write(
+        f'{len(clients.ends)} requests, {len(unanswered)} unanswered at '
+        f'their timeout, {len(late)} of these {LATE_S} s later'
+    )
+    if len(unanswered) >= MIN_UNANSWERED and 2 * len(late) > len(unanswered):
+        record.break_rule(
+            'more than half of the requests that were unanswered at their '
+            f"route's timeout had no answer {LATE_S} s later"
+        )
 
 
-standins.main(scenario, __file__, 100)
+standins.main(scenario, __file__, 90)
