--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -109,7 +109,9 @@
     address = standins.free_addresses(1)[0]
     port = address.partition(':')[2]
     program = pathlib.Path(__file__).resolve().parent / 'endless_replica.py'
-    process = subprocess.Popen(['python3', program, port, str(BYTES_PER_S)])
+    process = standins.start_process(
+        ['python3', str(program), port, str(BYTES_PER_S)]
+    )
     store.put(
         'keyed.servers',
         f'i-endless-{number}',
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import gc
 import json
@@ -26,6 +27,10 @@
 REPORT_INTERVAL_S = 1.2  # heartbeat_interval_ms of the settings
 START_TIMEOUT_S = 30.0
 HEAD_END = b'\r\n\r\n'
+# Exit codes of a scenario; run.sh turns all others into 2. An error that ends
+# the interpreter gives 1, so that code isn't used here.
+HELD = 0
+BROKEN = 3
 CANNOT_RUN = 2
 
 
@@ -381,7 +386,7 @@
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
         environment['SYCAMOREBEAM_NODE_FILE'] = str(path)
-        self.process = subprocess.Popen(
+        self.process = start_process(
             RUN_COMMAND,
             cwd=ROOT,
             env=environment,
@@ -508,29 +513,54 @@
 
 
 def main(scenario: Scenario, script: str, limit_s: float) -> None:
-    """Run a scenario; exit with 1 if the rule was broken, else with 0."""
+    """Run a scenario, end all processes, and exit with its code."""
     record = Record(pathlib.Path(script).resolve().parent / 'record.txt')
     record.write(f'disruption: {"yes" if has_trouble() else "no"}')
     code = CANNOT_RUN
     with tempfile.TemporaryDirectory() as folder:
         try:
             asyncio.run(_run(scenario, record, pathlib.Path(folder), limit_s))
-            code = 1 if record.broken else 0
-        except (CannotRunError, TimeoutError, OSError) as error:
+            code = BROKEN if record.broken else HELD
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
             record.write(f'could not run: {error!r}')
-    record.write(f'exit {code}')
+        finally:
+            end_processes()
+    record.write({HELD: 'held', BROKEN: 'broken'}.get(code, 'could not run'))
     sys.exit(code)
 
 
+_processes: list[subprocess.Popen[bytes]] = []
+
+
+def start_process(
+    command: Sequence[str], **options: Any
+) -> subprocess.Popen[bytes]:
+    """Start a process, which the script ends at its own end at the latest."""
+    process = subprocess.Popen(command, **options)
+    _processes.append(process)
+    return process
+
+
+def end_processes() -> None:
+    """Kill all processes that the script started and that still run."""
+    for process in _processes:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
 async def _run(
     scenario: Scenario, record: Record, folder: pathlib.Path, limit_s: float
 ) -> None:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(limit_s):
         await scenario(record, folder)
     # Tasks of connections end once these have been reset.
-    left = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in left:
-        task.cancel()
+    left = asyncio.all_tasks() - {task}
+    for other in left:
+        other.cancel()
     await asyncio.gather(*left, return_exceptions=True)
     # Writers close their connections when they are collected.
     gc.collect()
