Keep requests within the regions of their route and team

Change: targets, engines and stage replicas are filtered by the regions that both the route and the team allow; the placer of an allowed region places a prompt that the caller's region may not serve. Ruled out: forwarding such requests to another instance, a queue per region.

--- a/sycamorebeam/forwarding/calls.py
+++ b/sycamorebeam/forwarding/calls.py
@@ -10,6 +10,7 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.regions import region_filter
 
 
 class Reply(Protocol):
@@ -144,6 +145,11 @@
             return self.team.rank
         return self.route.rank
 
+    @property
+    def allowed_regions(self) -> region_filter.AllowedRegions:
+        """The regions that may serve the request."""
+        return region_filter.of_request(self.route, self.team)
+
     @property
     def is_caller_retry(self) -> bool:
         """Whether the caller made an earlier attempt."""
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -139,7 +139,9 @@
             if target is None:
                 return await self._refuse_or_fail(
                     call,
-                    'no target is left',
+                    'no target is left'
+                    if call.allowed_regions is None
+                    else 'no target is left in the allowed regions',
                     self._attempts.retry_after_ms(call) or NO_TARGET_RETRY_MS,
                 )
             prepared = self._new_preparation(call)
@@ -222,6 +224,7 @@
             self._state.service,
             self._stage_delays,
             call.rank,
+            call.allowed_regions,
         )
 
     async def _run_stages(
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -110,6 +110,7 @@
             self._budgets,
             self._metrics,
             self._chooser.round_trip_ms,
+            settings.region_of_zone,
             self._feedback_handler,
             self._permits,
         )
--- a/sycamorebeam/forwarding/membership.py
+++ b/sycamorebeam/forwarding/membership.py
@@ -266,9 +266,18 @@
         )
         return self._up_to_own(ranked, self._is_leaving)
 
-    def placer(self, service: str) -> str:
-        """Return the instance that places prompts in this region."""
-        return self._ranked_in_region(service, own_is_last=self._is_leaving)[0]
+    def placer(self, service: str, region: str | None = None) -> str:
+        """Return the instance that places prompts in a region.
+
+        That is this instance's region by default. Without an instance in the
+        region, this instance places them.
+        """
+        if region is None or region == self._own_entry.region:
+            return self._ranked_in_region(
+                service, own_is_last=self._is_leaving
+            )[0]
+        ranked = self._rank_region(service, region)
+        return ranked[0].instance_id if ranked else self._own_entry.instance_id
 
     def readers(self, *, is_store_lost: bool = False) -> list[str]:
         """Return the instances of this region to ask for reads, best first.
@@ -281,13 +290,14 @@
 
     def _ranked_in_region(self, duty: str, *, own_is_last: bool) -> list[str]:
         """Return this region's instances ranked for a duty, up to this one."""
+        ranked = self._rank_region(duty, self._own_entry.region)
+        return self._up_to_own(ranked, own_is_last)
+
+    def _rank_region(self, duty: str, region: str) -> list[InstanceEntry]:
+        """Return the reachable instances of a region, best first."""
         now_ms = self._clock.wall_ms()
-        ranked = sorted(
-            (
-                entry
-                for entry in self._reachable()
-                if entry.region == self._own_entry.region
-            ),
+        return sorted(
+            (entry for entry in self._reachable() if entry.region == region),
             key=lambda entry: (
                 _is_settled(entry, now_ms),
                 entry.is_strong,
@@ -295,7 +305,6 @@
             ),
             reverse=True,
         )
-        return self._up_to_own(ranked, own_is_last)
 
     def _reachable(self) -> list[InstanceEntry]:
         """Return the entries of reachable instances, this one included."""
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -46,7 +46,8 @@
 class Route:
     """Matches requests by host and path, with their services and limits.
 
-    A lower ``rank`` is more urgent.
+    A lower ``rank`` is more urgent. Only targets in ``allowed_regions`` may
+    get the requests; None allows any region.
     """
 
     name: str
@@ -62,6 +63,7 @@
     stages: tuple[Stage, ...] = ()
     is_public: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def first_event_timeout_ms(self) -> float:
@@ -101,10 +103,14 @@
 
 @attrs.frozen(kw_only=True)
 class Team:
-    """A team of callers; its rank, if set, overrides the rank of a route."""
+    """A team of callers; its rank, if set, overrides the rank of a route.
+
+    ``allowed_regions`` restricts its requests as those of a route do.
+    """
 
     name: str
     rank: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -12,6 +12,7 @@
 from sycamorebeam.forwarding import rates
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding.regions import region_filter
 
 # From a request to an engine to its first event, at usual load.
 ENGINE_START_MS = 150
@@ -104,6 +105,7 @@
         find_service: ServiceLookup,
         stage_delays: StageDelays,
         rank: int,
+        allowed: region_filter.AllowedRegions = None,
     ) -> None:
         self._producer = producer
         self._clock = clock
@@ -112,6 +114,7 @@
         self._find_service = find_service
         self._stage_delays = stage_delays
         self._rank = rank
+        self._allowed_regions = allowed
         self._stage_tasks: list[asyncio.Task[tuple[str, ...]]] = []
         self._held_results: dict[int, tuple[str, ...]] = {}
         self._durations_ms: dict[int, int] = {}
@@ -181,6 +184,7 @@
                 - remaining_ms
                 - now_ms,
                 expires_in_ms=request.expires_in_ms,
+                allowed_regions=self._allowed_regions,
             )
         )
         if failure is not None and position in self._announced:
@@ -291,6 +295,7 @@
                 inputs,
             ),
             positions=tuple(range(self._item_count(position))),
+            allowed_regions=self._allowed_regions,
         )
 
     def _free_consumed(self) -> None:
--- a/sycamorebeam/forwarding/prompt_placing.py
+++ b/sycamorebeam/forwarding/prompt_placing.py
@@ -15,6 +15,7 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import target_choice
+from sycamorebeam.forwarding.regions import region_filter
 
 # Engines evict the least recently used parts, at a usual load after this time.
 CACHE_LIFETIME_MS = 15_000
@@ -37,13 +38,14 @@
     """A prompt to place, with the parts it shares with others first.
 
     ``input_bytes`` is the size of the input that the engine fetches from
-    ``zone``, if one is set.
+    ``zone``, if one is set. Only engines in ``allowed_regions`` may get it.
     """
 
     attempt_id: str
     parts: tuple[requests.PromptPart, ...]
     zone: str = ''
     input_bytes: float = 0.0
+    allowed_regions: region_filter.AllowedRegions = None
 
 
 @attrs.define
--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -16,6 +16,7 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.peering import messages
 
 # A few round trips between zones, and less than the prefill of a long prompt.
@@ -50,8 +51,12 @@
     ) -> model.Target | None:
         """Return the engine for a prompt, None if all are excluded."""
         now_ms = self._clock.monotonic_ms()
-        candidates = self._candidates(service, excluded, now_ms)
-        placer_id = self._instances.placer(service)
+        candidates = self._candidates(
+            service, excluded, prompt.allowed_regions, now_ms
+        )
+        placer_id = self._instances.placer(
+            service, self._placing_region(prompt)
+        )
         link = None
         if placer_id != self._instances.own_entry.instance_id:
             link = await self._links.connect(placer_id)
@@ -92,11 +97,24 @@
         self._placer.keep_only(self._directory.targets)
         return self._placer.place(prompt, candidates, now_ms)
 
+    def _placing_region(self, prompt: prompt_placing.Prompt) -> str:
+        """Return the region whose placer knows the load of the engines."""
+        own_region = self._instances.own_entry.region
+        allowed = prompt.allowed_regions
+        if not allowed or own_region in allowed:
+            return own_region
+        return min(allowed)
+
     def _candidates(
-        self, service: str, excluded: Collection[str], now_ms: int
+        self,
+        service: str,
+        excluded: Collection[str],
+        allowed: region_filter.AllowedRegions,
+        now_ms: int,
     ) -> list[model.Target]:
+        usable = self._directory.usable(service)
         return self._chooser.near_engines(
-            self._directory.usable(service), excluded, now_ms
+            self._chooser.only_allowed(usable, allowed), excluded, now_ms
         )
 
     async def _request_placement(
@@ -116,6 +134,7 @@
                     prompt.zone,
                     prompt.input_bytes,
                     list(excluded),
+                    region_filter.encode(prompt.allowed_regions),
                 )
             )
             try:
@@ -132,6 +151,7 @@
         match message:
             case messages.PlacePrompt(call_id=call_id):
                 now_ms = self._clock.monotonic_ms()
+                allowed = region_filter.decode(message.allowed_regions)
                 target = self._place_locally(
                     prompt_placing.Prompt(
                         attempt_id=message.attempt_id,
@@ -141,9 +161,10 @@
                         ),
                         zone=message.zone,
                         input_bytes=message.input_bytes,
+                        allowed_regions=allowed,
                     ),
                     self._candidates(
-                        message.service, message.excluded, now_ms
+                        message.service, message.excluded, allowed, now_ms
                     ),
                     now_ms,
                 )
--- /dev/null
+++ b/sycamorebeam/forwarding/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps requests within the regions that may serve them."""
--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -12,7 +12,8 @@
     Results by ``objective_ms`` meet the latency objective; after
     ``expiry_ms`` they are of no use. While other items wait, the group is
     accepted only if it is expected by ``accept_by_ms``. Calls in ``zone`` move
-    the least data; it is empty if all zones are equal in that.
+    the least data; it is empty if all zones are equal in that. Only replicas
+    in ``allowed_zones`` may run the items; None allows all zones.
     """
 
     group_id: int
@@ -25,12 +26,17 @@
     result_bytes: float
     work: stages.Work
     positions: tuple[int, ...]
+    allowed_zones: frozenset[str] | None = None
 
     @property
     def size(self) -> int:
         """The number of items in the group."""
         return len(self.positions)
 
+    def may_run_in(self, zone: str) -> bool:
+        """Whether replicas in a zone may run the items."""
+        return self.allowed_zones is None or zone in self.allowed_zones
+
 
 @attrs.frozen
 class Dropped:
@@ -65,7 +71,11 @@
 
 
 def from_request(
-    request: stages.StageRequest, group_id: int, zone: str, now_ms: int
+    request: stages.StageRequest,
+    group_id: int,
+    zone: str,
+    allowed_zones: frozenset[str] | None,
+    now_ms: int,
 ) -> Group:
     """Return the group of a request that arrives now."""
     return Group(
@@ -75,15 +85,19 @@
         objective_ms=now_ms + request.objective_in_ms,
         accept_by_ms=now_ms + request.accept_within_ms,
         expiry_ms=now_ms + request.expires_in_ms,
-        zone=zone,
+        zone=zone if allowed_zones is None or zone in allowed_zones else '',
         result_bytes=request.result_bytes,
         work=request.work,
         positions=request.positions,
+        allowed_zones=allowed_zones,
     )
 
 
 def from_announcement(
-    announcement: stages.Announcement, group_id: int, now_ms: int
+    announcement: stages.Announcement,
+    group_id: int,
+    allowed_zones: frozenset[str] | None,
+    now_ms: int,
 ) -> Group:
     """Return the group that a request announces now."""
     return Group(
@@ -99,4 +113,5 @@
             announcement.attempt_id, announcement.stage, '', True, ()
         ),
         positions=tuple(range(announcement.items)),
+        allowed_zones=allowed_zones,
     )
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
 
 from sycamorebeam import clocks
@@ -25,6 +26,7 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding import waiting_groups
+from sycamorebeam.forwarding.regions import region_filter
 
 DECLINED_PAUSE_MS = 60  # between a declined call and the next one
 MEMORY_PAUSE_MS = 150  # results are freed several times a second
@@ -44,11 +46,13 @@
         budgets: retry_budget.RetryBudgets,
         metrics: prometheus_metrics.Metrics,
         round_trip_ms: Callable[[str], float],
+        region_of_zone: Mapping[str, str],
         feedback_handler: target_feedback.FeedbackHandler,
         permits: send_permits.SendPermits,
     ) -> None:
         self._clock = clock
         self._round_trip_ms = round_trip_ms
+        self._region_of_zone = region_of_zone
         self._feedback_handler = feedback_handler
         self._permits = permits
         self._directory = directory
@@ -102,6 +106,7 @@
             request,
             next(self._group_ids),
             self._preferred_zone(request),
+            self._allowed_zones(request.allowed_regions),
             now_ms,
         )
         replicas = self._usable_replicas(service)
@@ -132,7 +137,10 @@
             )
         now_ms = self._clock.monotonic_ms()
         group = stage_groups.from_announcement(
-            announcement, next(self._group_ids), now_ms
+            announcement,
+            next(self._group_ids),
+            self._allowed_zones(announcement.allowed_regions),
+            now_ms,
         )
         arrives_ms = now_ms + announcement.arrives_in_ms
         match service.queue.announce(
@@ -214,6 +222,11 @@
         holders = map(self._calls.holder_address, request.work.inputs)
         return self._directory.most_common_zone(holders) or request.zone
 
+    def _allowed_zones(
+        self, allowed: region_filter.AllowedRegions
+    ) -> frozenset[str] | None:
+        return region_filter.zones(allowed, self._region_of_zone)
+
     def _usable_replicas(
         self, service: stage_service.StageService
     ) -> list[stage_replica.Replica]:
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -23,6 +23,7 @@
 # duration gets only the items that the others' next calls have no place for.
 SLOW_FACTOR = 1.8
 MIN_RETRY_AFTER_MS = 200.0  # the caller's round trip dominates below this
+NO_REPLICA_RETRY_MS = 300.0  # a replacement is listed within a second
 
 
 @attrs.frozen
@@ -142,6 +143,10 @@
         arrives_ms: int,
         now_ms: int,
     ) -> Rejected | None:
+        if group.allowed_zones is not None and not any(
+            group.may_run_in(replica.zone) for replica in replicas
+        ):
+            return Rejected(NO_REPLICA_RETRY_MS)
         expected_end_ms = self._expected_end_ms(
             group, replicas, arrives_ms, now_ms
         )
@@ -255,6 +260,11 @@
         place for. A group waits for a replica in its own zone while it can
         afford to and the next calls there have places and memory for it.
         """
+        ordered = [
+            pending
+            for pending in ordered
+            if pending.group.may_run_in(replica.zone)
+        ]
         if replica.slowness > SLOW_FACTOR:
             return self._overflow_groups(ordered, replica, replicas)
         places: Counter[str] = Counter()
@@ -395,8 +405,11 @@
             self._items_per_ms(replicas, group),
             self._overtaking_per_ms(own_urgency, now_ms),
         )
+        # Waiting groups are assumed to be spread evenly over the regions.
         first_free_in_ms = min(
-            replica.free_in_ms(now_ms) for replica in replicas
+            replica.free_in_ms(now_ms)
+            for replica in replicas
+            if group.may_run_in(replica.zone)
         )
         return max(arrives_ms, now_ms + first_free_in_ms + wait_ms) + call_ms
 
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -12,6 +12,7 @@
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.peering import messages
 
 # Allows for a few round trips between regions and a busy owner.
@@ -70,11 +71,7 @@
         if link is None:
             return None
         with link.exchange() as exchange:
-            link.send(
-                messages.AnnounceItems(
-                    call_id=exchange.call_id, **attrs.asdict(announcement)
-                )
-            )
+            link.send(_announce_message(exchange.call_id, announcement))
             try:
                 message = await exchange.next(QUEUED_TIMEOUT_MS)
             except peer_link.LinkLostError:
@@ -146,7 +143,10 @@
     ) -> None:
         fields = attrs.asdict(message)
         call_id = fields.pop('call_id')
-        failure = self._owner.announce(stages.Announcement(**fields))
+        allowed = region_filter.decode(fields.pop('allowed_regions'))
+        failure = self._owner.announce(
+            stages.Announcement(**fields, allowed_regions=allowed)
+        )
         inbound.stream.send(
             messages.ItemsQueued(call_id)
             if failure is None
@@ -194,6 +194,16 @@
             return messages.ItemsFailed(call_id, reason.value, retry_after_ms)
 
 
+def _announce_message(
+    call_id: int, announcement: stages.Announcement
+) -> messages.AnnounceItems:
+    fields = attrs.asdict(announcement)
+    fields['allowed_regions'] = region_filter.encode(
+        announcement.allowed_regions
+    )
+    return messages.AnnounceItems(call_id=call_id, **fields)
+
+
 def _submit_message(
     call_id: int, request: stages.StageRequest
 ) -> messages.SubmitItems:
@@ -214,6 +224,7 @@
         takes_inputs=work.takes_inputs,
         inputs=list(work.inputs),
         positions=list(request.positions),
+        allowed_regions=region_filter.encode(request.allowed_regions),
     )
 
 
@@ -235,4 +246,5 @@
             tuple(message.inputs),
         ),
         positions=tuple(message.positions),
+        allowed_regions=region_filter.decode(message.allowed_regions),
     )
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding.regions import region_filter
 
 
 @attrs.frozen
@@ -115,7 +116,8 @@
     Durations count from now. While other items wait, the request is accepted
     only if its results are expected within ``accept_within_ms``. ``zone`` is
     the availability zone that the results go to, empty when that is not known
-    yet; ``input_bytes`` is the total size of ``work.inputs``.
+    yet; ``input_bytes`` is the total size of ``work.inputs``. Only replicas
+    in ``allowed_regions`` may run the items.
     """
 
     service: str
@@ -128,6 +130,7 @@
     result_bytes: float
     work: Work
     positions: tuple[int, ...]
+    allowed_regions: region_filter.AllowedRegions = None
 
 
 @attrs.frozen(kw_only=True)
@@ -148,6 +151,7 @@
     objective_in_ms: int
     accept_within_ms: int
     expires_in_ms: int
+    allowed_regions: region_filter.AllowedRegions = None
 
 
 @attrs.frozen
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -70,7 +70,7 @@
         ``refused`` has the ids of targets that have just refused a permit.
         """
         now_ms = self._clock.monotonic_ms()
-        usable = self._directory.usable(call.service)
+        usable = self._usable(call)
         excluded = call.excluded.union(refused, self._without_permit(usable))
         service = self._state.service(call.service)
         if service is not None and service.has_engine:
@@ -92,11 +92,17 @@
                     self._chooser.backoff_left_ms([target], now_ms),
                     self._permits.wait_ms(target),
                 )
-                for target in self._directory.usable(call.service)
+                for target in self._usable(call)
             ),
             default=0.0,
         )
 
+    def _usable(self, call: calls.Call) -> list[model.Target]:
+        """Return the targets that accept requests and may get this one."""
+        return self._chooser.only_allowed(
+            self._directory.usable(call.service), call.allowed_regions
+        )
+
     def withheld_ms(self, call: calls.Call) -> float:
         """Return how long a prompt is withheld, 0 if it may be sent now."""
         return self._crashing_prompts.wait_ms(call.request.shared_part_ids)
@@ -223,7 +229,7 @@
         service = self._state.service(call.service)
         if service is None or not service.has_engine:
             return self.pick_target(call, refused)
-        usable = self._directory.usable(call.service)
+        usable = self._usable(call)
         return await self._prompt_placer.place(
             call.service,
             prompt_placing.Prompt(
@@ -231,6 +237,7 @@
                 parts=call.request.prompt,
                 zone=first_choice.availability_zone,
                 input_bytes=call.input_bytes if results else 0.0,
+                allowed_regions=call.allowed_regions,
             ),
             call.excluded.union(refused, self._without_permit(usable)),
         )
--- a/sycamorebeam/forwarding/target_choice.py
+++ b/sycamorebeam/forwarding/target_choice.py
@@ -13,6 +13,7 @@
 from sycamorebeam import hashing
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.policy import ejection
 
 # Network round trips that the requirements state.
@@ -127,6 +128,16 @@
         self._region = region_of_zone.get(zone, '')
         self._stats: dict[tuple[str, int], TargetStats] = {}
 
+    def only_allowed(
+        self,
+        targets: list[model.Target],
+        allowed: region_filter.AllowedRegions,
+    ) -> list[model.Target]:
+        """Return the targets in the regions that may serve a request."""
+        return region_filter.only_allowed(
+            targets, allowed, self._region_of_zone
+        )
+
     def round_trip_ms(self, zone: str) -> float:
         """Return the round trip time to a zone."""
         if zone == self._zone:
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -120,6 +120,7 @@
 
     Durations count from now, since instances share no clock. ``positions``
     are those of the items within the stage; the items share all other fields.
+    Without ``allowed_regions`` any region may run them.
     """
 
     call_id: int
@@ -137,6 +138,7 @@
     takes_inputs: bool
     inputs: list[str]
     positions: list[int]
+    allowed_regions: list[str] | None = None
 
 
 @attrs.frozen
@@ -157,6 +159,7 @@
     objective_in_ms: int
     accept_within_ms: int
     expires_in_ms: int
+    allowed_regions: list[str] | None = None
 
 
 @attrs.frozen
@@ -212,7 +215,8 @@
     """Asks which engine of a service can read a prompt soonest.
 
     ``parts`` has rows of a part's id and its token count. The engine fetches
-    ``input_bytes`` from ``zone``; engines in ``excluded`` are not chosen.
+    ``input_bytes`` from ``zone``; engines in ``excluded``, and those outside
+    of ``allowed_regions`` if these are set, are not chosen.
     """
 
     call_id: int
@@ -222,6 +226,7 @@
     zone: str
     input_bytes: float
     excluded: list[str]
+    allowed_regions: list[str] | None = None
 
 
 @attrs.frozen
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -65,9 +65,15 @@
         ),
         is_public=bool(item.get('public', False)),
         is_resumable=bool(item.get('stream_resumption', False)),
+        allowed_regions=_decode_regions(item),
     )
 
 
+def _decode_regions(item: dict[str, Any]) -> frozenset[str] | None:
+    # An empty list allows any region, like a missing one.
+    return frozenset(item.get('allowed_regions') or ()) or None
+
+
 def _decode_split(item: dict[str, Any]) -> tuple[model.WeightedService, ...]:
     shares = item.get('traffic_split')
     if not shares:
@@ -114,7 +120,11 @@
 def _decode_teams(tenants: list[dict[str, Any]]) -> dict[str, model.Team]:
     teams = {}
     for item in tenants:
-        team = model.Team(name=item['name'], rank=item.get('priority'))
+        team = model.Team(
+            name=item['name'],
+            rank=item.get('priority'),
+            allowed_regions=_decode_regions(item),
+        )
         for key in item.get('api_keys') or ():
             teams[key] = team
     return teams
--- a/tests/forwarding/build.py
+++ b/tests/forwarding/build.py
@@ -53,6 +53,10 @@
     return model.Route(**{**values, **fields})
 
 
+def team(name='crew', rank=None, **fields):
+    return model.Team(name=name, rank=rank, **fields)
+
+
 def batching(**fields):
     values = {
         'slots': 1,
--- a/tests/forwarding/test_prompt_streams.py
+++ b/tests/forwarding/test_prompt_streams.py
@@ -45,6 +45,11 @@
     return node
 
 
+def add_engine(node, name, zone):
+    target = build.target(name, zone)
+    node.directory.update([target_directory.TargetEntry(name, target)], 0)
+
+
 @contextlib.asynccontextmanager
 async def fleet(*regions):
     """Yield the nodes, with the placer of the first node's region first."""
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -135,6 +135,7 @@
             retry_budget.RetryBudgets(0.0, budget, 10_000, lambda: 1),
             prometheus_metrics.Metrics(),
             lambda zone: 0.0,
+            build.ZONES,
             build.feedback_handler(listed, self.limits),
             build.send_permits_alone(self.limits),
         )
