Decode load reports with a pace, token usage and the bounds of engines

Cause: a load report with four figures was dropped without a log line, and the tokens of a request, the memory of engines and the reuse window were read nowhere, so no decision could use them. X-Token-Usage, slots, kv_cache_tokens and the optional setting bounds.reuse_window_s are decoded. The test that compared loads with tuples of three compares all fields. Ruled out: refusing a state with unreadable engine bounds, since it would drop a configuration that is accepted today. Measured: the tests of test_platform_formats.py pass.

--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -47,6 +47,8 @@
     retry_budget_ratio: float
     retry_budget_extra: float
     budget_window_s: float
+    # Reading a part of a prompt again within this time incurs a cost.
+    reuse_window_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +105,7 @@
             'retry_budget_ratio': checking.Range(0, 10),
             'retry_budget_extra': checking.Range(0, 1_000_000),
             'budget_window_s': checking.Positive(),
+            'reuse_window_s': checking.Positive(),
         },
         CallerLimits: {
             'header_bytes': checking.Positive(),
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -92,13 +92,28 @@
     result_ttl_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class Engine:
+    """Bounds of one inference engine; None where the operator states none.
+
+    Running requests and cached parts share ``kv_cache_tokens``.
+    """
+
+    slots: int | None = None
+    kv_cache_tokens: int | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Service:
-    """A group of equal targets; ``batching`` is set if stages run on it."""
+    """A group of equal targets; ``batching`` is set if stages run on it.
+
+    ``engine`` has the bounds of its engines, as far as they are stated.
+    """
 
     name: str
     batching: Batching | None = None
     has_engine: bool = False
+    engine: Engine | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -124,6 +139,20 @@
     has_teams: bool
 
 
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """The load that a target reports along with an answer.
+
+    ``pace`` is how long work takes on its machine now; 100 is usual, and
+    None means that the target does not report it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Feedback:
     """State of a target that it reports along with an answer.
@@ -136,6 +165,7 @@
     is_leaving: bool = False
     backoff_ms: float = 0.0
     requests_per_s: float | None = None
+    load: LoadReport | None = None
 
 
 NO_FEEDBACK = Feedback()
--- a/sycamorebeam/forwarding/requests.py
+++ b/sycamorebeam/forwarding/requests.py
@@ -17,13 +17,22 @@
     tokens: int
 
 
+@attrs.frozen
+class TokenUsage:
+    """The tokens of a prompt, and the most that its answer may have."""
+
+    prompt_tokens: int
+    max_output_tokens: int
+
+
 @attrs.frozen(kw_only=True)
 class CallerRequest:
     """One attempt of a caller, decoded.
 
     ``headers`` are those to pass on, ``key`` is the API key; ``item_counts``
     has the number of items of each stage, and ``item_key`` identifies the
-    request's data there.
+    request's data there. ``token_usage`` is the size of its prompt and
+    answer, None if the caller does not state it.
     """
 
     attempt_id: str
@@ -39,6 +48,7 @@
     item_counts: tuple[int, ...] = ()
     item_key: str = ''
     last_event_id: str | None = None
+    token_usage: TokenUsage | None = None
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
@@ -67,8 +77,7 @@
     """The head of a target's answer.
 
     ``is_executed`` is False only where the target says that the request
-    has not run, ``is_misdirected`` True where another target has the address;
-    ``load`` has running and waiting requests and slots.
+    has not run, ``is_misdirected`` True where another target has the address.
     """
 
     status: int
@@ -77,10 +86,14 @@
     is_signed: bool
     is_executed: bool
     is_misdirected: bool
-    load: tuple[int, int, int] | None
     has_encoding: bool
     feedback: model.Feedback = model.NO_FEEDBACK
 
+    @property
+    def load(self) -> model.LoadReport | None:
+        """The load that the target reports, None if it reports none."""
+        return self.feedback.load
+
 
 @attrs.frozen(kw_only=True)
 class Refusal:
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -321,9 +321,8 @@
         stats.back_off(
             self._feedback_handler.handle(target, head.feedback), now_ms
         )
-        if head.load is not None:
-            running, waiting, _ = head.load
-            stats.record_load(running + waiting, now_ms)
+        if head.load is not None and head.load.pace is None:
+            stats.record_load(head.load.running + head.load.waiting, now_ms)
         if head.attempt_id not in (None, call.request.attempt_id):
             return calls.Broken('the answer belongs to another request')
         if head.is_misdirected:
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -100,9 +100,25 @@
         # 'segments' configures batching; it is not a list of segments.
         batching=_decode_batching(item.get('segments')),
         has_engine='inference_engine' in item,
+        engine=_decode_engine(item.get('inference_engine')),
     )
 
 
+def _decode_engine(item: dict[str, Any] | None) -> model.Engine | None:
+    if not item:
+        return None
+    return model.Engine(
+        slots=_decode_count(item.get('slots')),
+        kv_cache_tokens=_decode_count(item.get('kv_cache_tokens')),
+    )
+
+
+def _decode_count(value: Any) -> int | None:
+    # Only the placement uses these; a faulty one must not make the whole
+    # state undecodable.
+    return value if isinstance(value, int) and value > 0 else None
+
+
 def _decode_batching(item: dict[str, Any] | None) -> model.Batching | None:
     if item is None:
         return None
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -10,6 +10,7 @@
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import json_records
+from sycamorebeam.platform import unreadable_forms
 
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
 STAGE_FREE_PATH = '/sycamorebeam/stage-free'
@@ -51,6 +52,7 @@
 _LOWEST_PRIORITY = 9
 _OVERLOAD_STATUSES = (429, 503)  # may ask the sender to retry later
 _MAX_DEADLINE_MS = 86_400_000  # a day; callers wait seconds
+_unreadable_loads = unreadable_forms.UnreadableForms('load_unreadable')
 
 
 def decode_request(
@@ -85,6 +87,7 @@
         item_counts=_parse_item_counts(values.get('x-chunks')),
         item_key=values.get('x-chunk-key', ''),
         last_event_id=values.get('last-event-id'),
+        token_usage=_parse_token_usage(values.get('x-token-usage')),
     )
 
 
@@ -124,7 +127,6 @@
         is_signed='x-server-signature' in values,
         is_executed=not (is_misdirected or 'x-not-executed' in values),
         is_misdirected=is_misdirected,
-        load=_parse_load(values.get('x-instance-load')),
         has_encoding=values.get('content-encoding', 'identity') != 'identity',
         feedback=model.Feedback(
             is_leaving=values.get('server-leaving') == '1'
@@ -135,6 +137,7 @@
             requests_per_s=None
             if is_misdirected
             else _parse_rate_limit(values.get('server-limit')),
+            load=_parse_load(values.get('x-instance-load')),
         ),
     )
 
@@ -298,11 +301,38 @@
     return requests_per_s
 
 
-def _parse_load(text: str | None) -> tuple[int, int, int] | None:
+def _parse_token_usage(text: str | None) -> requests.TokenUsage | None:
+    """Return a prompt's tokens; None if unreadable, as they only advise."""
+    try:
+        prompt_tokens, output_tokens = map(int, (text or '').split(','))
+    except ValueError:
+        return None
+    if min(prompt_tokens, output_tokens) < 0:
+        return None
+    return requests.TokenUsage(prompt_tokens, output_tokens)
+
+
+def _parse_load(text: str | None) -> model.LoadReport | None:
+    """Return the load that a target reports, None if it is unreadable."""
     if not text:
         return None
+    figures = text.split(',')
     try:
-        running, waiting, slots = (int(part) for part in text.split(','))
+        running, waiting, slots = (int(figure) for figure in figures[:3])
+        pace = _parse_pace(figures[3:])
     except ValueError:
+        _unreadable_loads.log(text)
+        return None
+    return model.LoadReport(
+        running=running, waiting=waiting, slots=slots, pace=pace
+    )
+
+
+def _parse_pace(figures: list[str]) -> float | None:
+    if not figures:
         return None
-    return running, waiting, slots
+    (figure,) = figures
+    pace = float(figure)
+    if not 0 < pace < math.inf:
+        raise ValueError(f'{figure!r} is no pace')
+    return pace
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -2,16 +2,19 @@
 
 import json
 import math
+from unittest import mock
 
 import attrs
 import ddt
 
+from sycamorebeam import telemetry
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import stages
 from sycamorebeam.platform import desired_state
 from sycamorebeam.platform import http_codec
 from sycamorebeam.platform import target_records
+from sycamorebeam.platform import unreadable_forms
 from tests import base
 from tests.forwarding import build
 
@@ -108,6 +111,22 @@
         )
         self.assertTrue(state.has_teams)
 
+    @ddt.data(
+        ({}, None),
+        (
+            {'slots': 16, 'kv_cache_tokens': 323_291},
+            model.Engine(slots=16, kv_cache_tokens=323_291),
+        ),
+        ({'slots': 'x', 'kv_cache_tokens': -1}, model.Engine()),
+    )
+    @ddt.unpack
+    def test_bounds_of_engines_are_decoded(self, item, expected):
+        service = {'name': 'engine', 'inference_engine': item}
+        state = desired_state.decode(
+            json.dumps({**STATE, 'services': [service]}).encode()
+        )
+        self.assertEqual(expected, state.services['engine'].engine)
+
     def test_a_traffic_split_decodes_to_its_services(self):
         split = [
             {'service': 'a', 'weight': 90},
@@ -245,6 +264,12 @@
         self.assertEqual('key', request.item_key)
         self.assertEqual(requests.PromptPart('bb', 410), request.session_part)
         self.assertEqual('7', request.last_event_id)
+        self.assertEqual(requests.TokenUsage(1460, 80), request.token_usage)
+
+    @ddt.data('x', '1', '1,2,3', '-1,2')
+    def test_an_unreadable_token_usage_is_ignored(self, text):
+        request = decode([('X-Token-Usage', text)])
+        self.assertIsNone(request.token_usage)
 
     @ddt.data(
         'X-Tenant',
@@ -344,11 +369,38 @@
         head = http_codec.decode_answer_head(RawAnswer(status, tuple(headers)))
         self.assertEqual(is_executed, head.is_executed)
 
-    @ddt.data(('3,0,8', (3, 0, 8)), ('3', None), ('a,b,c', None))
+    @ddt.data(
+        ('3,0,8', (3, 0, 8, None)),
+        ('3,1,8,250', (3, 1, 8, 250.0)),
+        ('3,1,8,99.5', (3, 1, 8, 99.5)),
+        ('3', None),
+        ('a,b,c', None),
+        ('3,0,8,', None),
+        ('3,0,8,0', None),
+        ('3,0,8,nan', None),
+        ('3,0,8,inf', None),
+        ('3,0,8,100,1', None),
+    )
     @ddt.unpack
     def test_a_reported_load_is_decoded(self, text, expected):
         answer = RawAnswer(200, (('X-Instance-Load', text),))
-        self.assertEqual(expected, http_codec.decode_answer_head(answer).load)
+        head = http_codec.decode_answer_head(answer)
+        load = head.load and attrs.astuple(head.load)
+        self.assertEqual(expected, load)
+        self.assertIs(head.load, head.feedback.load)
+
+    def test_unreadable_forms_are_logged_once_and_bounded(self):
+        """Guards against a line for every answer of a target."""
+        forms = unreadable_forms.UnreadableForms('load_unreadable')
+        with mock.patch.object(
+            telemetry, 'log_event', autospec=True
+        ) as log_event:
+            for number in range(100):
+                forms.log(f'{number},x')
+            self.assertEqual(1, log_event.call_count)
+            for number in range(100):
+                forms.log('x' * number)
+            self.assertEqual(unreadable_forms.MAX_FORMS, log_event.call_count)
 
     @ddt.data(
         (200, {}, False, 0.0),
