Place requests by the expected time while targets report their pace

Cause: prompts waited at engines in a slow period, since only tokens were compared, and 31% of the shared tokens were read again, since a part counted as cached for a fixed 15 s. Change: while a pace was reported within 10 s, the placer of a region compares the expected time to the first event on each engine, with the probability that parts are cached, learnt prefill rates, and the bounds of slots and memory. Instances pass on the reports that they see with PlacePrompt, PromptRead and PromptEnded. Plain requests go by expected time as well, with a random choice among nearly equal targets. Without a pace the same code as before decides. Not measured: a deployment.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -40,6 +40,8 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.placement import placement_metrics
+from sycamorebeam.forwarding.placement import timed_placer
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 METRICS_CONTENT_TYPE = 'text/plain'
@@ -66,6 +68,12 @@
         self._chooser = target_choice.TargetChooser(
             settings.availability_zone, settings.region_of_zone
         )
+        window_s = settings.bounds.reuse_window_s
+        self._timed_placer = timed_placer.TimedPlacer(
+            self._chooser.loads,
+            placement_metrics.PlacementMetrics(self._metrics),
+            None if window_s is None else window_s * 1000,
+        )
         self._instances = membership.Membership(
             membership.InstanceEntry(
                 settings.instance_id,
@@ -147,6 +155,8 @@
                         self._links,
                         self._directory,
                         self._chooser,
+                        self._timed_placer,
+                        self._state.service,
                     ),
                     client=adapter.client,
                     codec=adapter.codec,
@@ -283,6 +293,7 @@
                 budgets=self._budgets,
                 limits=self._limits,
                 memory=self._adapter.client.memory,
+                timed_placer=self._timed_placer,
             ),
         )
 
--- a/sycamorebeam/forwarding/instance_gauges.py
+++ b/sycamorebeam/forwarding/instance_gauges.py
@@ -17,6 +17,7 @@
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
+from sycamorebeam.forwarding.placement import timed_placer
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +36,7 @@
     budgets: retry_budget.RetryBudgets
     limits: target_limits.TargetLimits
     memory: request_memory.RequestMemory
+    timed_placer: timed_placer.TimedPlacer
 
 
 def add(metrics: prometheus_metrics.Metrics, parts: Parts) -> None:
@@ -120,6 +122,15 @@
         ),
     )
 
+    add_labelled_gauge(
+        'prefill_tokens_per_ms',
+        'Prefill rate of engines at usual pace, as learnt by this placer.',
+        ['service'],
+        lambda: (
+            ([service], rate)
+            for service, rate in parts.timed_placer.tokens_per_ms()
+        ),
+    )
     add_labelled_gauge(
         'target_requests_per_s_limit',
         'Rate that a target accepts from all instances together.',
--- a/sycamorebeam/forwarding/placement/target_selection.py
+++ b/sycamorebeam/forwarding/placement/target_selection.py
@@ -1,7 +1,12 @@
-"""Selects the target of a request among those that it may be sent to."""
+"""Selects the target of a request among those that it may be sent to.
+
+Plain requests and prompts of services whose targets report their pace go by
+expected time, all others by the statistics of earlier requests.
+"""
 
 from collections.abc import Collection
 from collections.abc import Iterable
+import random
 
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import active_state
@@ -12,6 +17,7 @@
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.placement import plain_choice
 
 
 class TargetSelection:
@@ -32,6 +38,8 @@
         self._chooser = chooser
         self._prompt_placer = prompt_placer
         self._permits = permits
+        self._work_times = plain_choice.WorkTimes()
+        self._generator = random.Random()
 
     def pick(
         self, call: calls.Call, refused: Collection[str] = ()
@@ -52,6 +60,8 @@
                 call.request.attempt_id,
                 now_ms,
             )
+        if self._chooser.loads.is_paced(call.service, now_ms):
+            return self._pick_by_time(call.service, usable, excluded, now_ms)
         return self._chooser.pick_service_target(usable, excluded, now_ms)
 
     def retry_after_ms(self, call: calls.Call) -> float:
@@ -85,6 +95,12 @@
             self._prompt_placer.remove(call.request.attempt_id)
             refused.add(target.target_id)
 
+    def record_time(self, target: model.Target, latency_ms: float) -> None:
+        """Record the time of a plain request, if its target has a pace."""
+        sample = self._chooser.loads.get(target)
+        if sample is not None:
+            self._work_times.record(target.service, latency_ms, sample)
+
     def _usable(self, call: calls.Call) -> list[model.Target]:
         """Return the targets that accept requests and may get this one."""
         return self._chooser.only_allowed(
@@ -101,6 +117,31 @@
             if self._permits.wait_ms(target) > 0
         }
 
+    def _pick_by_time(
+        self,
+        service: str,
+        usable: Collection[model.Target],
+        excluded: Collection[str],
+        now_ms: int,
+    ) -> model.Target | None:
+        chooser = self._chooser
+        targets = chooser.candidates(usable, excluded, now_ms)
+        position = plain_choice.choose(
+            [
+                plain_choice.Candidate(
+                    own_running=chooser.stats(target).in_flight,
+                    slots=target.slots,
+                    sample=chooser.loads.get(target),
+                    extra_ms=chooser.extra_ms(target, now_ms),
+                )
+                for target in targets
+            ],
+            self._work_times.get(service),
+            self._generator,
+            now_ms,
+        )
+        return None if position is None else targets[position]
+
     async def _choose_target(
         self,
         call: calls.Call,
@@ -117,6 +158,10 @@
         if service is None or not service.has_engine:
             return self.pick(call, refused)
         usable = self._usable(call)
+        usage = call.request.token_usage
+        objective_ms = (
+            call.request.arrived_ms + call.route.latency_objective_ms
+        )
         return await self._prompt_placer.place(
             call.service,
             prompt_placing.Prompt(
@@ -125,6 +170,9 @@
                 zone=first_choice.availability_zone,
                 input_bytes=call.input_bytes if results else 0.0,
                 allowed_regions=call.allowed_regions,
+                output_tokens=0 if usage is None else usage.max_output_tokens,
+                caller_zone=self._chooser.zone,
+                objective_in_ms=objective_ms - self._clock.monotonic_ms(),
             ),
             call.excluded.union(refused, self._without_permit(usable)),
         )
--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -74,6 +74,21 @@
         self.stage_items = self._counter(
             'stage_items', 'Items in calls that ran.', 'service'
         )
+        self.placed_prompts = self._counter(
+            'placed_prompts', 'Prompts placed by expected time.', 'reason'
+        )
+        self.placement_expected_seconds = self._histogram(
+            'placement_expected_seconds',
+            'Time to the first event that the placer expected.',
+        )
+        self.placement_actual_seconds = self._histogram(
+            'placement_actual_seconds',
+            'Time from the placement of a prompt to its first event.',
+        )
+        self.placement_error_seconds = self._histogram(
+            'placement_error_seconds',
+            'Difference of expected and actual time to the first event.',
+        )
 
         self.loop_lag_seconds = prometheus_client.Histogram(
             f'{PREFIX}_loop_lag_seconds',
--- a/sycamorebeam/forwarding/prompt_placing.py
+++ b/sycamorebeam/forwarding/prompt_placing.py
@@ -39,6 +39,8 @@
 
     ``input_bytes`` is the size of the input that the engine fetches from
     ``zone``, if one is set. Only engines in ``allowed_regions`` may get it.
+    Its answer has ``output_tokens`` at most and goes to ``caller_zone``;
+    its first event should arrive within ``objective_in_ms``, if set.
     """
 
     attempt_id: str
@@ -46,6 +48,9 @@
     zone: str = ''
     input_bytes: float = 0.0
     allowed_regions: region_filter.AllowedRegions = None
+    output_tokens: int = 0
+    caller_zone: str = ''
+    objective_in_ms: float | None = None
 
 
 @attrs.define
--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -6,16 +6,19 @@
 """
 
 from collections.abc import Collection
+from typing import Any
 
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import peer_links
+from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import prompt_placing
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.placement import timed_placer as timed_placing
 from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.peering import messages
 from sycamorebeam.peering import placement_messages
@@ -34,6 +37,8 @@
         links: peer_links.PeerLinks,
         directory: target_directory.TargetDirectory,
         chooser: target_choice.TargetChooser,
+        timed_placer: timed_placing.TimedPlacer | None = None,
+        find_service: preparation.ServiceLookup = lambda name: None,
     ) -> None:
         self._clock = clock
         self._instances = instances
@@ -41,7 +46,10 @@
         self._directory = directory
         self._chooser = chooser
         self._placer = prompt_placing.PromptPlacer()
-        self._link_by_attempt: dict[str, peer_link.Link] = {}
+        # Used for services whose engines report their pace.
+        self._timed_placer = timed_placer
+        self._find_service = find_service
+        self._link_by_attempt: dict[str, tuple[peer_link.Link, str]] = {}
         links.add_handler(self._on_message)
 
     async def place(
@@ -67,35 +75,74 @@
             )
             for target in candidates:
                 if target.target_id == target_id:
-                    self._link_by_attempt[prompt.attempt_id] = link
+                    self._link_by_attempt[prompt.attempt_id] = link, service
                     return target
             # The placer may have recorded the prompt nevertheless.
             link.send(placement_messages.PromptEnded(prompt.attempt_id))
-        return self._place_locally(prompt, candidates, now_ms)
+        return self._place_locally(service, prompt, candidates, now_ms)
 
     def mark_read(self, attempt_id: str) -> None:
         """Report to the placer that an engine has read all of a prompt."""
-        link = self._link_by_attempt.get(attempt_id)
-        if link is None:
-            self._placer.mark_read(attempt_id)
+        placer = self._link_by_attempt.get(attempt_id)
+        if placer is None:
+            self._mark_read_here(attempt_id)
         else:
-            link.send(placement_messages.PromptRead(attempt_id))
+            link, service = placer
+            link.send(
+                placement_messages.PromptRead(
+                    attempt_id, service, self._take_rows(service)
+                )
+            )
 
     def remove(self, attempt_id: str) -> None:
         """Report to the placer that a request has ended."""
-        link = self._link_by_attempt.pop(attempt_id, None)
-        if link is None:
-            self._placer.remove(attempt_id)
+        placer = self._link_by_attempt.pop(attempt_id, None)
+        if placer is None:
+            self._remove_here(attempt_id)
         else:
-            link.send(placement_messages.PromptEnded(attempt_id))
+            link, service = placer
+            link.send(
+                placement_messages.PromptEnded(
+                    attempt_id, service, self._take_rows(service)
+                )
+            )
+
+    def _mark_read_here(self, attempt_id: str) -> None:
+        self._placer.mark_read(attempt_id)
+        if self._timed_placer is not None:
+            now_ms = self._clock.monotonic_ms()
+            self._timed_placer.mark_read(attempt_id, now_ms)
+
+    def _remove_here(self, attempt_id: str) -> None:
+        self._placer.remove(attempt_id)
+        if self._timed_placer is not None:
+            self._timed_placer.remove(attempt_id, self._clock.monotonic_ms())
+
+    def _take_rows(self, service: str) -> list[list[Any]]:
+        """Return the loads of engines that the placer has not been sent."""
+        return self._chooser.loads.take_rows(
+            service, self._clock.monotonic_ms()
+        )
+
+    def _add_rows(self, service: str, rows: list[list[Any]]) -> None:
+        self._chooser.loads.add_rows(service, rows, self._clock.monotonic_ms())
 
     def _place_locally(
         self,
+        service: str,
         prompt: prompt_placing.Prompt,
         candidates: Collection[model.Target],
         now_ms: int,
     ) -> model.Target | None:
         self._placer.keep_only(self._directory.targets)
+        found = self._find_service(service)
+        if (
+            self._timed_placer is not None
+            and found is not None
+            and self._chooser.loads.is_paced(service, now_ms)
+        ):
+            self._timed_placer.keep_only(self._directory.targets)
+            return self._timed_placer.place(found, prompt, candidates, now_ms)
         return self._placer.place(prompt, candidates, now_ms)
 
     def _placing_region(self, prompt: prompt_placing.Prompt) -> str:
@@ -136,6 +183,10 @@
                     prompt.input_bytes,
                     list(excluded),
                     region_filter.encode(prompt.allowed_regions),
+                    prompt.output_tokens,
+                    prompt.caller_zone,
+                    prompt.objective_in_ms,
+                    self._take_rows(service),
                 )
             )
             try:
@@ -153,7 +204,9 @@
             case placement_messages.PlacePrompt(call_id=call_id):
                 now_ms = self._clock.monotonic_ms()
                 allowed = region_filter.decode(message.allowed_regions)
+                self._add_rows(message.service, message.loads)
                 target = self._place_locally(
+                    message.service,
                     prompt_placing.Prompt(
                         attempt_id=message.attempt_id,
                         parts=tuple(
@@ -163,6 +216,9 @@
                         zone=message.zone,
                         input_bytes=message.input_bytes,
                         allowed_regions=allowed,
+                        output_tokens=message.output_tokens,
+                        caller_zone=message.caller_zone,
+                        objective_in_ms=message.objective_in_ms,
                     ),
                     self._candidates(
                         message.service, message.excluded, allowed, now_ms
@@ -173,7 +229,9 @@
                 inbound.stream.send(
                     placement_messages.PromptPlaced(call_id, target_id)
                 )
-            case placement_messages.PromptRead(attempt_id):
-                self._placer.mark_read(attempt_id)
-            case placement_messages.PromptEnded(attempt_id):
-                self._placer.remove(attempt_id)
+            case placement_messages.PromptRead(attempt_id, service, loads):
+                self._add_rows(service, loads)
+                self._mark_read_here(attempt_id)
+            case placement_messages.PromptEnded(attempt_id, service, loads):
+                self._add_rows(service, loads)
+                self._remove_here(attempt_id)
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -129,6 +129,7 @@
                     )
                 if call.route.kind is not model.Kind.STREAM:
                     stats.record_success(now_ms - began_ms, now_ms)
+                    self._selection.record_time(target, now_ms - began_ms)
                 else:
                     stats.health.record_success()
         return outcome
@@ -233,6 +234,8 @@
         )
         if head.load is not None and head.load.pace is None:
             stats.record_load(head.load.running + head.load.waiting, now_ms)
+        elif head.load is not None and not head.is_misdirected:
+            self._chooser.record_paced_load(target, head.load, now_ms)
         if head.attempt_id not in (None, call.request.attempt_id):
             return calls.Broken('the answer belongs to another request')
         if head.is_misdirected:
--- a/sycamorebeam/forwarding/target_choice.py
+++ b/sycamorebeam/forwarding/target_choice.py
@@ -13,6 +13,7 @@
 from sycamorebeam import hashing
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding.placement import target_loads
 from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.policy import ejection
 
@@ -108,6 +109,10 @@
             latency * (1 + load) + FAILURE_COST_MS * self.failure_rate * factor
         )
 
+    def failure_cost_ms(self, now_ms: int) -> float:
+        """Return the cost of likely failures."""
+        return FAILURE_COST_MS * self.failure_rate * self._decay_factor(now_ms)
+
     def _decay_factor(self, now_ms: int) -> float:
         return math.exp2(-(now_ms - self.updated_ms) / STATS_HALF_LIFE_MS)
 
@@ -127,6 +132,17 @@
         self._region_of_zone = region_of_zone
         self._region = region_of_zone.get(zone, '')
         self._stats: dict[tuple[str, int], TargetStats] = {}
+        self._loads = target_loads.TargetLoads()
+
+    @property
+    def loads(self) -> target_loads.TargetLoads:
+        """The reports of targets that report their pace."""
+        return self._loads
+
+    @property
+    def zone(self) -> str:
+        """The zone of this instance."""
+        return self._zone
 
     def only_allowed(
         self,
@@ -151,6 +167,13 @@
         key = (target.target_id, target.incarnation)
         return self._stats.setdefault(key, TargetStats())
 
+    def record_paced_load(
+        self, target: model.Target, load: model.LoadReport, now_ms: int
+    ) -> None:
+        """Record a report with a pace."""
+        own_running = self.stats(target).in_flight
+        self._loads.record(target, load, own_running, now_ms)
+
     def keep_only(self, targets: Iterable[model.Target], now_ms: int) -> None:
         """Drop the statistics of other targets, unless still in use."""
         kept = {(target.target_id, target.incarnation) for target in targets}
@@ -158,6 +181,15 @@
             stats = self._stats[key]
             if not stats.in_flight and stats.backoff_until_ms <= now_ms:
                 del self._stats[key]
+        self._loads.keep_only(kept)
+
+    def extra_ms(self, target: model.Target, now_ms: int) -> float:
+        """Return the cost of a target's distance and likely failures."""
+        return (
+            self.round_trip_ms(target.availability_zone)
+            + self._region_cost_ms(target)
+            + self.stats(target).failure_cost_ms(now_ms)
+        )
 
     def backoff_left_ms(
         self, targets: Iterable[model.Target], now_ms: int
@@ -178,7 +210,7 @@
         now_ms: int,
     ) -> model.Target | None:
         """Return the target with the lowest expected cost."""
-        candidates = self._candidates(targets, excluded, now_ms)
+        candidates = self.candidates(targets, excluded, now_ms)
         return min(
             candidates,
             key=lambda target: self._expected_ms(target, now_ms),
@@ -217,14 +249,15 @@
         now_ms: int,
     ) -> list[model.Target]:
         """Return the engines that may serve prompts of this region."""
-        return self._nearest(self._candidates(targets, excluded, now_ms))
+        return self._nearest(self.candidates(targets, excluded, now_ms))
 
-    def _candidates(
+    def candidates(
         self,
         targets: Collection[model.Target],
         excluded: Collection[str],
         now_ms: int,
     ) -> list[model.Target]:
+        """Return the targets that take requests and do not fail."""
         remaining = {
             target.target_id: target
             for target in targets
@@ -249,6 +282,9 @@
     def _expected_ms(self, target: model.Target, now_ms: int) -> float:
         stats = self.stats(target)
         travel_ms = self.round_trip_ms(target.availability_zone)
-        region = self._region_of_zone.get(target.availability_zone)
-        cost_ms = 0.0 if region == self._region else REGION_COST_MS
+        cost_ms = self._region_cost_ms(target)
         return stats.expected_ms(now_ms, target.slots) + travel_ms + cost_ms
+
+    def _region_cost_ms(self, target: model.Target) -> float:
+        region = self._region_of_zone.get(target.availability_zone)
+        return 0.0 if region == self._region else REGION_COST_MS
