Refuse a prompt that fits into the memory of no engine of the region

Cause: an instance placed a prompt from its own data when the placer found no engine with memory for it. An engine crashes beyond its memory, and only the placer knows what all instances have sent. Change: the placer's answer says that memory is lacking, and the instance then does not place the prompt. An answer without an engine for another reason is handled as before. Ruled out: treating each empty answer so, since a placer that has not read an engine's entry yet gives one as well. Measured: the two cases of test_an_answer_says_that_no_engine_has_memory pass, with all of the tests of placing, streams and regions.

--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -70,11 +70,13 @@
         if placer_id != self._instances.own_entry.instance_id:
             link = await self._links.connect(placer_id)
         if link is not None and len(candidates) > 1:
-            target_id = await self._request_placement(
+            placed = await self._request_placement(
                 link, service, prompt, excluded
             )
+            if placed is not None and placed.lacks_memory:
+                return None
             for target in candidates:
-                if target.target_id == target_id:
+                if placed and target.target_id == placed.target_id:
                     self._link_by_attempt[prompt.attempt_id] = link, service
                     return target
             # The placer may have recorded the prompt nevertheless.
@@ -171,7 +173,7 @@
         service: str,
         prompt: prompt_placing.Prompt,
         excluded: Collection[str],
-    ) -> str | None:
+    ) -> placement_messages.PromptPlaced | None:
         with link.exchange() as exchange:
             link.send(
                 placement_messages.PlacePrompt(
@@ -194,7 +196,7 @@
             except peer_link.LinkLostError:
                 return None
         if isinstance(answer, placement_messages.PromptPlaced):
-            return answer.target_id
+            return answer
         return None
 
     def _on_message(
@@ -205,6 +207,9 @@
                 now_ms = self._clock.monotonic_ms()
                 allowed = region_filter.decode(message.allowed_regions)
                 self._add_rows(message.service, message.loads)
+                candidates = self._candidates(
+                    message.service, message.excluded, allowed, now_ms
+                )
                 target = self._place_locally(
                     message.service,
                     prompt_placing.Prompt(
@@ -220,14 +225,14 @@
                         caller_zone=message.caller_zone,
                         objective_in_ms=message.objective_in_ms,
                     ),
-                    self._candidates(
-                        message.service, message.excluded, allowed, now_ms
-                    ),
+                    candidates,
                     now_ms,
                 )
                 target_id = '' if target is None else target.target_id
                 inbound.stream.send(
-                    placement_messages.PromptPlaced(call_id, target_id)
+                    placement_messages.PromptPlaced(
+                        call_id, target_id, target is None and bool(candidates)
+                    )
                 )
             case placement_messages.PromptRead(attempt_id, service, loads):
                 self._add_rows(service, loads)
--- a/sycamorebeam/peering/placement_messages.py
+++ b/sycamorebeam/peering/placement_messages.py
@@ -34,10 +34,15 @@
 
 @attrs.frozen
 class PromptPlaced:
-    """Answers ``PlacePrompt``; ``target_id`` is empty if no engine fits."""
+    """Answers ``PlacePrompt``; ``target_id`` is empty if no engine fits.
+
+    ``lacks_memory`` means that it would exceed the memory of every engine,
+    so the sender must not place it either.
+    """
 
     call_id: int
     target_id: str
+    lacks_memory: bool = False
 
 
 @attrs.frozen
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -433,6 +433,32 @@
         self.play()
         self.assertEqual(200, self.timed.place.call_count)
 
+    @ddt.data((300_000, '', True), (100, 'e2', False))
+    @ddt.unpack
+    def test_an_answer_says_that_no_engine_has_memory(
+        self, tokens, target_id, lacks_memory
+    ):
+        """Guards against a local placement beyond the engines' memory."""
+        link = mock.Mock()
+        row = ['e0', 1, 0, 0, 16, 100.0, 50]
+        self.placer._on_message(
+            link,
+            placement_messages.PlacePrompt(
+                7,
+                'engine',
+                'r0',
+                [['s', 6_300], ['own', tokens]],
+                '',
+                0.0,
+                [],
+                output_tokens=50_000,
+                loads=[row],
+            ),
+        )
+        link.stream.send.assert_called_once_with(
+            placement_messages.PromptPlaced(7, target_id, lacks_memory)
+        )
+
     @ddt.data(None, 9.3)
     def test_settings_are_valid_with_and_without_a_reuse_window(self, value):
         """Guards against a template whose optional section breaks JSON."""
