Decode the limits, states and bounds of cold targets

Cause: cold_start_s and cold_per_s of services, cold_remaining_ms of targets' entries, the header X-Cold-Start-Ms and the bounds cold_overshoot and cold_tolerance were read nowhere. Change: they are decoded to the model, passed on to the instances that read the store through others, and rendered to the settings if the platform gives them. Ruled out: dropping an entry for an unreadable cold time; passing on a cold time of 0, which instances of earlier versions can't read.

--- /dev/null
+++ b/sycamorebeam/forwarding/cold_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Limits the requests to targets that may be cold."""
--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -7,6 +7,7 @@
 
 from sycamorebeam import checking
 from sycamorebeam import errors
+from sycamorebeam.forwarding.cold_targets import rate_shares
 
 DEFAULT_MEMORY_MB = 300
 
@@ -47,6 +48,17 @@
     retry_budget_ratio: float
     retry_budget_extra: float
     budget_window_s: float
+    cold_overshoot: float | None = None
+    cold_tolerance: float | None = None
+
+    @property
+    def cold_bounds(self) -> rate_shares.Bounds | None:
+        """The bounds on requests to cold targets, None without them."""
+        if self.cold_overshoot is None or self.cold_tolerance is None:
+            return None
+        return rate_shares.Bounds(
+            overshoot=self.cold_overshoot, tolerance=self.cold_tolerance
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +115,8 @@
             'retry_budget_ratio': checking.Range(0, 10),
             'retry_budget_extra': checking.Range(0, 1_000_000),
             'budget_window_s': checking.Positive(),
+            'cold_overshoot': checking.Range(0, 1_000),
+            'cold_tolerance': checking.Range(0, 1_000_000),
         },
         CallerLimits: {
             'header_bytes': checking.Positive(),
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -94,11 +94,17 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A group of equal targets; ``batching`` is set if stages run on it."""
+    """A group of equal targets; ``batching`` is set if stages run on it.
+
+    A target that turns cold is so for ``cold_start_s``, and then tolerates
+    ``cold_per_s`` requests a second; 0 if targets are never cold.
+    """
 
     name: str
     batching: Batching | None = None
     has_engine: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -131,11 +137,13 @@
     ``backoff_ms`` is how long this instance must not send to the target.
     ``requests_per_s`` is the rate that the target accepts from all instances
     together: UNLIMITED if it sets no limit, None if the answer tells nothing.
+    It is cold for ``cold_ms``, which is None if the answer doesn't tell.
     """
 
     is_leaving: bool = False
     backoff_ms: float = 0.0
     requests_per_s: float | None = None
+    cold_ms: float | None = None
 
 
 NO_FEEDBACK = Feedback()
@@ -143,7 +151,10 @@
 
 @attrs.frozen(kw_only=True)
 class Target:
-    """One replica of a service, as in the last record that it wrote."""
+    """One replica of a service, as in the last record that it wrote.
+
+    It was still cold for ``cold_remaining_ms`` at that time.
+    """
 
     target_id: str
     service: str
@@ -152,3 +163,4 @@
     is_draining: bool
     incarnation: int
     slots: int
+    cold_remaining_ms: float = 0.0
--- a/sycamorebeam/forwarding/shared_rows.py
+++ b/sycamorebeam/forwarding/shared_rows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 import zlib
 
 import attrs
@@ -81,7 +82,7 @@
             entry.target_id,
             b''
             if entry.target is None
-            else msgpack.packb(attrs.asdict(entry.target)),
+            else msgpack.packb(_target_fields(entry.target)),
         )
         for entry in entries
     ]
@@ -94,9 +95,29 @@
     return tuple(
         target_directory.TargetEntry(
             row.key,
-            model.Target(**msgpack.unpackb(row.record))
+            _decode_target(msgpack.unpackb(row.record))
             if row.record
             else None,
         )
         for row in rows
     )
+
+
+def _target_fields(target: model.Target) -> dict[str, Any]:
+    """Return the fields of a target that instances pass on.
+
+    Instances of earlier versions don't know the time that a target is cold.
+    It is left out where it is 0, as it is at deployments without cold starts.
+    """
+    fields = attrs.asdict(target)
+    if not target.cold_remaining_ms:
+        del fields['cold_remaining_ms']
+    return fields
+
+
+def _decode_target(fields: dict[str, Any]) -> model.Target:
+    """Return the target in a row; fields of later versions are skipped."""
+    known = {field.name for field in attrs.fields(model.Target)}
+    return model.Target(
+        **{name: value for name, value in fields.items() if name in known}
+    )
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -100,6 +100,8 @@
         # 'segments' configures batching; it is not a list of segments.
         batching=_decode_batching(item.get('segments')),
         has_engine='inference_engine' in item,
+        cold_start_s=float(item.get('cold_start_s') or 0),
+        cold_per_s=float(item.get('cold_per_s') or 0),
     )
 
 
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -10,6 +10,7 @@
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import json_records
+from sycamorebeam.platform import target_records
 
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
 STAGE_FREE_PATH = '/sycamorebeam/stage-free'
@@ -135,6 +136,9 @@
             requests_per_s=None
             if is_misdirected
             else _parse_rate_limit(values.get('server-limit')),
+            cold_ms=None
+            if is_misdirected
+            else _parse_cold_ms(values.get('x-cold-start-ms')),
         ),
     )
 
@@ -298,6 +302,20 @@
     return requests_per_s
 
 
+def _parse_cold_ms(text: str | None) -> float | None:
+    """Return for how long a target is cold, None if unknown."""
+    if text is None:
+        return None
+    try:
+        cold_ms = float(text)
+    except ValueError:
+        cold_ms = math.nan
+    if not 0 <= cold_ms <= target_records.MAX_COLD_MS:
+        telemetry.log_event('cold_time_unreadable', 'WARNING', text=text)
+        return None
+    return cold_ms
+
+
 def _parse_load(text: str | None) -> tuple[int, int, int] | None:
     if not text:
         return None
