--- a/sycamorebeam/forwarding/instance_gauges.py
+++ b/sycamorebeam/forwarding/instance_gauges.py
@@ -17,6 +17,7 @@
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
+from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.placement import timed_placer
 
 
@@ -37,6 +38,7 @@
     limits: target_limits.TargetLimits
     memory: request_memory.RequestMemory
     timed_placer: timed_placer.TimedPlacer
+    cold: cold_targets.ColdTargets
 
 
 def add(metrics: prometheus_metrics.Metrics, parts: Parts) -> None:
@@ -59,6 +61,11 @@
         'Known targets, those that drain included.',
         lambda: len(parts.directory.targets),
     )
+    add_gauge(
+        'cold_targets',
+        'Targets that are known to be cold.',
+        parts.cold.known_cold_count,
+    )
     add_gauge(
         'store_era',
         'How often the store has come back from a copy, as last heard.',
--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -7,6 +7,7 @@
 
 from sycamorebeam import checking
 from sycamorebeam import errors
+from sycamorebeam.forwarding.cold_targets import rate_shares
 
 DEFAULT_MEMORY_MB = 300
 
@@ -49,6 +50,17 @@
     budget_window_s: float
     # Reading a part of a prompt again within this time incurs a cost.
     reuse_window_s: float | None = None
+    cold_overshoot: float | None = None
+    cold_tolerance: float | None = None
+
+    @property
+    def cold_bounds(self) -> rate_shares.Bounds | None:
+        """The bounds on requests to cold targets, None without them."""
+        if self.cold_overshoot is None or self.cold_tolerance is None:
+            return None
+        return rate_shares.Bounds(
+            overshoot=self.cold_overshoot, tolerance=self.cold_tolerance
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -106,6 +118,8 @@
             'retry_budget_extra': checking.Range(0, 1_000_000),
             'budget_window_s': checking.Positive(),
             'reuse_window_s': checking.Positive(),
+            'cold_overshoot': checking.Range(0, 1_000),
+            'cold_tolerance': checking.Range(0, 1_000_000),
         },
         CallerLimits: {
             'header_bytes': checking.Positive(),
--- a/sycamorebeam/forwarding/placement/target_selection.py
+++ b/sycamorebeam/forwarding/placement/target_selection.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Collection
-from collections.abc import Iterable
 import random
 
 from sycamorebeam import clocks
@@ -17,6 +16,7 @@
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.placement import plain_choice
 
 
@@ -31,6 +31,7 @@
         chooser: target_choice.TargetChooser,
         prompt_placer: region_prompt_placer.RegionPromptPlacer,
         permits: send_permits.SendPermits,
+        cold: cold_targets.ColdTargets,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -38,6 +39,7 @@
         self._chooser = chooser
         self._prompt_placer = prompt_placer
         self._permits = permits
+        self._cold = cold
         self._work_times = plain_choice.WorkTimes()
         self._generator = random.Random()
 
@@ -50,9 +52,8 @@
         """
         now_ms = self._clock.monotonic_ms()
         usable = self._usable(call)
-        excluded = call.excluded.union(refused, self._without_permit(usable))
-        service = self._state.service(call.service)
-        if service is not None and service.has_engine:
+        excluded = call.excluded.union(refused, self._permits.refusing(usable))
+        if self._state.has_engine(call.service):
             return self._chooser.pick_engine(
                 usable,
                 excluded,
@@ -60,6 +61,7 @@
                 call.request.attempt_id,
                 now_ms,
             )
+        excluded |= self._cold.not_preferred(usable, excluded)
         if self._chooser.loads.is_paced(call.service, now_ms):
             return self._pick_by_time(call.service, usable, excluded, now_ms)
         return self._chooser.pick_service_target(usable, excluded, now_ms)
@@ -72,6 +74,7 @@
                 max(
                     self._chooser.backoff_left_ms([target], now_ms),
                     self._permits.wait_ms(target),
+                    self._cold.direct_wait_ms(target),
                 )
                 for target in self._usable(call)
             ),
@@ -87,14 +90,27 @@
         """Choose a target that a request may be sent to now, if any."""
         refused: set[str] = set()
         while True:
+            call.chosen_ms = self._clock.monotonic_ms()
             target = await self._choose_target(
                 call, results, first_choice, refused
             )
-            if target is None or await self._permits.acquire(target):
+            if target is None or (
+                await self._permits.acquire(target)
+                and self._cold.take_direct(target)
+            ):
                 return target
             self._prompt_placer.remove(call.request.attempt_id)
             refused.add(target.target_id)
 
+    def without_target(self, call: calls.Call) -> calls.Outcome:
+        """Return the outcome for a call that no target may get now."""
+        retry_after_ms = self._cold.refusal_wait_ms(
+            call.service, self._usable(call), call.excluded
+        )
+        if retry_after_ms > 0:
+            return calls.Limited(retry_after_ms)
+        return calls.NotSent('no target is left')
+
     def record_time(self, target: model.Target, latency_ms: float) -> None:
         """Record the time of a plain request, if its target has a pace."""
         sample = self._chooser.loads.get(target)
@@ -107,16 +123,6 @@
             self._directory.usable(call.service), call.allowed_regions
         )
 
-    def _without_permit(self, targets: Iterable[model.Target]) -> set[str]:
-        """Return the ids of limited targets for which there is no permit."""
-        if not self._permits.are_needed:
-            return set()
-        return {
-            target.target_id
-            for target in targets
-            if self._permits.wait_ms(target) > 0
-        }
-
     def _pick_by_time(
         self,
         service: str,
@@ -154,8 +160,7 @@
         The first choice may have gone while the stages ran. An engine is
         chosen by the prompts that are placed on each.
         """
-        service = self._state.service(call.service)
-        if service is None or not service.has_engine:
+        if not self._state.has_engine(call.service):
             return self.pick(call, refused)
         usable = self._usable(call)
         usage = call.request.token_usage
@@ -174,5 +179,5 @@
                 caller_zone=self._chooser.zone,
                 objective_in_ms=objective_ms - self._clock.monotonic_ms(),
             ),
-            call.excluded.union(refused, self._without_permit(usable)),
+            call.excluded.union(refused, self._permits.refusing(usable)),
         )
--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -18,6 +18,7 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.placement import timed_placer as timed_placing
 from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.peering import messages
@@ -37,6 +38,7 @@
         links: peer_links.PeerLinks,
         directory: target_directory.TargetDirectory,
         chooser: target_choice.TargetChooser,
+        cold: cold_targets.ColdTargets,
         timed_placer: timed_placing.TimedPlacer | None = None,
         find_service: preparation.ServiceLookup = lambda name: None,
     ) -> None:
@@ -45,6 +47,7 @@
         self._links = links
         self._directory = directory
         self._chooser = chooser
+        self._cold = cold
         self._placer = prompt_placing.PromptPlacer()
         # Used for services whose engines report their pace.
         self._timed_placer = timed_placer
@@ -64,12 +67,17 @@
             service, excluded, prompt.allowed_regions, now_ms
         )
         placer_id = self._instances.placer(
-            service, self._placing_region(prompt)
+            service,
+            self._cold.placing_region(
+                self._placing_region(prompt), service, candidates
+            ),
         )
         link = None
         if placer_id != self._instances.own_entry.instance_id:
             link = await self._links.connect(placer_id)
-        if link is not None and len(candidates) > 1:
+        if link is not None and (
+            len(candidates) > 1 or self._cold.applies_to(service)
+        ):
             placed = await self._request_placement(
                 link, service, prompt, excluded
             )
@@ -137,6 +145,19 @@
         now_ms: int,
     ) -> model.Target | None:
         self._placer.keep_only(self._directory.targets)
+        preferred = self._cold.preferred(candidates)
+        target = self._choose(service, prompt, preferred, now_ms)
+        if target is not None:
+            self._cold.take(target)
+        return target
+
+    def _choose(
+        self,
+        service: str,
+        prompt: prompt_placing.Prompt,
+        candidates: Collection[model.Target],
+        now_ms: int,
+    ) -> model.Target | None:
         found = self._find_service(service)
         if (
             self._timed_placer is not None
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -1,7 +1,6 @@
 """Attempts at targets: choice of the target, exchange, relay of the answer."""
 
 import asyncio
-from collections.abc import Callable
 
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import active_state
@@ -14,12 +13,14 @@
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import send_checks
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_crashes
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.placement import target_selection
 
 MIN_REMAINING_MS = 20  # no target can serve a request in less
@@ -45,19 +46,29 @@
         feedback_handler: target_feedback.FeedbackHandler,
         permits: send_permits.SendPermits,
         crashing_prompts: crashing_prompts.CrashingPrompts,
+        cold: cold_targets.ColdTargets,
         metrics: prometheus_metrics.Metrics,
     ) -> None:
         self._clock = clock
-        self._lease = lease
         self._chooser = chooser
         self._prompt_placer = prompt_placer
         self._client = client
         self._codec = codec
         self._feedback_handler = feedback_handler
         self._crashing_prompts = crashing_prompts
+        self._cold = cold
+        self._send_checks = send_checks.SendChecks(
+            clock, lease, feedback_handler, cold
+        )
         self._metrics = metrics
         self._selection = target_selection.TargetSelection(
-            clock, state, directory, chooser, prompt_placer, permits
+            clock,
+            state,
+            directory,
+            chooser,
+            prompt_placer,
+            permits,
+            cold,
         )
 
     def pick_target(self, call: calls.Call) -> model.Target | None:
@@ -86,7 +97,7 @@
         """
         target = await self._selection.choose(call, results, first_choice)
         if target is None:
-            return calls.NotSent('no target is left')
+            return self._selection.without_target(call)
         wait_ms = self.withheld_ms(call)
         if wait_ms > 0:
             self._prompt_placer.remove(call.request.attempt_id)
@@ -186,8 +197,10 @@
                 call.request.path,
                 headers,
                 call.request.body or None,
-                self._new_send_check(call, target),
+                self._send_checks.new(call, target),
             )
+        except cold_targets.SendsUsedUpError:
+            return self._selection.without_target(call)
         except upstream.NotSentError as error:
             return calls.NotSent(str(error))
         except upstream.BrokenError as error:
@@ -200,25 +213,6 @@
         finally:
             answer.close()
 
-    def _new_send_check(
-        self, call: calls.Call, target: model.Target
-    ) -> Callable[[], None]:
-        """Return a check of the lease to run once the connection is open.
-
-        The process may have been suspended since the request was admitted.
-        """
-
-        def check() -> None:
-            if call.team is not None and not self._lease.is_valid(
-                self._clock.boottime_ms()
-            ):
-                raise upstream.NotSentError('the desired state is too old')
-            call.sends += 1
-            call.sent_ms = self._clock.monotonic_ms()
-            self._feedback_handler.record_send(target, 'request')
-
-        return check
-
     async def _handle_answer(
         self,
         call: calls.Call,
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -101,6 +101,8 @@
         batching=_decode_batching(item.get('segments')),
         has_engine='inference_engine' in item,
         engine=_decode_engine(item.get('inference_engine')),
+        cold_start_s=float(item.get('cold_start_s') or 0),
+        cold_per_s=float(item.get('cold_per_s') or 0),
     )
 
 
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -10,6 +10,7 @@
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import json_records
+from sycamorebeam.platform import target_records
 from sycamorebeam.platform import unreadable_forms
 
 STAGE_RUN_PATH = '/sycamorebeam/stage-run'
@@ -138,6 +139,9 @@
             if is_misdirected
             else _parse_rate_limit(values.get('server-limit')),
             load=_parse_load(values.get('x-instance-load')),
+            cold_ms=None
+            if is_misdirected
+            else _parse_cold_ms(values.get('x-cold-start-ms')),
         ),
     )
 
@@ -301,6 +305,20 @@
     return requests_per_s
 
 
+def _parse_cold_ms(text: str | None) -> float | None:
+    """Return for how long a target is cold, None if unknown."""
+    if text is None:
+        return None
+    try:
+        cold_ms = float(text)
+    except ValueError:
+        cold_ms = math.nan
+    if not 0 <= cold_ms <= target_records.MAX_COLD_MS:
+        telemetry.log_event('cold_time_unreadable', 'WARNING', text=text)
+        return None
+    return cold_ms
+
+
 def _parse_token_usage(text: str | None) -> requests.TokenUsage | None:
     """Return a prompt's tokens; None if unreadable, as they only advise."""
     try:
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -392,6 +392,7 @@
             build.FakeLinks(),
             directory,
             self.chooser,
+            build.cold_targets(members),
             self.timed,
             {'engine': SERVICE}.get,
         )
