Give restarted instances their shares of cold targets at once

Cause: an instance had no share for 8 s after each start, and placers were asked in an order that puts those last that have just started, so after a restart of most instances nearly all prompts were refused for 8 s. Change: an instance that finds the entry of its previous process in the listing waits 1.33 s; placers are asked in the order of the listing, a second one if the first has nothing left; the second has 4 of 17 requests, not 3. Ruled out: no shares at all for targets that are not known to be cold, since they are known after most of the cold time.

--- a/sycamorebeam/forwarding/cold_targets/listed_ranks.py
+++ b/sycamorebeam/forwarding/cold_targets/listed_ranks.py
@@ -11,10 +11,14 @@
 from sycamorebeam import hashing
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding.cold_targets import rate_shares
 
 # An instance that starts has no share until all others must have read its
 # entry, and have reduced their own shares.
 START_MS = membership.SETTLING_MS
+# A restarted instance changes no shares. It only has to wait until the
+# requests of its previous process no longer count.
+RESTART_MS = rate_shares.COUNT_WINDOW_MS
 # An instance that stops as planned keeps its shares for this time, since
 # others still ask it to place prompts until they have read the listing.
 LEAVING_MS = 8_000
@@ -52,7 +56,10 @@
         self._refresh(now_ms)
         if not self._instances.is_listed:
             return False
-        if now_ms - self._started_ms < START_MS:
+        start_ms = (
+            RESTART_MS if self._instances.has_previous_entry else START_MS
+        )
+        if now_ms - self._started_ms < start_ms:
             return False
         since_ms = self._leaving_since_ms
         return since_ms is None or now_ms - since_ms < LEAVING_MS
--- a/sycamorebeam/forwarding/cold_targets/rate_shares.py
+++ b/sycamorebeam/forwarding/cold_targets/rate_shares.py
@@ -22,11 +22,11 @@
 MAX_REQUESTS = 1_000_000  # above any rate; keeps the arithmetic finite
 
 # Parts of the limit as divisors. With the limit of 17 that the rule gives at
-# 8.3 requests a second, the first three placers get 8, 3 and 2 requests in a
+# 8.3 requests a second, the first three placers get 7, 4 and 2 requests in a
 # window, three instances get one each, and one request is spare.
 SPARE_DIVISOR = 10  # for listings that differ by an instance
 COMMON_DIVISOR = 5  # for instances that reach no placer
-SECOND_DIVISOR = 4  # of what is left, for the second placer
+SECOND_DIVISOR = 3  # of what is left, for the second placer
 THIRD_DIVISOR = 6  # of what is left, for the third placer
 
 
--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -288,11 +288,14 @@
         clock: clocks.Clock,
         instances: membership.Membership,
         store_recovery: store_outage.StoreRecovery,
+        *,
+        lists_before_renewal: bool = False,
     ) -> None:
         self._store_recovery = store_recovery
         self._platform = platform
         self._clock = clock
         self._instances = instances
+        self._lists_before_renewal = lists_before_renewal
         self._is_leaving = False
 
     async def follow(self) -> None:
@@ -304,6 +307,8 @@
         interval_ms = FIRST_INSTANCES_INTERVAL_MS
         era: int | None = None
         kept_until_ms = 0
+        if self._lists_before_renewal:
+            await self._find_previous_entry()
         while True:
             now_ms = self._clock.monotonic_ms()
             if era is not None and self._platform.era > era:
@@ -337,6 +342,17 @@
             await self._pause(interval_ms, renewed_ms)
             interval_ms = min(2 * interval_ms, INSTANCES_INTERVAL_MS)
 
+    async def _find_previous_entry(self) -> None:
+        """Read the listing before this process replaces the own entry in it.
+
+        A restarted instance has the shares of its previous process, while a
+        new one has to wait until all others know of it.
+        """
+        try:
+            self._instances.merge(await self._platform.read_instances())
+        except ReadError as error:
+            telemetry.log_event('previous_entry_unknown', error=str(error))
+
     async def leave(self) -> None:
         """Remove this instance's entry, and stop renewing it."""
         self._is_leaving = True
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -190,7 +190,11 @@
         )
         self._store_recovery = store_outage.StoreRecovery()
         self._instances_follower = followers.InstancesFollower(
-            self._platform, self._clock, self._instances, self._store_recovery
+            self._platform,
+            self._clock,
+            self._instances,
+            self._store_recovery,
+            lists_before_renewal=bounds.cold_bounds is not None,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
--- a/sycamorebeam/forwarding/membership.py
+++ b/sycamorebeam/forwarding/membership.py
@@ -86,6 +86,7 @@
         self._expired: dict[str, InstanceEntry] = {}
         self._is_leaving = False
         self._is_listed = False
+        self._has_previous_entry = False
 
     @property
     def is_listed(self) -> bool:
@@ -97,6 +98,11 @@
         """Whether this instance stops."""
         return self._is_leaving
 
+    @property
+    def has_previous_entry(self) -> bool:
+        """Whether an earlier process of this instance was listed."""
+        return self._has_previous_entry
+
     @property
     def own_entry(self) -> InstanceEntry:
         """The entry of this instance."""
@@ -152,6 +158,9 @@
         for entry in entries:
             instance_id = entry.instance_id
             if instance_id == self._own_entry.instance_id:
+                self._has_previous_entry |= (
+                    entry.started_wall_ms != self._own_entry.started_wall_ms
+                )
                 continue
             member = self._members.get(instance_id)
             if member is None:
@@ -301,6 +310,20 @@
         ranked = self._rank_region(service, region)
         return ranked[0].instance_id if ranked else self._own_entry.instance_id
 
+    def placers_by_listing(self, service: str, region: str) -> list[str]:
+        """Return the reachable instances of a region, best placer first.
+
+        Those that have just started keep the place that the listing gives
+        them, since shares of targets depend on the listing alone.
+        """
+        ranked = self._rank_region(service, region, settled_first=False)
+        own_id = self._own_entry.instance_id
+        return [
+            entry.instance_id
+            for entry in ranked
+            if not (self._is_leaving and entry.instance_id == own_id)
+        ]
+
     def readers(self, *, is_store_lost: bool = False) -> list[str]:
         """Return the instances of this region to ask for reads, best first.
 
@@ -315,13 +338,15 @@
         ranked = self._rank_region(duty, self._own_entry.region)
         return self._up_to_own(ranked, own_is_last)
 
-    def _rank_region(self, duty: str, region: str) -> list[InstanceEntry]:
+    def _rank_region(
+        self, duty: str, region: str, *, settled_first: bool = True
+    ) -> list[InstanceEntry]:
         """Return the reachable instances of a region, best first."""
         now_ms = self._clock.wall_ms()
         return sorted(
             (entry for entry in self._reachable() if entry.region == region),
             key=lambda entry: (
-                _is_settled(entry, now_ms),
+                settled_first and _is_settled(entry, now_ms),
                 entry.is_strong,
                 hashing.weight(duty, entry.instance_id),
             ),
--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -26,6 +26,7 @@
 
 # A few round trips between zones, and less than the prefill of a long prompt.
 ANSWER_TIMEOUT_MS = 50
+MAX_PLACERS_ASKED = 2
 
 
 class RegionPromptPlacer:
@@ -66,18 +67,16 @@
         candidates = self._candidates(
             service, excluded, prompt.allowed_regions, now_ms
         )
-        placer_id = self._instances.placer(
-            service,
-            self._cold.placing_region(
-                self._placing_region(prompt), service, candidates
-            ),
-        )
-        link = None
-        if placer_id != self._instances.own_entry.instance_id:
+        if len(candidates) > 1 or self._cold.applies_to(service):
+            placer_ids = self._placers(service, prompt, candidates)
+        else:
+            placer_ids = []
+        for placer_id in placer_ids:
+            if placer_id == self._instances.own_entry.instance_id:
+                break
             link = await self._links.connect(placer_id)
-        if link is not None and (
-            len(candidates) > 1 or self._cold.applies_to(service)
-        ):
+            if link is None:
+                continue
             placed = await self._request_placement(
                 link, service, prompt, excluded
             )
@@ -168,6 +167,24 @@
             return self._timed_placer.place(found, prompt, candidates, now_ms)
         return self._placer.place(prompt, candidates, now_ms)
 
+    def _placers(
+        self,
+        service: str,
+        prompt: prompt_placing.Prompt,
+        candidates: Collection[model.Target],
+    ) -> list[str]:
+        """Return the instances to ask for a placement, in this order.
+
+        Where targets may be cold a second placer has a share of its own,
+        which the requester lacks.
+        """
+        region = self._placing_region(prompt)
+        if not self._cold.applies_to(service):
+            return [self._instances.placer(service, region)]
+        region = self._cold.placing_region(region, service, candidates)
+        ranked = self._instances.placers_by_listing(service, region)
+        return ranked[:MAX_PLACERS_ASKED]
+
     def _placing_region(self, prompt: prompt_placing.Prompt) -> str:
         """Return the region whose placer knows the load of the engines."""
         own_region = self._instances.own_entry.region
