Exclude the targets of zones that the operator evacuates

Cause: records evacuate/ZONE in the operator's topic were skipped, so targets in such a zone went on getting requests and stage items. Change: the records are decoded and passed on with the reads of the desired state, in each SharedRead answer. forwarding/evacuation decides which zones are evacuated; TargetDirectory leaves their targets out of usable and get. A read that has only records of zones proves freshness as a read with a state does.

--- /dev/null
+++ b/sycamorebeam/forwarding/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of availability zones on the operator's request."""
--- a/sycamorebeam/forwarding/followers.py
+++ b/sycamorebeam/forwarding/followers.py
@@ -15,6 +15,8 @@
 from sycamorebeam.forwarding import store_outage
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.evacuation import evacuations
+from sycamorebeam.forwarding.evacuation import zone_records
 
 # Each read of the desired state renews the freshness lease. Several reads fit
 # into the shortest lease; more would cost more, as each call is billed.
@@ -55,12 +57,21 @@
 
     ``record`` is the state in the platform's encoding. ``as_of_ms`` is set if
     the read shows the state as of another time than the start of its call.
+    ``evacuations`` are the operator's records of zones in the read.
     """
 
     state: model.DesiredState | None
     position: int
     record: bytes = b''
     as_of_ms: int | None = None
+    evacuations: zone_records.ZoneChanges = attrs.field(
+        factory=zone_records.ZoneChanges
+    )
+
+    @property
+    def has_records(self) -> bool:
+        """Whether the read has a state or records of zones."""
+        return self.state is not None or bool(self.evacuations.has_record)
 
 
 @attrs.frozen
@@ -130,7 +141,9 @@
         state: active_state.ActiveState,
         lease: freshness.FreshnessLease,
         store_recovery: store_outage.StoreRecovery,
+        zone_evacuations: evacuations.Evacuations,
     ) -> None:
+        self._evacuations = zone_evacuations
         self._platform = platform
         self._clock = clock
         self._state = state
@@ -153,6 +166,7 @@
         is_outdated = False
         while True:
             began_ms = self._clock.boottime_ms()
+            self._evacuations.expire(began_ms)
             try:
                 if position is None:
                     read = await self._platform.read_state()
@@ -168,8 +182,11 @@
             else:
                 outage.record_success()
                 position = read.position
-                waited_ms = self._clock.boottime_ms() - began_ms
-                is_due = read.state is not None and waited_ms > LONG_WAIT_MS
+                now_ms = self._clock.boottime_ms()
+                is_due = read.has_records and now_ms - began_ms > LONG_WAIT_MS
+                # Before the state, so that the instance is not ready until it
+                # knows the evacuated zones.
+                self._evacuations.apply(read.evacuations, position, now_ms)
                 if era is not None and self._platform.era > era:
                     trusted_from_ms = began_ms + COPY_REWRITE_MS
                     self._report_copy(read)
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -40,6 +40,7 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.evacuation import evacuations
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 METRICS_CONTENT_TYPE = 'text/plain'
@@ -63,6 +64,7 @@
             settings.bounds.revocation_ms, settings.bounds.strict_revocation
         )
         self._directory = target_directory.TargetDirectory()
+        self._evacuations = evacuations.Evacuations(self._directory)
         self._chooser = target_choice.TargetChooser(
             settings.availability_zone, settings.region_of_zone
         )
@@ -202,6 +204,7 @@
                 self._state,
                 self._lease,
                 self._store_recovery,
+                self._evacuations,
             ).follow,
             'targets': followers.TargetsFollower(
                 platform,
--- a/sycamorebeam/forwarding/read_cache.py
+++ b/sycamorebeam/forwarding/read_cache.py
@@ -88,6 +88,11 @@
             self.began_ms = began_ms
         self._evict_deletions()
 
+    def record(self, key: str) -> bytes | None:
+        """Return the newest record of a key, None if there is none."""
+        cached = self._rows.get(key)
+        return None if cached is None else cached.record
+
     def has_changes(self, position: int) -> bool:
         """Whether rows changed after a position, or may have."""
         if self._position is None:
--- a/sycamorebeam/forwarding/read_server.py
+++ b/sycamorebeam/forwarding/read_server.py
@@ -10,6 +10,7 @@
 from sycamorebeam.forwarding import peer_links
 from sycamorebeam.forwarding import pending_reads
 from sycamorebeam.forwarding import read_cache
+from sycamorebeam.forwarding import shared_rows
 from sycamorebeam.peering import messages
 
 # Older listings are not shared: instances with listings of different times
@@ -143,7 +144,12 @@
                 request.call_id,
                 changes.position,
                 changes.is_whole,
-                [[row.key, row.record] for row in changes.rows],
+                [
+                    [row.key, row.record]
+                    for row in changes.rows
+                    if row.key != shared_rows.ZONES_KEY
+                ],
                 request.received_ms - cache.began_ms,
+                shared_rows.decode_zones(cache.record(shared_rows.ZONES_KEY)),
             )
         )
--- a/sycamorebeam/forwarding/shared_reads.py
+++ b/sycamorebeam/forwarding/shared_reads.py
@@ -27,6 +27,7 @@
 from sycamorebeam.forwarding import reader_choice
 from sycamorebeam.forwarding import record_platform
 from sycamorebeam.forwarding import shared_rows
+from sycamorebeam.forwarding.evacuation import zone_records
 from sycamorebeam.peering import messages
 
 # Time for an answer beyond the reader's own wait: a read of the store and a
@@ -46,6 +47,7 @@
 # Time until a reader that gave no answer is asked again.
 READER_BACKOFF_MS = 3_000
 NO_POSITION = -1  # asks for all rows
+NO_ZONES_REASON = 'its version shares no evacuated zones'
 
 
 class SharedReads:
@@ -77,6 +79,7 @@
         self._era = 0
         self._newest_version = -1
         self._newest_state: read_cache.Row | None = None
+        self._zone_records = zone_records.ZoneRecords()
 
     @property
     def era(self) -> int:
@@ -89,9 +92,12 @@
             read_server.Topic.STATE, NO_POSITION, FULL_READ_TIMEOUT_MS
         )
         if answer is not None and answer.rows:
-            return self._state_read(answer)
+            zones = zone_records.whole(self._zone_records.zones)
+            return attrs.evolve(self._state_read(answer), evacuations=zones)
         with self._reading(read_server.Topic.STATE) as began_ms:
             read = await self._platform.read_state(self._report_arriving)
+        zones = zone_records.whole(read.evacuations.zones)
+        read = attrs.evolve(read, evacuations=zones)
         self._publish_state(read, began_ms)
         return read
 
@@ -117,7 +123,7 @@
             read = await self._platform.wait_state(
                 position, left_ms, self._report_arriving
             )
-        if not read.record:
+        if not read.has_records:
             began_ms = freshness.confirmed_as_of_ms(
                 began_ms, left_ms, self._clock.boottime_ms()
             )
@@ -235,6 +241,10 @@
                     self._back_off(topic, instance_id, str(error))
                     continue
                 match answer:
+                    case messages.SharedRead(evacuated_zones=None) if (
+                        topic is read_server.Topic.STATE
+                    ):
+                        self._back_off(topic, instance_id, NO_ZONES_REASON)
                     case messages.SharedRead():
                         return self._accept_answer(
                             topic, answer, position, asked_ms
@@ -283,8 +293,17 @@
         reached = max(position, answer.position)
         self._era = max(self._era, positions.era_of(reached))
         began_ms = asked_ms - answer.age_ms
-        self._server.publish(topic, rows, reached, answer.is_whole, began_ms)
-        return shared_rows.Answer(rows, reached, answer.is_whole, began_ms)
+        zones = zone_records.ZoneChanges()
+        cached = rows
+        if answer.evacuated_zones is not None:
+            zones = self._zone_records.apply(
+                zone_records.whole(answer.evacuated_zones), answer.position
+            )
+            cached = (*rows, shared_rows.zones_row(self._zone_records.zones))
+        self._server.publish(topic, cached, reached, answer.is_whole, began_ms)
+        return shared_rows.Answer(
+            rows, reached, answer.is_whole, began_ms, zones
+        )
 
     async def _exchange(
         self,
@@ -330,6 +349,9 @@
         if read.state is not None:
             row = shared_rows.state_row(read.record)
             rows = [self._keep_newest(read.state.version, row)]
+        self._zone_records.apply(read.evacuations, read.position)
+        if self._zone_records.position is not None:
+            rows.append(shared_rows.zones_row(self._zone_records.zones))
         self._server.publish(
             read_server.Topic.STATE, rows, read.position, False, began_ms
         )
--- a/sycamorebeam/forwarding/shared_rows.py
+++ b/sycamorebeam/forwarding/shared_rows.py
@@ -12,8 +12,10 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import read_cache
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.evacuation import zone_records
 
 STATE_KEY = 'state'
+ZONES_KEY = 'evacuated_zones'
 
 
 @attrs.frozen
@@ -24,6 +26,9 @@
     position: int
     is_whole: bool
     began_ms: int
+    evacuations: zone_records.ZoneChanges = attrs.field(
+        factory=zone_records.ZoneChanges
+    )
 
 
 def state_row(record: bytes) -> read_cache.Row:
@@ -39,10 +44,23 @@
     for row in answer.rows:
         state = decode(zlib.decompress(row.record))
     return followers.StateRead(
-        state, answer.position, as_of_ms=answer.began_ms
+        state,
+        answer.position,
+        as_of_ms=answer.began_ms,
+        evacuations=answer.evacuations,
     )
 
 
+def zones_row(zones: Iterable[str]) -> read_cache.Row:
+    """Return the row of all zones that the operator's records name."""
+    return read_cache.Row(ZONES_KEY, msgpack.packb(sorted(zones)))
+
+
+def decode_zones(record: bytes | None) -> list[str] | None:
+    """Return the zones in the record of their row, None without one."""
+    return None if record is None else list(msgpack.unpackb(record))
+
+
 def targets_read(answer: Answer) -> followers.TargetsRead:
     """Return the targets' entries in an answer, as a read of the store."""
     return followers.TargetsRead(
--- a/sycamorebeam/forwarding/target_directory.py
+++ b/sycamorebeam/forwarding/target_directory.py
@@ -37,6 +37,7 @@
         self._leaving_incarnations: dict[str, int] = {}
         self._removed_incarnations: dict[str, int] = {}
         self._recovered_ms: int | None = None
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._by_service: dict[str, list[model.Target]] | None = None
         self._last_read_ms: int | None = None
 
@@ -51,7 +52,7 @@
         return self._targets
 
     def get(self, target_id: str) -> model.Target | None:
-        """Return a target, None if it is unknown, draining or leaving."""
+        """Return a target, None if it is unknown or accepts no requests."""
         target = self._targets.get(target_id)
         if target is None or not self._accepts_work(target):
             return None
@@ -65,6 +66,26 @@
         self._by_service = None
         return True
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Set the zones in which targets accept no requests."""
+        self._evacuated_zones = zones
+        self._by_service = None
+
+    def is_evacuated(self, target_id: str) -> bool:
+        """Whether a known target is in an evacuated zone."""
+        target = self._targets.get(target_id)
+        return (
+            target is not None
+            and target.availability_zone in self._evacuated_zones
+        )
+
+    def count_in_zone(self, zone: str) -> int:
+        """Return the number of known targets in a zone."""
+        return sum(
+            target.availability_zone == zone
+            for target in self._targets.values()
+        )
+
     def usable(self, service: str) -> list[model.Target]:
         """Return the targets of a service that accept requests."""
         if self._by_service is None:
@@ -193,6 +214,8 @@
         last_leaving = self._leaving_incarnations.get(target.target_id)
         if last_leaving is not None and target.incarnation <= last_leaving:
             return False
+        if target.availability_zone in self._evacuated_zones:
+            return False
         return not target.is_draining
 
     def _may_have_lapsed(self, now_ms: int) -> bool:
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -286,6 +286,10 @@
 
     The read began ``age_ms`` before the request arrived; the age is negative
     when it began later. ``is_whole`` means all rows, not only changed ones.
+    ``evacuated_zones`` are all zones that the operator's records name at the
+    position; None if the sender's version does not know them, and for other
+    parts of the store. They are no rows, since older versions take all rows
+    for desired states.
     """
 
     call_id: int
@@ -293,6 +297,7 @@
     is_whole: bool
     rows: list[list[Any]]
     age_ms: int
+    evacuated_zones: list[str] | None = None
 
 
 @attrs.frozen
--- a/sycamorebeam/platform/store_platform.py
+++ b/sycamorebeam/platform/store_platform.py
@@ -12,12 +12,14 @@
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import positions
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.evacuation import zone_records
 from sycamorebeam.platform import desired_state
 from sycamorebeam.platform import json_records
 from sycamorebeam.platform import store_client
 from sycamorebeam.platform import target_records
 
 STATE_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'  # followed by the name of a zone
 
 
 class StorePlatform:
@@ -36,7 +38,8 @@
     ) -> followers.StateRead:
         """Return the newest desired state."""
         topic = store_client.OPERATOR_TOPIC
-        return self._newest_state(await self._read_newest(topic, on_arriving))
+        records = await self._read_newest(topic, on_arriving)
+        return self._newest_state(records, is_whole=True)
 
     async def wait_state(
         self,
@@ -47,7 +50,8 @@
         """Return a state after a position, waiting up to ``wait_ms``."""
         topic = store_client.OPERATOR_TOPIC
         return self._newest_state(
-            await self._read(topic, position, wait_ms, on_arriving)
+            await self._read(topic, position, wait_ms, on_arriving),
+            is_whole=False,
         )
 
     async def read_targets(self) -> followers.TargetsRead:
@@ -125,18 +129,29 @@
         await self._append(store_client.BLOCKS_TOPIC, part_id, b'')
 
     def _newest_state(
-        self, records: store_client.Records
+        self, records: store_client.Records, *, is_whole: bool
     ) -> followers.StateRead:
-        """Return the newest state that can be decoded."""
+        """Return the newest state that can be decoded, and the zones."""
+        zones = zone_records.ZoneChanges(
+            {
+                record.key.removeprefix(EVACUATION_PREFIX): bool(record.value)
+                for record in records.items
+                if record.key.startswith(EVACUATION_PREFIX)
+            },
+            is_whole,
+        )
         for record in reversed(records.items):
             if record.key != STATE_KEY or not record.value:
                 continue
             state = self.decode_state(record.value)
             if state is not None:
                 return followers.StateRead(
-                    state, _position(records), record.value
+                    state,
+                    _position(records),
+                    record.value,
+                    evacuations=zones,
                 )
-        return followers.StateRead(None, _position(records))
+        return followers.StateRead(None, _position(records), evacuations=zones)
 
     async def _append(self, topic: str, key: str, value: bytes) -> None:
         try:
--- a/tests/forwarding/test_store_copies.py
+++ b/tests/forwarding/test_store_copies.py
@@ -20,6 +20,7 @@
 from sycamorebeam.forwarding import store_outage
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding.evacuation import evacuations
 from sycamorebeam.platform import store_client
 from sycamorebeam.platform import store_platform
 from tests import base
@@ -230,6 +231,7 @@
                 self.state,
                 self.lease,
                 self.recovery,
+                evacuations.Evacuations(target_directory.TargetDirectory()),
             ).follow()
         )
 
