Check the zone of a target again right before each send

Cause: a request waits for its placement, a permit and a connection after its target was chosen, and a stage call for a permit and a connection. Its zone may be evacuated meanwhile. Change: send_checks stops the send once the connection is open. An attempt also checks after the placement and the permit, and then chooses another target without running its stages again. A target in an evacuated zone does not count as unreachable. The fake client of test_platform_formats takes the check, as Upstream.open does. Ruled out: checks in stage_owner and send_permits, which would not cover the time to connect; refusing frees of results in the zone. Measured: the test of the checks fails without them. The check between a permit and the connection has no test of its own.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -41,6 +41,7 @@
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.evacuation import evacuations
+from sycamorebeam.forwarding.evacuation import send_checks
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 METRICS_CONTENT_TYPE = 'text/plain'
@@ -108,7 +109,9 @@
             self._clock,
             self._directory,
             self._state.service,
-            adapter.stage_calls,
+            send_checks.CheckedStageCalls(
+                adapter.stage_calls, self._directory
+            ),
             self._budgets,
             self._metrics,
             self._chooser.round_trip_ms,
--- a/sycamorebeam/forwarding/platform_adapter.py
+++ b/sycamorebeam/forwarding/platform_adapter.py
@@ -5,8 +5,8 @@
 from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import frontend
 from sycamorebeam.forwarding import record_platform
-from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.evacuation import send_checks
 
 
 @attrs.frozen(kw_only=True)
@@ -16,5 +16,5 @@
     platform: record_platform.RecordPlatform
     decode_request: frontend.Decoder
     codec: calls.Codec
-    stage_calls: stages.StageCalls
+    stage_calls: send_checks.GuardedStageCalls
     client: upstream.Upstream
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -1,7 +1,6 @@
 """Attempts at targets: choice of the target, exchange, relay of the answer."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 
@@ -23,6 +22,7 @@
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.evacuation import send_checks
 
 MIN_REMAINING_MS = 20  # no target can serve a request in less
 # A stream that goes on for this long after its first event has not crashed
@@ -51,7 +51,6 @@
     ) -> None:
         self._clock = clock
         self._state = state
-        self._lease = lease
         self._directory = directory
         self._chooser = chooser
         self._prompt_placer = prompt_placer
@@ -61,6 +60,9 @@
         self._permits = permits
         self._crashing_prompts = crashing_prompts
         self._metrics = metrics
+        self._send_checks = send_checks.SendChecks(
+            clock, lease, directory, feedback_handler
+        )
 
     def pick_target(
         self, call: calls.Call, refused: Collection[str] = ()
@@ -150,7 +152,8 @@
         match outcome:
             case calls.NotSent():
                 call.excluded.add(target.target_id)
-                stats.record_unreachable(now_ms)
+                if not self._directory.is_evacuated(target.target_id):
+                    stats.record_unreachable(now_ms)
             case calls.Declined():
                 call.excluded.add(target.target_id)
             case calls.Broken():
@@ -209,7 +212,10 @@
             target = await self._choose_target(
                 call, results, first_choice, refused
             )
-            if target is None or await self._permits.acquire(target):
+            if target is None or (
+                await self._permits.acquire(target)
+                and not self._directory.is_evacuated(target.target_id)
+            ):
                 return target
             self._prompt_placer.remove(call.request.attempt_id)
             refused.add(target.target_id)
@@ -275,7 +281,7 @@
                 call.request.path,
                 headers,
                 call.request.body or None,
-                self._new_send_check(call, target),
+                self._send_checks.of_request(call, target),
             )
         except upstream.NotSentError as error:
             return calls.NotSent(str(error))
@@ -289,25 +295,6 @@
         finally:
             answer.close()
 
-    def _new_send_check(
-        self, call: calls.Call, target: model.Target
-    ) -> Callable[[], None]:
-        """Return a check of the lease to run once the connection is open.
-
-        The process may have been suspended since the request was admitted.
-        """
-
-        def check() -> None:
-            if call.team is not None and not self._lease.is_valid(
-                self._clock.boottime_ms()
-            ):
-                raise upstream.NotSentError('the desired state is too old')
-            call.sends += 1
-            call.sent_ms = self._clock.monotonic_ms()
-            self._feedback_handler.record_send(target, 'request')
-
-        return check
-
     async def _handle_answer(
         self,
         call: calls.Call,
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -1,5 +1,6 @@
 """Decodes requests and answers, and calls replicas that run stages."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import json
 import math
@@ -150,8 +151,9 @@
         address: str,
         target_id: str,
         items: list[stages.TimedItem],
+        before_send: Callable[[], None] | None = None,
     ) -> stages.CallResult:
-        """Run some items in one call.
+        """Run some items in one call, as ``StageCalls.run``.
 
         Raises upstream.NotSentError and upstream.BrokenError.
         """
@@ -165,6 +167,7 @@
                 ('X-Expected-Instance', target_id),
             ],
             body.encode(),
+            before_send,
         )
         try:
             head = decode_answer_head(answer)
--- a/tests/forwarding/test_evacuation.py
+++ b/tests/forwarding/test_evacuation.py
@@ -1,13 +1,18 @@
 """Tests that targets in evacuated zones get no new work."""
 
 import asyncio
+from unittest import mock
 
 import ddt
 
 from sycamorebeam.forwarding import positions
+from sycamorebeam.forwarding import target_directory
+from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.evacuation import evacuated_zones
+from sycamorebeam.forwarding.evacuation import send_checks
 from sycamorebeam.forwarding.evacuation import zone_records
 from tests import base
+from tests.forwarding import build
 from tests.forwarding import processes
 from tests.forwarding import standin
 from tests.forwarding import test_processes
@@ -53,6 +58,26 @@
         zones.expire(now_ms)
         self.assertEqual(set(expected), set(zones.reasons))
 
+    async def test_a_zone_evacuated_during_a_wait_stops_the_send(self):
+        """Placement, permits and connections take time after the choice."""
+        directory = target_directory.TargetDirectory()
+        target = build.target('t', 'a1')
+        directory.replace([target_directory.TargetEntry('t', target)], 0)
+        other = mock.Mock(run=mock.AsyncMock())
+        calls = send_checks.CheckedStageCalls(other, directory)
+        await calls.run('x:1', 't', [])
+        checks = send_checks.SendChecks(other, other, directory, mock.Mock())
+        for check in (
+            other.run.call_args.args[-1],
+            checks.of_request(mock.Mock(team=None, sends=0), target),
+        ):
+            directory.set_evacuated_zones(frozenset())
+            check()
+            directory.set_evacuated_zones(frozenset({'a1'}))
+            self.assertRaises(upstream.NotSentError, check)
+        self.assertIsNone(directory.get('t'))
+        self.assertEqual([], directory.usable('engine'))
+
 
 class FailureTest(base.NetworkTestCase):
     async def test_zones_reach_all_instances_whatever_they_ask(self):
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -427,7 +427,9 @@
         self.answer = answer
         self.sent = []
 
-    async def open(self, address, method, path, headers, body):
+    async def open(
+        self, address, method, path, headers, body, before_send=None
+    ):
         self.sent.append((address, method, path, headers, json.loads(body)))
         return self.answer
 
