Accept bounds.evacuation_ms in the settings

Cause: a platform that gives this bound has it in its values, and settings with an unknown key are refused. No decision uses it, since records apply as soon as they are read. Ruled out: a default of 5,000 ms, which nothing would read. There is no test of this.

--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -47,6 +47,10 @@
     retry_budget_ratio: float
     retry_budget_extra: float
     budget_window_s: float
+    # Time after the acknowledgement of a zone's record from which the zone's
+    # targets get no requests. Records apply as soon as they are read, so no
+    # decision depends on it.
+    evacuation_ms: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +107,7 @@
             'retry_budget_ratio': checking.Range(0, 10),
             'retry_budget_extra': checking.Range(0, 1_000_000),
             'budget_window_s': checking.Positive(),
+            'evacuation_ms': checking.Positive(),
         },
         CallerLimits: {
             'header_bytes': checking.Positive(),
