Show evacuated zones and requests without a target in the metrics

Cause: an operator who evacuates a zone could not see whether all instances know it, nor whether the other zones have too few targets. Ruled out: a gauge labelled by zone, since the operator's keys are unbounded. Measured: nothing beyond the tests, which read neither metric.

--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -137,6 +137,7 @@
                 return await self._withhold(call, withheld_ms)
             target = self._attempts.pick_target(call)
             if target is None:
+                self._metrics.requests_without_target.inc()
                 return await self._refuse_or_fail(
                     call,
                     'no target is left'
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -289,6 +289,7 @@
                 budgets=self._budgets,
                 limits=self._limits,
                 memory=self._adapter.client.memory,
+                zone_evacuations=self._evacuations,
             ),
         )
 
--- a/sycamorebeam/forwarding/instance_gauges.py
+++ b/sycamorebeam/forwarding/instance_gauges.py
@@ -17,6 +17,7 @@
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
+from sycamorebeam.forwarding.evacuation import evacuations
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +36,7 @@
     budgets: retry_budget.RetryBudgets
     limits: target_limits.TargetLimits
     memory: request_memory.RequestMemory
+    zone_evacuations: evacuations.Evacuations
 
 
 def add(metrics: prometheus_metrics.Metrics, parts: Parts) -> None:
@@ -57,6 +59,11 @@
         'Known targets, those that drain included.',
         lambda: len(parts.directory.targets),
     )
+    add_gauge(
+        'evacuated_zones',
+        'Zones in which targets get no new requests.',
+        lambda: parts.zone_evacuations.count,
+    )
     add_gauge(
         'store_era',
         'How often the store has come back from a copy, as last heard.',
--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -62,6 +62,9 @@
         self.target_crashes = self._counter(
             'target_crashes', 'Crashes of targets with unanswered prompts.'
         )
+        self.requests_without_target = self._counter(
+            'requests_without_target', 'Requests for which no target was left.'
+        )
         self.repeats_denied = self._counter(
             'repeats_denied', 'Repeats beyond the retry budget.'
         )
