--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -42,6 +42,8 @@
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.cold_targets import counted_stage_calls
+from sycamorebeam.forwarding.evacuation import evacuations
+from sycamorebeam.forwarding.evacuation import zone_checks
 from sycamorebeam.forwarding.placement import placement_metrics
 from sycamorebeam.forwarding.placement import timed_placer
 
@@ -67,6 +69,7 @@
             settings.bounds.revocation_ms, settings.bounds.strict_revocation
         )
         self._directory = target_directory.TargetDirectory()
+        self._evacuations = evacuations.Evacuations(self._directory)
         self._chooser = target_choice.TargetChooser(
             settings.availability_zone, settings.region_of_zone
         )
@@ -129,7 +132,11 @@
             self._directory,
             self._state.service,
             counted_stage_calls.CountedStageCalls(
-                adapter.stage_calls, self._cold, self._directory
+                zone_checks.CheckedStageCalls(
+                    adapter.stage_calls, self._directory
+                ),
+                self._cold,
+                self._directory,
             ),
             self._budgets,
             self._metrics,
@@ -234,6 +241,7 @@
                 self._state,
                 self._lease,
                 self._store_recovery,
+                self._evacuations,
             ).follow,
             'targets': followers.TargetsFollower(
                 platform,
@@ -317,6 +325,7 @@
                 memory=self._adapter.client.memory,
                 timed_placer=self._timed_placer,
                 cold=self._cold,
+                zone_evacuations=self._evacuations,
             ),
         )
 
--- a/sycamorebeam/forwarding/instance_gauges.py
+++ b/sycamorebeam/forwarding/instance_gauges.py
@@ -18,6 +18,7 @@
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding.cold_targets import cold_targets
+from sycamorebeam.forwarding.evacuation import evacuations
 from sycamorebeam.forwarding.placement import timed_placer
 
 
@@ -39,6 +40,7 @@
     memory: request_memory.RequestMemory
     timed_placer: timed_placer.TimedPlacer
     cold: cold_targets.ColdTargets
+    zone_evacuations: evacuations.Evacuations
 
 
 def add(metrics: prometheus_metrics.Metrics, parts: Parts) -> None:
@@ -66,6 +68,11 @@
         'Targets that are known to be cold.',
         parts.cold.known_cold_count,
     )
+    metrics.add_gauge(
+        'evacuated_zones',
+        'Zones in which targets get no new requests.',
+        lambda: parts.zone_evacuations.count,
+    )
     add_gauge(
         'store_era',
         'How often the store has come back from a copy, as last heard.',
--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -52,6 +52,10 @@
     reuse_window_s: float | None = None
     cold_overshoot: float | None = None
     cold_tolerance: float | None = None
+    # Time after the acknowledgement of a zone's record from which the zone's
+    # targets get no requests. Records apply as soon as they are read, so no
+    # decision depends on it.
+    evacuation_ms: float | None = None
 
     @property
     def cold_bounds(self) -> rate_shares.Bounds | None:
@@ -120,6 +124,7 @@
             'reuse_window_s': checking.Positive(),
             'cold_overshoot': checking.Range(0, 1_000),
             'cold_tolerance': checking.Range(0, 1_000_000),
+            'evacuation_ms': checking.Positive(),
         },
         CallerLimits: {
             'header_bytes': checking.Positive(),
--- a/sycamorebeam/forwarding/placement/target_selection.py
+++ b/sycamorebeam/forwarding/placement/target_selection.py
@@ -96,6 +96,7 @@
             )
             if target is None or (
                 await self._permits.acquire(target)
+                and not self._directory.is_evacuated(target.target_id)
                 and self._cold.take_direct(target)
             ):
                 return target
--- a/sycamorebeam/forwarding/send_checks.py
+++ b/sycamorebeam/forwarding/send_checks.py
@@ -6,9 +6,11 @@
 from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import freshness
 from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.cold_targets import cold_targets
+from sycamorebeam.forwarding.evacuation import zone_checks
 
 
 class SendChecks:
@@ -18,11 +20,13 @@
         self,
         clock: clocks.Clock,
         lease: freshness.FreshnessLease,
+        directory: target_directory.TargetDirectory,
         feedback_handler: target_feedback.FeedbackHandler,
         cold: cold_targets.ColdTargets,
     ) -> None:
         self._clock = clock
         self._lease = lease
+        self._directory = directory
         self._feedback_handler = feedback_handler
         self._cold = cold
 
@@ -39,6 +43,7 @@
                 self._clock.boottime_ms()
             ):
                 raise upstream.NotSentError('the desired state is too old')
+            zone_checks.check_zone(self._directory, target.target_id)
             self._cold.check_send(target, call.chosen_ms)
             call.sends += 1
             call.sent_ms = self._clock.monotonic_ms()
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -50,6 +50,7 @@
         metrics: prometheus_metrics.Metrics,
     ) -> None:
         self._clock = clock
+        self._directory = directory
         self._chooser = chooser
         self._prompt_placer = prompt_placer
         self._client = client
@@ -58,7 +59,7 @@
         self._crashing_prompts = crashing_prompts
         self._cold = cold
         self._send_checks = send_checks.SendChecks(
-            clock, lease, feedback_handler, cold
+            clock, lease, directory, feedback_handler, cold
         )
         self._metrics = metrics
         self._selection = target_selection.TargetSelection(
@@ -126,7 +127,8 @@
         match outcome:
             case calls.NotSent():
                 call.excluded.add(target.target_id)
-                stats.record_unreachable(now_ms)
+                if not self._directory.is_evacuated(target.target_id):
+                    stats.record_unreachable(now_ms)
             case calls.Declined():
                 call.excluded.add(target.target_id)
             case calls.Broken():
