--- a/sycamorebeam/forwarding/stage_forecast.py
+++ b/sycamorebeam/forwarding/stage_forecast.py
@@ -14,6 +14,11 @@
 MIN_CAPACITY_SHARE = 0.1
 
 
+def call_ms(batching: model.Batching, item_count: int) -> float:
+    """Return the configured duration of a call with that many items."""
+    return batching.call_ms + item_count * batching.item_ms
+
+
 def capacity_per_ms(
     batching: model.Batching,
     paces: Sequence[float],
@@ -28,7 +33,7 @@
     the throughput of some services; ``residence_ms`` is the part of that time
     after the call.
     """
-    full_call_ms = batching.call_ms + batching.max_items * batching.item_ms
+    full_call_ms = call_ms(batching, batching.max_items)
     items_per_ms = batching.max_items * sum(paces) / full_call_ms
     if not mean_result_bytes:
         return items_per_ms
--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -59,6 +59,19 @@
         return self.group.positions[self.index]
 
 
+@attrs.define
+class PendingGroup:
+    """A queued group; ``remaining`` has the items that no call has taken."""
+
+    group: Group
+    remaining: list[int]
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a call has taken any of the items."""
+        return len(self.remaining) < self.group.size
+
+
 @attrs.frozen(order=True)
 class Urgency:
     """The sort key of groups; the lowest one goes first."""
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -11,11 +11,11 @@
 import itertools
 
 from sycamorebeam import clocks
-from sycamorebeam import telemetry
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import send_permits
+from sycamorebeam.forwarding import stage_call_results
 from sycamorebeam.forwarding import stage_freeing
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_queue
@@ -28,8 +28,6 @@
 from sycamorebeam.forwarding import waiting_groups
 from sycamorebeam.forwarding.regions import region_filter
 
-DECLINED_PAUSE_MS = 60  # between a declined call and the next one
-MEMORY_PAUSE_MS = 150  # results are freed several times a second
 FREE_INTERVAL_MS = 500  # between freeing results if memory is not short
 TICK_MS = 30  # between checks of the queues
 
@@ -70,6 +68,9 @@
             self._start_calls,
         )
         self._waiting = waiting_groups.WaitingGroups()
+        self._call_results = stage_call_results.CallResults(
+            clock, budgets, metrics, self._waiting, self.free
+        )
         self._group_ids = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -97,7 +98,8 @@
         if service is None:
             future.set_result(
                 stages.Failure(
-                    stages.FailureReason.NO_TARGET, DECLINED_PAUSE_MS
+                    stages.FailureReason.NO_TARGET,
+                    stage_call_results.DECLINED_PAUSE_MS,
                 )
             )
             return future
@@ -133,7 +135,8 @@
         service = self._service(announcement.service)
         if service is None:
             return stages.Failure(
-                stages.FailureReason.NO_TARGET, DECLINED_PAUSE_MS
+                stages.FailureReason.NO_TARGET,
+                stage_call_results.DECLINED_PAUSE_MS,
             )
         now_ms = self._clock.monotonic_ms()
         group = stage_groups.from_announcement(
@@ -272,13 +275,13 @@
         target = self._directory.get(replica.target_id)
         if target is None:
             service.end_call(replica, items, has_run=False)
-            self._requeue(service, items)
+            self._call_results.requeue(service, items)
             return
         if not await self._permits.acquire(target):
             service.end_call(replica, items, has_run=False)
             wait_ms = self._permits.wait_ms(target)
             replica.pause(wait_ms, self._clock.monotonic_ms())
-            self._requeue(service, items)
+            self._call_results.requeue(service, items)
             self._start_calls(service)
             return
         began_ms = self._clock.monotonic_ms()
@@ -293,178 +296,32 @@
                 )
         except upstream.NotSentError as error:
             service.end_call(replica, items, has_run=False)
-            self._pause_after_broken_call(service, replica, repr(error))
-            self._requeue(service, items)
+            self._call_results.pause_after_broken_call(
+                service, replica, repr(error)
+            )
+            self._call_results.requeue(service, items)
         except (upstream.BrokenError, TimeoutError) as error:
             service.end_call(replica, items, has_run=False)
-            self._pause_after_broken_call(service, replica, repr(error))
-            self._retry_broken_call(service, items)
+            self._call_results.pause_after_broken_call(
+                service, replica, repr(error)
+            )
+            self._call_results.retry_broken_call(service, items)
         else:
             backoff_ms = self._feedback_handler.handle(target, result.feedback)
             now_ms = self._clock.monotonic_ms()
             replica.pause(backoff_ms, now_ms)
             service.pause_freeing(target.address, backoff_ms, now_ms)
-            self._process_call_result(
+            self._call_results.process(
                 service, replica, items, result, began_ms
             )
         self._start_calls(service)
 
-    def _process_call_result(
-        self,
-        service: stage_service.StageService,
-        replica: stage_replica.Replica,
-        items: list[stage_groups.GroupItem],
-        result: stages.CallResult,
-        began_ms: int,
-    ) -> None:
-        now_ms = self._clock.monotonic_ms()
-        match result:
-            case stages.CallDeclined(is_gone):
-                service.end_call(replica, items, has_run=False)
-                pause_ms = (
-                    stage_service.MIN_BROKEN_PAUSE_MS
-                    if is_gone
-                    else DECLINED_PAUSE_MS
-                )
-                replica.pause(pause_ms, now_ms)
-                self._metrics.stage_calls.labels(
-                    service.name, 'declined'
-                ).inc()
-                self._requeue(service, items)
-            case stages.CallFailed(error):
-                service.end_call(replica, items, has_run=False)
-                self._pause_after_broken_call(service, replica, error)
-                self._retry_broken_call(service, items)
-            case stages.CallCompleted(results):
-                service.end_call(replica, items, has_run=True)
-                service.update_slowness(replica, len(items), began_ms, now_ms)
-                self._report_call(service, replica, items, results, began_ms)
-                for item, item_result in zip(items, results, strict=True):
-                    self._process_item_result(
-                        service, replica, item, item_result
-                    )
-
-    def _report_call(
-        self,
-        service: stage_service.StageService,
-        replica: stage_replica.Replica,
-        items: list[stage_groups.GroupItem],
-        results: tuple[stages.ItemResult, ...],
-        began_ms: int,
-    ) -> None:
-        self._metrics.stage_calls.labels(service.name, 'ran').inc()
-        self._metrics.stage_items.labels(service.name).inc(len(items))
-        telemetry.log_event(
-            'stage_called',
-            service=service.name,
-            target=replica.target_id,
-            items=len(items),
-            made=sum(isinstance(item, stages.Produced) for item in results),
-            took_ms=self._clock.monotonic_ms() - began_ms,
-            waited_ms=began_ms - stage_service.oldest_queued_ms(items),
-            **service.log_fields(replica, items),
-        )
-
-    def _process_item_result(
-        self,
-        service: stage_service.StageService,
-        replica: stage_replica.Replica,
-        item: stage_groups.GroupItem,
-        result: stages.ItemResult,
-    ) -> None:
-        now_ms = self._clock.monotonic_ms()
-        match result:
-            case stages.Produced(result_name):
-                service.results.add(
-                    result_name,
-                    replica,
-                    item.group.result_bytes,
-                    now_ms,
-                    int(service.queue.batching.result_ttl_ms),
-                )
-                if not self._waiting.add_result(item, result_name):
-                    self.free(service.name, [result_name])
-                return
-            case stages.NotProduced(reason):
-                pass
-        replica.held_bytes -= item.group.result_bytes
-        match reason:
-            case stages.FailureReason.NO_MEMORY:
-                replica.pause(MEMORY_PAUSE_MS, now_ms)
-                self._requeue(service, [item])
-            case stages.FailureReason.FAILED:
-                self._retry(service, [item])
-            case _:
-                self._waiting.fail(item.group, reason, 0)
-
-    def _retry_broken_call(
-        self,
-        service: stage_service.StageService,
-        items: list[stage_groups.GroupItem],
-    ) -> None:
-        """Requeue the items of a call, but those that broke several calls."""
-        given_up = self._waiting.record_broken_call(items)
-        for group in given_up:
-            self._waiting.fail(
-                group,
-                stages.FailureReason.FAILED,
-                stage_service.MIN_BROKEN_PAUSE_MS,
-            )
-        self._retry(
-            service, [item for item in items if item.group not in given_up]
-        )
-
-    def _retry(
-        self,
-        service: stage_service.StageService,
-        items: list[stage_groups.GroupItem],
-    ) -> None:
-        """Requeue items that may have run, within the retry budget."""
-        now_ms = self._clock.monotonic_ms()
-        for item in items:
-            if self._budgets.spend(service.name, now_ms):
-                self._requeue(service, [item])
-            else:
-                self._waiting.fail(
-                    item.group,
-                    stages.FailureReason.FAILED,
-                    stage_service.MIN_BROKEN_PAUSE_MS,
-                )
-
-    def _requeue(
-        self,
-        service: stage_service.StageService,
-        items: list[stage_groups.GroupItem],
-    ) -> None:
-        for item in items:
-            if self._waiting.is_waiting(item.group):
-                service.queue.requeue(item)
-
     def _remove_group(
         self, service: stage_service.StageService, group: stage_groups.Group
     ) -> None:
         service.queue.cancel(group.group_id)
         self.free(service.name, self._waiting.remove(group))
 
-    def _pause_after_broken_call(
-        self,
-        service: stage_service.StageService,
-        replica: stage_replica.Replica,
-        error: str,
-    ) -> None:
-        pause_ms = service.pause_after_broken_call(
-            replica, self._clock.monotonic_ms()
-        )
-        self._metrics.stage_calls.labels(service.name, 'broken').inc()
-        telemetry.log_event(
-            'stage_call_broken',
-            'WARNING',
-            service=service.name,
-            target=replica.target_id,
-            error=error,
-            pause_ms=pause_ms,
-        )
-
     def _start_task(self, work: object) -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
         self._tasks.add(task)
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -5,13 +5,12 @@
 clock: callers pass in the replicas and the time.
 """
 
-from collections import Counter
-
 import attrs
 
 from sycamorebeam.forwarding import announced_groups
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import rates
+from sycamorebeam.forwarding import stage_eligibility
 from sycamorebeam.forwarding import stage_forecast
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_replica
@@ -19,9 +18,6 @@
 # A burst shows in the arrival rate within about a second.
 ARRIVAL_TIME_CONSTANT_MS = 1_500.0
 RESIDENCE_WEIGHT = 0.02  # of one result; some dozens are freed a second
-# A replica whose calls take more than this multiple of their configured
-# duration gets only the items that the others' next calls have no place for.
-SLOW_FACTOR = 1.8
 MIN_RETRY_AFTER_MS = 200.0  # the caller's round trip dominates below this
 NO_REPLICA_RETRY_MS = 300.0  # a replacement is listed within a second
 
@@ -38,23 +34,12 @@
     retry_after_ms: float
 
 
-@attrs.define
-class _PendingGroup:
-    group: stage_groups.Group
-    remaining: list[int]
-
-    @property
-    def is_started(self) -> bool:
-        """Whether a call has taken any of the items."""
-        return len(self.remaining) < self.group.size
-
-
 class StageQueue:
     """Holds the groups whose items wait for calls, and admits new groups."""
 
     def __init__(self, batching: model.Batching) -> None:
         self._batching = batching
-        self._pending: dict[int, _PendingGroup] = {}
+        self._pending: dict[int, stage_groups.PendingGroup] = {}
         self._announced = announced_groups.AnnouncedGroups()
         self._arrivals: dict[int, rates.DecayingRate] = {}
         self._residence_ms = 0.0
@@ -87,7 +72,7 @@
 
     def call_ms(self, item_count: int) -> float:
         """Return the configured duration of a call with that many items."""
-        return self._batching.call_ms + item_count * self._batching.item_ms
+        return stage_forecast.call_ms(self._batching, item_count)
 
     def submit(
         self,
@@ -106,7 +91,7 @@
         self._arrivals.setdefault(
             group.rank, rates.DecayingRate(ARRIVAL_TIME_CONSTANT_MS)
         ).add(group.size, now_ms)
-        self._pending[group.group_id] = _PendingGroup(
+        self._pending[group.group_id] = stage_groups.PendingGroup(
             group, list(range(group.size))
         )
         return Accepted()
@@ -160,7 +145,7 @@
     def requeue(self, item: stage_groups.GroupItem) -> None:
         """Queue an item again that its call did not produce."""
         pending = self._pending.setdefault(
-            item.group.group_id, _PendingGroup(item.group, [])
+            item.group.group_id, stage_groups.PendingGroup(item.group, [])
         )
         pending.remaining.append(item.index)
 
@@ -215,11 +200,13 @@
     ) -> list[stage_groups.GroupItem]:
         """Remove and return the items of the next call of a free replica."""
         ordered = self._by_urgency(now_ms)
-        eligible = self._eligible_groups(ordered, replica, replicas, now_ms)
+        eligible = stage_eligibility.eligible_groups(
+            self._batching, ordered, replica, replicas, now_ms
+        )
         places = self._batching.max_items
         free_bytes = self._batching.memory_bytes - replica.held_bytes
         taken: list[stage_groups.GroupItem] = []
-        partial: _PendingGroup | None = None
+        partial: stage_groups.PendingGroup | None = None
         for pending in eligible:
             fitting_count = self._count_fitting(
                 pending.group, places, free_bytes
@@ -247,91 +234,7 @@
             return places
         return min(places, max(0, int(free_bytes / group.result_bytes)))
 
-    def _eligible_groups(
-        self,
-        ordered: list[_PendingGroup],
-        replica: stage_replica.Replica,
-        replicas: list[stage_replica.Replica],
-        now_ms: int,
-    ) -> list[_PendingGroup]:
-        """Return the groups that a replica may run, most urgent first.
-
-        A slow replica runs only what the next calls of the others have no
-        place for. A group waits for a replica in its own zone while it can
-        afford to and the next calls there have places and memory for it.
-        """
-        ordered = [
-            pending
-            for pending in ordered
-            if pending.group.may_run_in(replica.zone)
-        ]
-        if replica.slowness > SLOW_FACTOR:
-            return self._overflow_groups(ordered, replica, replicas)
-        places: Counter[str] = Counter()
-        zone_free_bytes: Counter[str] = Counter()
-        free_in_ms: dict[str, int] = {}
-        for other in replicas:
-            if other.slowness <= SLOW_FACTOR:
-                other_free_in_ms = other.free_in_ms(now_ms)
-                known_free_in_ms = free_in_ms.get(other.zone, other_free_in_ms)
-                free_in_ms[other.zone] = min(
-                    known_free_in_ms, other_free_in_ms
-                )
-                places[other.zone] += self._batching.max_items
-                free_bytes = self._batching.memory_bytes - other.held_bytes
-                zone_free_bytes[other.zone] += max(0, int(free_bytes))
-        eligible = []
-        for pending in ordered:
-            zone = pending.group.zone
-            needed_bytes = int(
-                pending.group.result_bytes * len(pending.remaining)
-            )
-            if (
-                zone != replica.zone
-                and places[zone] >= len(pending.remaining)
-                and zone_free_bytes[zone] >= needed_bytes
-                and self._can_wait(pending.group, free_in_ms[zone], now_ms)
-            ):
-                places[zone] -= len(pending.remaining)
-                zone_free_bytes[zone] -= needed_bytes
-            else:
-                eligible.append(pending)
-        return eligible
-
-    def _overflow_groups(
-        self,
-        ordered: list[_PendingGroup],
-        replica: stage_replica.Replica,
-        replicas: list[stage_replica.Replica],
-    ) -> list[_PendingGroup]:
-        """Return groups that overflow the next calls of faster replicas."""
-        faster_count = sum(
-            other.slowness <= SLOW_FACTOR
-            for other in replicas
-            if other is not replica
-        )
-        places = faster_count * self._batching.max_items
-        overflow = []
-        for pending in ordered:
-            if places <= 0:
-                overflow.append(pending)
-            places -= len(pending.remaining)
-        return overflow
-
-    def _can_wait(
-        self, group: stage_groups.Group, wait_ms: float, now_ms: int
-    ) -> bool:
-        """Whether a group can wait for a full call.
-
-        It must still meet its objective, or end before it expires if the
-        objective is already out of reach.
-        """
-        end_ms = now_ms + wait_ms + self.call_ms(self._batching.max_items)
-        if now_ms + self.call_ms(group.size) > group.objective_ms:
-            return end_ms < group.expiry_ms
-        return end_ms < group.objective_ms
-
-    def _by_urgency(self, now_ms: int) -> list[_PendingGroup]:
+    def _by_urgency(self, now_ms: int) -> list[stage_groups.PendingGroup]:
         return sorted(
             self._pending.values(),
             key=lambda pending: self._urgency(
@@ -358,7 +261,7 @@
         )
 
     def _take_items(
-        self, pending: _PendingGroup, count: int
+        self, pending: stage_groups.PendingGroup, count: int
     ) -> list[stage_groups.GroupItem]:
         taken, pending.remaining = (
             pending.remaining[:count],
