Serve what can be in time first while replicas report a pace

Cause: under the heaviest recorded load half of the served medium prompts were late: rank goes before lateness, requests expected late by up to a fifth of the objective are admitted, and groups wait for the zone of their data while 600 items wait; the assumed engine start is 150 ms for medians of 66 and 200 ms. Change: package stage_admission: timely groups go before late ones of any rank, late ones are admitted only if their caller returns and spare capacity is left, empty places are filled from other zones while the waiting items exceed 0.3 of all places, the engine start is the median of each route. The owner decides, since only it sees the pace in answers to stage calls; the requester sends both limits. Without a pace the decisions are today's.

--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -13,8 +13,10 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import routing
+from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_attempts
+from sycamorebeam.forwarding.stage_admission import engine_starts
 
 # Failed connections don't count as attempts, but each delays the caller.
 MAX_CONNECT_FAILURES = 4
@@ -51,7 +53,8 @@
         self._producer = producer
         self._attempts = attempts
         self._metrics = metrics
-        self._stage_delays = preparation.StageDelays()
+        self._stage_delays = stage_deadlines.StageDelays()
+        self._engine_starts = engine_starts.EngineStarts()
         self._elapsed_times = elapsed_times.ElapsedTimes()
         self._limits = request_limits.RequestLimits()
 
@@ -225,6 +228,9 @@
             self._stage_delays,
             call.rank,
             call.allowed_regions,
+            self._engine_starts.expected_ms(
+                call.route.name, preparation.ENGINE_START_MS
+            ),
         )
 
     async def _run_stages(
@@ -236,16 +242,12 @@
         if prepared is None:
             return None
         route = call.route
-        arrived_ms = call.request.arrived_ms
-        objective_ms = int(route.latency_objective_ms) - call.elapsed_ms
-        abandoned_ms = arrived_ms + int(route.first_event_timeout_ms)
-        expiry_ms = min(call.deadline.at_ms, abandoned_ms)
-        tolerance = 1 + preparation.TOLERANCE_SHARE
-        accept_by_ms = arrived_ms + int(objective_ms * tolerance)
-        deadlines = preparation.Deadlines(
-            objective_ms=arrived_ms + objective_ms,
-            accept_by_ms=expiry_ms if call.is_caller_retry else accept_by_ms,
-            expiry_ms=expiry_ms,
+        deadlines = stage_deadlines.deadlines_of(
+            route,
+            call.request.arrived_ms,
+            call.elapsed_ms,
+            call.deadline.at_ms,
+            is_retry=call.is_caller_retry,
         )
         try:
             return await prepared.run(target.availability_zone, deadlines)
@@ -335,6 +337,10 @@
         self._metrics.requests.labels(kind, outcome).inc()
         self._metrics.request_seconds.labels(kind).observe(took_ms / 1000)
         if call.begun_ms is not None:
+            if call.sent_ms is not None and call.sends == 1:
+                self._engine_starts.record(
+                    call.route.name, call.begun_ms - call.sent_ms
+                )
             begun_s = (call.begun_ms - arrived_ms) / 1000
             self._metrics.first_event_seconds.observe(begun_s)
         telemetry.log_event(
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -141,6 +141,20 @@
 NO_FEEDBACK = Feedback()
 
 
+@attrs.frozen
+class Load:
+    """The load that a target reports along with an answer.
+
+    ``pace`` is how long work takes on its machine now; 100 is the usual
+    value, None if the target reports no pace.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Target:
     """One replica of a service, as in the last record that it wrote."""
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -5,24 +5,15 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-import attrs
-
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import model
-from sycamorebeam.forwarding import rates
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding.regions import region_filter
 
 # From a request to an engine to its first event, at usual load.
 ENGINE_START_MS = 150
-# Stages that recently took longer than their calls are expected to do so for
-# about this time.
-EXCESS_TIME_CONSTANT_MS = 1_500.0
-NEWEST_WEIGHT = 0.3  # of the newest sample in the expected excess
-# Requests expected to exceed their objective by up to this share of it are
-# accepted: estimates are no more accurate than that.
-TOLERANCE_SHARE = 0.2
 
 ServiceLookup = Callable[[str], model.Service | None]
 # Maps the position of a stage to its duration in milliseconds.
@@ -59,40 +50,6 @@
         ...
 
 
-@attrs.frozen(kw_only=True)
-class Deadlines:
-    """Limits for the results of a request, on the monotonic clock.
-
-    After ``expiry_ms`` results are useless. A request whose results are
-    expected after ``accept_by_ms`` is not begun.
-    """
-
-    objective_ms: int
-    accept_by_ms: int
-    expiry_ms: int
-
-
-class StageDelays:
-    """Average time of stages beyond their own call, by service and rank."""
-
-    def __init__(self) -> None:
-        self._excess: dict[tuple[str, int], rates.DecayingExcess] = {}
-
-    def record(
-        self, service: str, rank: int, excess_ms: float, now_ms: int
-    ) -> None:
-        """Add the time that a stage took beyond its own call."""
-        self._excess.setdefault(
-            (service, rank),
-            rates.DecayingExcess(EXCESS_TIME_CONSTANT_MS, NEWEST_WEIGHT),
-        ).add(excess_ms, now_ms)
-
-    def excess_ms(self, service: str, rank: int, now_ms: int) -> float:
-        """Return the expected time of a stage beyond its own call."""
-        excess = self._excess.get((service, rank))
-        return 0.0 if excess is None else excess.value_ms(now_ms)
-
-
 class Preparation:
     """Runs the stages of one request and keeps their results until used."""
 
@@ -103,9 +60,10 @@
         request: requests.CallerRequest,
         route_stages: Sequence[model.Stage],
         find_service: ServiceLookup,
-        stage_delays: StageDelays,
+        stage_delays: stage_deadlines.StageDelays,
         rank: int,
         allowed: region_filter.AllowedRegions = None,
+        engine_start_ms: float = ENGINE_START_MS,
     ) -> None:
         self._producer = producer
         self._clock = clock
@@ -115,6 +73,7 @@
         self._stage_delays = stage_delays
         self._rank = rank
         self._allowed_regions = allowed
+        self._engine_gain_ms = int(ENGINE_START_MS - engine_start_ms)
         self._stage_tasks: list[asyncio.Task[tuple[str, ...]]] = []
         self._held_results: dict[int, tuple[str, ...]] = {}
         self._durations_ms: dict[int, int] = {}
@@ -126,7 +85,7 @@
         return self._durations_ms
 
     async def run(
-        self, zone: str, deadlines: Deadlines
+        self, zone: str, deadlines: stage_deadlines.Deadlines
     ) -> tuple[str, ...] | stages.Failure:
         """Return the results of the final stages.
 
@@ -160,7 +119,9 @@
         for position in list(self._held_results):
             self._free_stage(position)
 
-    async def _announce(self, position: int, deadlines: Deadlines) -> None:
+    async def _announce(
+        self, position: int, deadlines: stage_deadlines.Deadlines
+    ) -> None:
         """Announce the items of a later stage to the owner of its queue.
 
         Raises _StageError when they are refused, so that no stage runs for
@@ -185,6 +146,11 @@
                 - now_ms,
                 expires_in_ms=request.expires_in_ms,
                 allowed_regions=self._allowed_regions,
+                in_time_within_ms=deadlines.objective_ms
+                - remaining_ms
+                - now_ms,
+                engine_gain_ms=self._engine_gain_ms,
+                is_retry=deadlines.is_retry,
             )
         )
         if failure is not None and position in self._announced:
@@ -201,7 +167,7 @@
         self._announced.clear()
 
     async def _run_stage(
-        self, position: int, zone: str, deadlines: Deadlines
+        self, position: int, zone: str, deadlines: stage_deadlines.Deadlines
     ) -> tuple[str, ...]:
         stage = self._stages[position]
         inputs: list[str] = []
@@ -261,7 +227,7 @@
         position: int,
         inputs: tuple[str, ...],
         zone: str,
-        deadlines: Deadlines,
+        deadlines: stage_deadlines.Deadlines,
         now_ms: int,
     ) -> stages.StageRequest:
         stage = self._stages[position]
@@ -296,6 +262,11 @@
             ),
             positions=tuple(range(self._item_count(position))),
             allowed_regions=self._allowed_regions,
+            in_time_within_ms=None
+            if stage.after
+            else deadlines.objective_ms - remaining_ms - now_ms,
+            engine_gain_ms=self._engine_gain_ms,
+            is_retry=deadlines.is_retry,
         )
 
     def _free_consumed(self) -> None:
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides between the groups that contend for a stage service."""
--- a/sycamorebeam/forwarding/stage_call_results.py
+++ b/sycamorebeam/forwarding/stage_call_results.py
@@ -60,7 +60,10 @@
                 service.end_call(replica, items, has_run=False)
                 self.pause_after_broken_call(service, replica, error)
                 self.retry_broken_call(service, items)
-            case stages.CallCompleted(results):
+            case stages.CallCompleted(results, load=load):
+                service.queue.admission.record_load(
+                    replica.target_id, load, now_ms
+                )
                 service.end_call(replica, items, has_run=True)
                 service.update_slowness(replica, len(items), began_ms, now_ms)
                 self._report_call(service, replica, items, results, began_ms)
--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -13,7 +13,9 @@
     ``expiry_ms`` they are of no use. While other items wait, the group is
     accepted only if it is expected by ``accept_by_ms``. Calls in ``zone`` move
     the least data; it is empty if all zones are equal in that. Only replicas
-    in ``allowed_zones`` may run the items; None allows all zones.
+    in ``allowed_zones`` may run the items; None allows all zones. If
+    ``in_time_ms`` is set, a group expected later is served only from capacity
+    that no other group can use in time.
     """
 
     group_id: int
@@ -27,6 +29,8 @@
     work: stages.Work
     positions: tuple[int, ...]
     allowed_zones: frozenset[str] | None = None
+    in_time_ms: int | None = None
+    is_retry: bool = False
 
     @property
     def size(self) -> int:
@@ -76,6 +80,7 @@
 class Urgency:
     """The sort key of groups; the lowest one goes first."""
 
+    yields: bool
     rank: int
     misses_objective: bool
     is_unstarted: bool
@@ -103,6 +108,8 @@
         work=request.work,
         positions=request.positions,
         allowed_zones=allowed_zones,
+        in_time_ms=_in_time_ms(request, now_ms),
+        is_retry=request.is_retry,
     )
 
 
@@ -127,4 +134,13 @@
         ),
         positions=tuple(range(announcement.items)),
         allowed_zones=allowed_zones,
+        in_time_ms=_in_time_ms(announcement, now_ms),
+        is_retry=announcement.is_retry,
     )
+
+
+def _in_time_ms(
+    source: stages.StageRequest | stages.Announcement, now_ms: int
+) -> int | None:
+    within_ms = source.in_time_within_ms
+    return None if within_ms is None else now_ms + within_ms
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -27,6 +27,7 @@
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding import waiting_groups
 from sycamorebeam.forwarding.regions import region_filter
+from sycamorebeam.forwarding.stage_admission import policy as admission_policy
 
 FREE_INTERVAL_MS = 500  # between freeing results if memory is not short
 TICK_MS = 30  # between checks of the queues
@@ -47,8 +48,10 @@
         region_of_zone: Mapping[str, str],
         feedback_handler: target_feedback.FeedbackHandler,
         permits: send_permits.SendPermits,
+        policy: admission_policy.Policy = admission_policy.Policy(),  # noqa: B008
     ) -> None:
         self._clock = clock
+        self._policy = policy
         self._round_trip_ms = round_trip_ms
         self._region_of_zone = region_of_zone
         self._feedback_handler = feedback_handler
@@ -105,7 +108,7 @@
             return future
         now_ms = self._clock.monotonic_ms()
         group = stage_groups.from_request(
-            request,
+            service.queue.admission.adjusted(request, now_ms),
             next(self._group_ids),
             self._preferred_zone(request),
             self._allowed_zones(request.allowed_regions),
@@ -140,7 +143,7 @@
             )
         now_ms = self._clock.monotonic_ms()
         group = stage_groups.from_announcement(
-            announcement,
+            service.queue.admission.adjusted(announcement, now_ms),
             next(self._group_ids),
             self._allowed_zones(announcement.allowed_regions),
             now_ms,
@@ -210,7 +213,7 @@
             return None
         service = self._services.get(name)
         if service is None:
-            queue = stage_queue.StageQueue(definition.batching)
+            queue = stage_queue.StageQueue(definition.batching, self._policy)
             service = self._services[name] = stage_service.StageService(
                 name, queue
             )
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -14,6 +14,8 @@
 from sycamorebeam.forwarding import stage_forecast
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_replica
+from sycamorebeam.forwarding.stage_admission import contention
+from sycamorebeam.forwarding.stage_admission import policy as admission_policy
 
 # A burst shows in the arrival rate within about a second.
 ARRIVAL_TIME_CONSTANT_MS = 1_500.0
@@ -37,8 +39,13 @@
 class StageQueue:
     """Holds the groups whose items wait for calls, and admits new groups."""
 
-    def __init__(self, batching: model.Batching) -> None:
+    def __init__(
+        self,
+        batching: model.Batching,
+        policy: admission_policy.Policy = admission_policy.Policy(),  # noqa: B008
+    ) -> None:
         self._batching = batching
+        self._admission = contention.Contention(policy)
         self._pending: dict[int, stage_groups.PendingGroup] = {}
         self._announced = announced_groups.AnnouncedGroups()
         self._arrivals: dict[int, rates.DecayingRate] = {}
@@ -49,6 +56,11 @@
         """How long replicas keep a result after its call, as an average."""
         return self._residence_ms
 
+    @property
+    def admission(self) -> contention.Contention:
+        """Decides between groups while replicas report their pace."""
+        return self._admission
+
     def record_residence(self, kept_ms: float) -> None:
         """Add to the average how long a result was kept after its call."""
         change_ms = kept_ms - self._residence_ms
@@ -135,13 +147,38 @@
         expected_end_ms = self._expected_end_ms(
             group, replicas, arrives_ms, now_ms
         )
-        is_busy = self._pending or self._announced
+        is_busy = bool(self._pending or self._announced)
+        if is_busy and self._admission.is_strict(group, now_ms):
+            return self._check_timely_admission(
+                group, expected_end_ms, replicas, arrives_ms, now_ms
+            )
         limit_ms = group.accept_by_ms if is_busy else group.expiry_ms
         if expected_end_ms <= limit_ms:
             return None
         excess_ms = expected_end_ms - limit_ms
         return Rejected(max(MIN_RETRY_AFTER_MS, excess_ms))
 
+    def _check_timely_admission(
+        self,
+        group: stage_groups.Group,
+        expected_end_ms: float,
+        replicas: list[stage_replica.Replica],
+        arrives_ms: int,
+        now_ms: int,
+    ) -> Rejected | None:
+        late_end_ms = expected_end_ms
+        if group.is_retry:
+            last = attrs.evolve(group, objective_ms=now_ms)
+            late_end_ms = self._expected_end_ms(
+                last, replicas, arrives_ms, now_ms
+            )
+        retry_after_ms = self._admission.refusal_ms(
+            group, expected_end_ms, late_end_ms
+        )
+        if retry_after_ms is None:
+            return None
+        return Rejected(max(MIN_RETRY_AFTER_MS, retry_after_ms))
+
     def requeue(self, item: stage_groups.GroupItem) -> None:
         """Queue an item again that its call did not produce."""
         pending = self._pending.setdefault(
@@ -201,7 +238,16 @@
         """Remove and return the items of the next call of a free replica."""
         ordered = self._by_urgency(now_ms)
         eligible = stage_eligibility.eligible_groups(
-            self._batching, ordered, replica, replicas, now_ms
+            self._batching,
+            ordered,
+            replica,
+            replicas,
+            now_ms,
+            fills_calls=self._admission.fills_calls(
+                self.waiting_item_count,
+                self._batching.max_items * len(replicas),
+                now_ms,
+            ),
         )
         places = self._batching.max_items
         free_bytes = self._batching.memory_bytes - replica.held_bytes
@@ -253,6 +299,7 @@
         end_ms = now_ms + self.call_ms(group.size)
         misses_objective = end_ms > group.objective_ms and not is_started
         return stage_groups.Urgency(
+            misses_objective and self._admission.puts_timely_first(now_ms),
             group.rank,
             misses_objective,
             not is_started,
@@ -353,6 +400,7 @@
         return sum(
             rate.per_ms(now_ms)
             for rank, rate in self._arrivals.items()
-            if rank < own_urgency.rank
+            if own_urgency.yields
+            or rank < own_urgency.rank
             or (rank == own_urgency.rank and own_urgency.misses_objective)
         )
--- a/sycamorebeam/forwarding/stage_streams.py
+++ b/sycamorebeam/forwarding/stage_streams.py
@@ -225,6 +225,9 @@
         inputs=list(work.inputs),
         positions=list(request.positions),
         allowed_regions=region_filter.encode(request.allowed_regions),
+        in_time_within_ms=request.in_time_within_ms,
+        engine_gain_ms=request.engine_gain_ms,
+        is_retry=request.is_retry,
     )
 
 
@@ -247,4 +250,7 @@
         ),
         positions=tuple(message.positions),
         allowed_regions=region_filter.decode(message.allowed_regions),
+        in_time_within_ms=message.in_time_within_ms,
+        engine_gain_ms=message.engine_gain_ms,
+        is_retry=message.is_retry,
     )
--- a/sycamorebeam/forwarding/stages.py
+++ b/sycamorebeam/forwarding/stages.py
@@ -67,6 +67,7 @@
 
     results: tuple[ItemResult, ...]
     feedback: model.Feedback = model.NO_FEEDBACK
+    load: model.Load | None = None
 
 
 @attrs.frozen
@@ -117,7 +118,11 @@
     only if its results are expected within ``accept_within_ms``. ``zone`` is
     the availability zone that the results go to, empty when that is not known
     yet; ``input_bytes`` is the total size of ``work.inputs``. Only replicas
-    in ``allowed_regions`` may run the items.
+    in ``allowed_regions`` may run the items. Where the contention of requests
+    is decided by what can be in time, results are wanted within
+    ``in_time_within_ms`` (None for begun work), and the engine is expected to
+    start ``engine_gain_ms`` sooner than the other durations assume.
+    ``is_retry`` tells that the caller was refused before.
     """
 
     service: str
@@ -131,6 +136,9 @@
     work: Work
     positions: tuple[int, ...]
     allowed_regions: region_filter.AllowedRegions = None
+    in_time_within_ms: int | None = None
+    engine_gain_ms: int = 0
+    is_retry: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -152,6 +160,9 @@
     accept_within_ms: int
     expires_in_ms: int
     allowed_regions: region_filter.AllowedRegions = None
+    in_time_within_ms: int | None = None
+    engine_gain_ms: int = 0
+    is_retry: bool = False
 
 
 @attrs.frozen
--- a/sycamorebeam/peering/messages.py
+++ b/sycamorebeam/peering/messages.py
@@ -139,6 +139,9 @@
     inputs: list[str]
     positions: list[int]
     allowed_regions: list[str] | None = None
+    in_time_within_ms: int | None = None
+    engine_gain_ms: int = 0
+    is_retry: bool = False
 
 
 @attrs.frozen
@@ -160,6 +163,9 @@
     accept_within_ms: int
     expires_in_ms: int
     allowed_regions: list[str] | None = None
+    in_time_within_ms: int | None = None
+    engine_gain_ms: int = 0
+    is_retry: bool = False
 
 
 @attrs.frozen
--- a/sycamorebeam/platform/http_codec.py
+++ b/sycamorebeam/platform/http_codec.py
@@ -179,7 +179,9 @@
             results = _decode_results(data, len(items))
         except (ValueError, KeyError, TypeError) as error:
             return stages.CallFailed(repr(error), head.feedback)
-        return stages.CallCompleted(results, head.feedback)
+        values = {name.lower(): value for name, value in answer.headers}
+        load = _parse_stage_load(values.get('x-instance-load'))
+        return stages.CallCompleted(results, head.feedback, load)
 
     async def free(self, address: str, results: list[str]) -> model.Feedback:
         """Free results; return the feedback in the replica's answer.
@@ -204,6 +206,19 @@
         return result.partition('/')[0]
 
 
+def _parse_stage_load(text: str | None) -> model.Load | None:
+    """Return the load in an answer to a stage call, None if unreadable."""
+    try:
+        counts = (text or '').split(',')
+        running, waiting, slots = (int(part) for part in counts[:3])
+        pace = float(counts[3]) if len(counts) == 4 else None
+    except ValueError:
+        return None
+    if len(counts) > 4 or (pace is not None and not 0 < pace < math.inf):
+        return None
+    return model.Load(running, waiting, slots, pace)
+
+
 def _encode_item(timed_item: stages.TimedItem) -> dict[str, object]:
     work = timed_item.work
     # 'phase' is the stage, 'segment' the item's position in it.
--- /dev/null
+++ b/tests/forwarding/test_stage_admission.py
@@ -0,0 +1,139 @@
+"""Who is served while requests contend for stage services."""
+
+import ddt
+
+from sycamorebeam.forwarding import model
+from sycamorebeam.forwarding import stage_queue
+from sycamorebeam.forwarding import stage_replica
+from sycamorebeam.forwarding.stage_admission import engine_starts
+from sycamorebeam.forwarding.stage_admission import policy
+from tests import base
+from tests.forwarding import build
+from tests.forwarding import contention
+
+PACE = model.Load(1, 0, 1, 100.0)
+NO_PACE = model.Load(1, 0, 1)
+
+
+def new_queue(load, now_ms=0, **fields):
+    queue = stage_queue.StageQueue(build.batching(), policy.Policy(**fields))
+    queue.admission.record_load('t0', load, now_ms)
+    return queue
+
+
+def fleet(*zones):
+    return [
+        stage_replica.Replica(f't{n}', zone) for n, zone in enumerate(zones)
+    ]
+
+
+@ddt.ddt
+class DecisionTest(base.TestCase):
+    """Each decision applies only with a pace and its own switch."""
+
+    @ddt.data(
+        ('with a pace', PACE, 0, {}, 1),
+        ('without a pace', NO_PACE, 0, {}, 0),
+        ('without a load', None, 0, {}, 0),
+        ('with an old pace', PACE, -10_001, {}, 0),
+        ('switched off', PACE, 0, {'puts_timely_first': False}, 0),
+    )
+    @ddt.unpack
+    def test_late_groups_of_a_better_rank_go_after_timely_ones(
+        self, _, load, reported_ms, fields, first
+    ):
+        queue = new_queue(load, reported_ms, **fields)
+        replicas = fleet('a1')
+        late = build.group(0, 8, rank=0, objective_ms=10)
+        queue.submit(late, replicas, 0)
+        queue.submit(build.group(1, 8), replicas, 0)
+        items = queue.next_call(replicas[0], replicas, 0)
+        self.assertEqual({first}, {item.group.group_id for item in items})
+
+    @ddt.data(
+        ('in time', 700, False, 5_000, True),
+        ('late', 400, False, 5_000, False),
+        ('late, but its caller returns', 400, True, 5_000, True),
+        ('its caller returns, but it expires', 400, True, 500, False),
+    )
+    @ddt.unpack
+    def test_groups_expected_late_are_admitted_only_from_spare_capacity(
+        self, _, in_time_ms, is_retry, accept_by_ms, is_accepted
+    ):
+        """16 items wait, whose two calls take 230 ms each."""
+        queue = new_queue(PACE)
+        replicas = fleet('a1')
+        for group_id in range(1, 17):
+            queue.submit(build.group(group_id), replicas, 0)
+        group = build.group(
+            99,
+            in_time_ms=in_time_ms,
+            is_retry=is_retry,
+            accept_by_ms=accept_by_ms,
+        )
+        result = queue.submit(group, replicas, 0)
+        self.assertEqual(is_accepted, isinstance(result, stage_queue.Accepted))
+
+    @ddt.data(
+        ('many wait', PACE, 6, {}, [0, 1, 2, 3, 4, 5]),
+        ('few wait', PACE, 4, {}, []),
+        ('without a pace', NO_PACE, 6, {}, []),
+        ('switched off', PACE, 6, {'fills_calls': False}, []),
+    )
+    @ddt.unpack
+    def test_empty_places_are_filled_from_other_zones(
+        self, _, load, count, fields, expected
+    ):
+        """Two replicas have 16 places; 30% of these are 4.8."""
+        queue = new_queue(load, **fields)
+        replicas = fleet('a1', 'b1')
+        for group_id in range(count):
+            queue.submit(build.group(group_id, zone='a1'), replicas, 0)
+        items = queue.next_call(replicas[1], replicas, 0)
+        self.assertEqual(expected, [item.group.group_id for item in items])
+
+    def test_filled_calls_keep_to_the_allowed_zones(self):
+        queue = new_queue(PACE)
+        replicas = fleet('a1', 'b1')
+        zones = frozenset({'a1'})
+        for group_id in range(6):
+            group = build.group(group_id, zone='a1', allowed_zones=zones)
+            queue.submit(group, replicas, 0)
+        self.assertEqual([], queue.next_call(replicas[1], replicas, 0))
+
+    @ddt.data(('none', [], 150.0), ('few outliers', [66.0] * 99 + [900], 68))
+    @ddt.unpack
+    def test_the_median_engine_start_is_expected(self, _, samples, expected):
+        starts = engine_starts.EngineStarts()
+        for sample in samples:
+            starts.record('r', sample)
+        self.assertEqual(expected, starts.expected_ms('r', 150.0))
+
+
+@ddt.ddt
+class ContentionTest(base.TestCase):
+    """Guards against decisions that serve callers worse than today's."""
+
+    async def play(self, has_pace, bursts):
+        return await contention.Play(1, has_pace, bursts).run()
+
+    @ddt.data(
+        ('calm', {}, 0.0),
+        ('a burst of medium prompts', {'medium': 2.0}, 0.15),
+        ('a burst of long prompts', {'long': 2.0}, 0.0),
+    )
+    @ddt.unpack
+    async def test_more_is_in_time_than_by_the_decisions_of_today(
+        self, _, bursts, gain
+    ):
+        today = await self.play(False, bursts)
+        now = await self.play(True, bursts)
+        self.assertGreaterEqual(
+            sum(now.worth(kind) for kind in contention.KINDS),
+            sum(today.worth(kind) for kind in contention.KINDS) + gain - 0.02,
+        )
+        served = {
+            kind: now.share(kind, 'in_time', 'late')
+            for kind in contention.KINDS
+        }
+        self.assertGreater(min(served.values()), 0.25)
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -11,6 +11,7 @@
 from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
+from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_queue
 from sycamorebeam.forwarding import stages
@@ -508,7 +509,7 @@
         """Run stages that recently took ``recent_excess_ms`` over a call."""
         self.producer = FakeProducer(**fields)
         now_ms = clocks.Clock().monotonic_ms()
-        delays = preparation.StageDelays()
+        delays = stage_deadlines.StageDelays()
         for _ in range(50):
             delays.record('desk', 1, recent_excess_ms, now_ms)
         subject = preparation.Preparation(
@@ -523,7 +524,7 @@
         self.subject = subject
         return await subject.run(
             'a1',
-            preparation.Deadlines(
+            stage_deadlines.Deadlines(
                 objective_ms=now_ms + 1_600,
                 accept_by_ms=now_ms + 1_900,
                 expiry_ms=now_ms + 5_000,
@@ -641,7 +642,7 @@
         self.assertEqual([2], self.producer.withdrawn)
 
     async def test_stage_times_follow_recent_durations(self):
-        delays = preparation.StageDelays()
+        delays = stage_deadlines.StageDelays()
         for now_ms in range(0, 2_000, 100):
             delays.record('desk', 1, 500.0, now_ms)
         self.assertGreater(delays.excess_ms('desk', 1, 2_000), 400)
