--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -478,6 +478,25 @@
             result.results,
         )
 
+    @ddt.data(
+        ('1,2,3,140', model.Load(1, 2, 3, 140.0)),
+        ('1,2,3', model.Load(1, 2, 3)),
+        ('1,2,3,fast', None),
+        ('1,2,3,nan', None),
+        ('1,2,3,0', None),
+        ('1,2,3,4,5', None),
+        ('1,2', None),
+        ('', None),
+    )
+    @ddt.unpack
+    async def test_the_load_of_a_stage_replica_is_decoded(
+        self, text, expected
+    ):
+        body = json.dumps({'entries': [{'handle': 'h'}] * 2}).encode()
+        headers = [('X-Instance-Load', text)]
+        result, _ = await self.call(FakeAnswer(200, body, headers))
+        self.assertEqual(expected, result.load)
+
     @ddt.data((503, False, model.UNLIMITED), (421, True, None))
     @ddt.unpack
     async def test_a_call_that_was_not_executed_is_declined(
--- a/tests/forwarding/test_stage_admission.py
+++ b/tests/forwarding/test_stage_admission.py
@@ -172,21 +172,45 @@
 
     @ddt.data(
         ('calm', {}, 0.0),
-        ('a burst of medium prompts', {'medium': 2.0}, 0.15),
-        ('a burst of long prompts', {'long': 2.0}, 0.0),
+        ('a burst of medium prompts', {'medium': 2.0}, 0.3),
+        ('a burst of long prompts', {'long': 2.0}, 0.05),
     )
     @ddt.unpack
-    async def test_more_is_in_time_than_by_the_decisions_of_today(
+    async def test_callers_get_more_than_by_the_decisions_of_today(
         self, _, bursts, gain
     ):
         today = await self.play(False, bursts)
         now = await self.play(True, bursts)
+        # Each kind counts by its rate and the worth of an answer in time.
         self.assertGreaterEqual(
-            sum(now.worth(kind) for kind in contention.KINDS),
-            sum(today.worth(kind) for kind in contention.KINDS) + gain - 0.02,
+            weighted_worth(now), weighted_worth(today) + gain * 2 / 3
         )
-        served = {
-            kind: now.share(kind, 'in_time', 'late')
-            for kind in contention.KINDS
-        }
-        self.assertGreater(min(served.values()), 0.25)
+
+    @ddt.data(
+        ('calm', {}),
+        ('medium prompts', {'medium': 1.5}),
+        ('many medium prompts', {'medium': 2.0}),
+        ('long prompts', {'long': 2.0}),
+    )
+    @ddt.unpack
+    async def test_no_class_is_served_too_seldom(self, _, bursts):
+        """Medium prompts are the most urgent class."""
+        play = await self.play(True, bursts)
+        long, medium = (
+            play.share(kind, 'in_time', 'late') for kind in ('long', 'medium')
+        )
+        self.assertGreater(min(long, medium), 0.25)
+        self.assertGreaterEqual(medium, long - 0.05)
+        self.assertGreaterEqual(
+            play.worth('medium'), play.worth('long') - 0.15
+        )
+
+
+def weighted_worth(play):
+    """Return the share of the worth of all requests that was earned."""
+    weights = {
+        name: kind.per_s * kind.worth[0]
+        for name, kind in contention.KINDS.items()
+    }
+    earned = sum(play.worth(name) * weights[name] for name in weights)
+    return earned / sum(weights.values())
