--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -1,5 +1,8 @@
 """Groups of stage items, and their order in a queue."""
 
+from collections.abc import Iterable
+import math
+
 import attrs
 
 from sycamorebeam.forwarding import stages
@@ -75,6 +78,11 @@
         """Whether a call has taken any of the items."""
         return len(self.remaining) < self.group.size
 
+    def take(self, count: int) -> list[GroupItem]:
+        """Remove and return the first of the remaining items."""
+        taken, self.remaining = self.remaining[:count], self.remaining[count:]
+        return [GroupItem(self.group, index) for index in taken]
+
 
 @attrs.frozen(order=True)
 class Urgency:
@@ -144,3 +152,24 @@
 ) -> int | None:
     within_ms = source.in_time_within_ms
     return None if within_ms is None else now_ms + within_ms
+
+
+def mean_result_bytes(
+    waiting_groups: Iterable[PendingGroup], group: Group | None
+) -> float:
+    """Return the mean size of results of waiting items and ``group``."""
+    waiting = [
+        (pending.group, len(pending.remaining)) for pending in waiting_groups
+    ]
+    if group is not None:
+        waiting.append((group, group.size))
+    item_count = sum(count for _, count in waiting)
+    total_bytes = sum(other.result_bytes * count for other, count in waiting)
+    return total_bytes / item_count if item_count else 0.0
+
+
+def count_fitting(group: Group, places: int, free_bytes: float) -> int:
+    """Return how many items of a group fit a call's places and memory."""
+    if not group.result_bytes or free_bytes == math.inf:
+        return places
+    return min(places, max(0, int(free_bytes / group.result_bytes)))
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -269,7 +269,7 @@
         taken: list[stage_groups.GroupItem] = []
         partial: stage_groups.PendingGroup | None = None
         for pending in eligible:
-            fitting_count = self._count_fitting(
+            fitting_count = stage_groups.count_fitting(
                 pending.group, places, free_bytes
             )
             if fitting_count < len(pending.remaining):
@@ -282,24 +282,16 @@
             taken.extend(self._take_items(pending, len(pending.remaining)))
         if partial is not None and (
             partial.is_started
-            or self._count_fitting(partial.group, places, math.inf)
-            <= self._count_fitting(partial.group, places, free_bytes)
+            or stage_groups.count_fitting(partial.group, places, math.inf)
+            <= stage_groups.count_fitting(partial.group, places, free_bytes)
             or not self._admission.saves_memory(replica.held_bytes, now_ms)
         ):
-            fitting_count = self._count_fitting(
+            fitting_count = stage_groups.count_fitting(
                 partial.group, places, free_bytes
             )
             taken.extend(self._take_items(partial, fitting_count))
         return taken
 
-    def _count_fitting(
-        self, group: stage_groups.Group, places: int, free_bytes: float
-    ) -> int:
-        """Return how many items of a group fit a call's places and memory."""
-        if not group.result_bytes or free_bytes == math.inf:
-            return places
-        return min(places, max(0, int(free_bytes / group.result_bytes)))
-
     def _by_urgency(self, now_ms: int) -> list[stage_groups.PendingGroup]:
         return sorted(
             self._pending.values(),
@@ -330,15 +322,10 @@
     def _take_items(
         self, pending: stage_groups.PendingGroup, count: int
     ) -> list[stage_groups.GroupItem]:
-        taken, pending.remaining = (
-            pending.remaining[:count],
-            pending.remaining[count:],
-        )
+        taken = pending.take(count)
         if not pending.remaining:
             del self._pending[pending.group.group_id]
-        return [
-            stage_groups.GroupItem(pending.group, index) for index in taken
-        ]
+        return taken
 
     def _expected_end_ms(
         self,
@@ -396,23 +383,10 @@
         return stage_forecast.capacity_per_ms(
             self._batching,
             [replica.pace(full_call_ms) for replica in replicas],
-            self._mean_result_bytes(group),
+            stage_groups.mean_result_bytes(self._pending.values(), group),
             self.residence_ms,
         )
 
-    def _mean_result_bytes(self, group: stage_groups.Group | None) -> float:
-        waiting = [
-            (pending.group, len(pending.remaining))
-            for pending in self._pending.values()
-        ]
-        if group is not None:
-            waiting.append((group, group.size))
-        item_count = sum(count for _, count in waiting)
-        total_bytes = sum(
-            other.result_bytes * count for other, count in waiting
-        )
-        return total_bytes / item_count if item_count else 0.0
-
     def _overtaking_per_ms(
         self, own_urgency: stage_groups.Urgency, now_ms: int
     ) -> float:
