--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -97,6 +97,17 @@
             'placement_error_seconds',
             'Difference of expected and actual time to the first event.',
         )
+        self.stage_refusals = self._counter(
+            'stage_refusals',
+            'Groups refused as expected late, while a pace is reported.',
+            'service',
+            'place',
+        )
+        self.stage_places_used = self._counter(
+            'stage_places_used',
+            'Kept places that returning callers used.',
+            'service',
+        )
 
         self.loop_lag_seconds = prometheus_client.Histogram(
             f'{PREFIX}_loop_lag_seconds',
--- a/sycamorebeam/forwarding/stage_groups.py
+++ b/sycamorebeam/forwarding/stage_groups.py
@@ -1,5 +1,8 @@
 """Groups of stage items, and their order in a queue."""
 
+from collections.abc import Iterable
+import math
+
 import attrs
 
 from sycamorebeam.forwarding import stages
@@ -13,7 +16,9 @@
     ``expiry_ms`` they are of no use. While other items wait, the group is
     accepted only if it is expected by ``accept_by_ms``. Calls in ``zone`` move
     the least data; it is empty if all zones are equal in that. Only replicas
-    in ``allowed_zones`` may run the items; None allows all zones.
+    in ``allowed_zones`` may run the items; None allows all zones. If
+    ``in_time_ms`` is set, a group expected later is served only from capacity
+    that no other group can use in time.
     """
 
     group_id: int
@@ -27,6 +32,8 @@
     work: stages.Work
     positions: tuple[int, ...]
     allowed_zones: frozenset[str] | None = None
+    in_time_ms: int | None = None
+    is_retry: bool = False
 
     @property
     def size(self) -> int:
@@ -59,10 +66,29 @@
         return self.group.positions[self.index]
 
 
+@attrs.define
+class PendingGroup:
+    """A queued group; ``remaining`` has the items that no call has taken."""
+
+    group: Group
+    remaining: list[int]
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a call has taken any of the items."""
+        return len(self.remaining) < self.group.size
+
+    def take(self, count: int) -> list[GroupItem]:
+        """Remove and return the first of the remaining items."""
+        taken, self.remaining = self.remaining[:count], self.remaining[count:]
+        return [GroupItem(self.group, index) for index in taken]
+
+
 @attrs.frozen(order=True)
 class Urgency:
     """The sort key of groups; the lowest one goes first."""
 
+    yields: bool
     rank: int
     misses_objective: bool
     is_unstarted: bool
@@ -90,6 +116,8 @@
         work=request.work,
         positions=request.positions,
         allowed_zones=allowed_zones,
+        in_time_ms=_in_time_ms(request, now_ms),
+        is_retry=request.is_retry,
     )
 
 
@@ -114,4 +142,34 @@
         ),
         positions=tuple(range(announcement.items)),
         allowed_zones=allowed_zones,
+        in_time_ms=_in_time_ms(announcement, now_ms),
+        is_retry=announcement.is_retry,
     )
+
+
+def _in_time_ms(
+    source: stages.StageRequest | stages.Announcement, now_ms: int
+) -> int | None:
+    within_ms = source.in_time_within_ms
+    return None if within_ms is None else now_ms + within_ms
+
+
+def mean_result_bytes(
+    waiting_groups: Iterable[PendingGroup], group: Group | None
+) -> float:
+    """Return the mean size of results of waiting items and ``group``."""
+    waiting = [
+        (pending.group, len(pending.remaining)) for pending in waiting_groups
+    ]
+    if group is not None:
+        waiting.append((group, group.size))
+    item_count = sum(count for _, count in waiting)
+    total_bytes = sum(other.result_bytes * count for other, count in waiting)
+    return total_bytes / item_count if item_count else 0.0
+
+
+def count_fitting(group: Group, places: int, free_bytes: float) -> int:
+    """Return how many items of a group fit a call's places and memory."""
+    if not group.result_bytes or free_bytes == math.inf:
+        return places
+    return min(places, max(0, int(free_bytes / group.result_bytes)))
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -5,23 +5,25 @@
 clock: callers pass in the replicas and the time.
 """
 
-from collections import Counter
+from collections.abc import Mapping
+import math
+import types
 
 import attrs
 
 from sycamorebeam.forwarding import announced_groups
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import rates
+from sycamorebeam.forwarding import stage_eligibility
 from sycamorebeam.forwarding import stage_forecast
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_replica
+from sycamorebeam.forwarding.stage_admission import contention
+from sycamorebeam.forwarding.stage_admission import policy as admission_policy
 
 # A burst shows in the arrival rate within about a second.
 ARRIVAL_TIME_CONSTANT_MS = 1_500.0
 RESIDENCE_WEIGHT = 0.02  # of one result; some dozens are freed a second
-# A replica whose calls take more than this multiple of their configured
-# duration gets only the items that the others' next calls have no place for.
-SLOW_FACTOR = 1.8
 MIN_RETRY_AFTER_MS = 200.0  # the caller's round trip dominates below this
 NO_REPLICA_RETRY_MS = 300.0  # a replacement is listed within a second
 
@@ -38,23 +40,18 @@
     retry_after_ms: float
 
 
-@attrs.define
-class _PendingGroup:
-    group: stage_groups.Group
-    remaining: list[int]
-
-    @property
-    def is_started(self) -> bool:
-        """Whether a call has taken any of the items."""
-        return len(self.remaining) < self.group.size
-
-
 class StageQueue:
     """Holds the groups whose items wait for calls, and admits new groups."""
 
-    def __init__(self, batching: model.Batching) -> None:
+    def __init__(
+        self,
+        batching: model.Batching,
+        policy: admission_policy.Policy = admission_policy.Policy(),  # noqa: B008
+        region_of_zone: Mapping[str, str] = types.MappingProxyType({}),
+    ) -> None:
         self._batching = batching
-        self._pending: dict[int, _PendingGroup] = {}
+        self._admission = contention.Contention(policy, region_of_zone)
+        self._pending: dict[int, stage_groups.PendingGroup] = {}
         self._announced = announced_groups.AnnouncedGroups()
         self._arrivals: dict[int, rates.DecayingRate] = {}
         self._residence_ms = 0.0
@@ -64,6 +61,11 @@
         """How long replicas keep a result after its call, as an average."""
         return self._residence_ms
 
+    @property
+    def admission(self) -> contention.Contention:
+        """Decides between groups while replicas report their pace."""
+        return self._admission
+
     def record_residence(self, kept_ms: float) -> None:
         """Add to the average how long a result was kept after its call."""
         change_ms = kept_ms - self._residence_ms
@@ -87,7 +89,7 @@
 
     def call_ms(self, item_count: int) -> float:
         """Return the configured duration of a call with that many items."""
-        return self._batching.call_ms + item_count * self._batching.item_ms
+        return stage_forecast.call_ms(self._batching, item_count)
 
     def submit(
         self,
@@ -106,7 +108,7 @@
         self._arrivals.setdefault(
             group.rank, rates.DecayingRate(ARRIVAL_TIME_CONSTANT_MS)
         ).add(group.size, now_ms)
-        self._pending[group.group_id] = _PendingGroup(
+        self._pending[group.group_id] = stage_groups.PendingGroup(
             group, list(range(group.size))
         )
         return Accepted()
@@ -150,17 +152,51 @@
         expected_end_ms = self._expected_end_ms(
             group, replicas, arrives_ms, now_ms
         )
-        is_busy = self._pending or self._announced
+        is_busy = bool(self._pending or self._announced)
+        if is_busy and self._admission.is_strict(group, now_ms):
+            if (
+                expected_end_ms <= group.expiry_ms
+                and self._admission.takes_place(group, now_ms)
+            ):
+                return None
+            return self._check_timely_admission(
+                group, expected_end_ms, replicas, arrives_ms, now_ms
+            )
         limit_ms = group.accept_by_ms if is_busy else group.expiry_ms
         if expected_end_ms <= limit_ms:
             return None
         excess_ms = expected_end_ms - limit_ms
         return Rejected(max(MIN_RETRY_AFTER_MS, excess_ms))
 
+    def _check_timely_admission(
+        self,
+        group: stage_groups.Group,
+        expected_end_ms: float,
+        replicas: list[stage_replica.Replica],
+        arrives_ms: int,
+        now_ms: int,
+    ) -> Rejected | None:
+        late_end_ms = expected_end_ms
+        if group.is_retry:
+            last = attrs.evolve(group, objective_ms=now_ms)
+            late_end_ms = self._expected_end_ms(
+                last, replicas, arrives_ms, now_ms
+            )
+        retry_after_ms = self._admission.refusal_ms(
+            group,
+            expected_end_ms,
+            late_end_ms,
+            self._items_per_ms(replicas, group),
+            now_ms,
+        )
+        if retry_after_ms is None:
+            return None
+        return Rejected(max(MIN_RETRY_AFTER_MS, retry_after_ms))
+
     def requeue(self, item: stage_groups.GroupItem) -> None:
         """Queue an item again that its call did not produce."""
         pending = self._pending.setdefault(
-            item.group.group_id, _PendingGroup(item.group, [])
+            item.group.group_id, stage_groups.PendingGroup(item.group, [])
         )
         pending.remaining.append(item.index)
 
@@ -215,13 +251,25 @@
     ) -> list[stage_groups.GroupItem]:
         """Remove and return the items of the next call of a free replica."""
         ordered = self._by_urgency(now_ms)
-        eligible = self._eligible_groups(ordered, replica, replicas, now_ms)
+        eligible = stage_eligibility.eligible_groups(
+            self._batching,
+            ordered,
+            replica,
+            replicas,
+            now_ms,
+            fillable_zones=self._admission.fillable_zones(
+                replica.zone,
+                self.waiting_item_count,
+                self._batching.max_items * len(replicas),
+                now_ms,
+            ),
+        )
         places = self._batching.max_items
         free_bytes = self._batching.memory_bytes - replica.held_bytes
         taken: list[stage_groups.GroupItem] = []
-        partial: _PendingGroup | None = None
+        partial: stage_groups.PendingGroup | None = None
         for pending in eligible:
-            fitting_count = self._count_fitting(
+            fitting_count = stage_groups.count_fitting(
                 pending.group, places, free_bytes
             )
             if fitting_count < len(pending.remaining):
@@ -232,106 +280,19 @@
             places -= len(pending.remaining)
             free_bytes -= pending.group.result_bytes * len(pending.remaining)
             taken.extend(self._take_items(pending, len(pending.remaining)))
-        if partial is not None:
-            fitting_count = self._count_fitting(
+        if partial is not None and (
+            partial.is_started
+            or stage_groups.count_fitting(partial.group, places, math.inf)
+            <= stage_groups.count_fitting(partial.group, places, free_bytes)
+            or not self._admission.saves_memory(replica.held_bytes, now_ms)
+        ):
+            fitting_count = stage_groups.count_fitting(
                 partial.group, places, free_bytes
             )
             taken.extend(self._take_items(partial, fitting_count))
         return taken
 
-    def _count_fitting(
-        self, group: stage_groups.Group, places: int, free_bytes: float
-    ) -> int:
-        """Return how many items of a group fit a call's places and memory."""
-        if not group.result_bytes:
-            return places
-        return min(places, max(0, int(free_bytes / group.result_bytes)))
-
-    def _eligible_groups(
-        self,
-        ordered: list[_PendingGroup],
-        replica: stage_replica.Replica,
-        replicas: list[stage_replica.Replica],
-        now_ms: int,
-    ) -> list[_PendingGroup]:
-        """Return the groups that a replica may run, most urgent first.
-
-        A slow replica runs only what the next calls of the others have no
-        place for. A group waits for a replica in its own zone while it can
-        afford to and the next calls there have places and memory for it.
-        """
-        ordered = [
-            pending
-            for pending in ordered
-            if pending.group.may_run_in(replica.zone)
-        ]
-        if replica.slowness > SLOW_FACTOR:
-            return self._overflow_groups(ordered, replica, replicas)
-        places: Counter[str] = Counter()
-        zone_free_bytes: Counter[str] = Counter()
-        free_in_ms: dict[str, int] = {}
-        for other in replicas:
-            if other.slowness <= SLOW_FACTOR:
-                other_free_in_ms = other.free_in_ms(now_ms)
-                known_free_in_ms = free_in_ms.get(other.zone, other_free_in_ms)
-                free_in_ms[other.zone] = min(
-                    known_free_in_ms, other_free_in_ms
-                )
-                places[other.zone] += self._batching.max_items
-                free_bytes = self._batching.memory_bytes - other.held_bytes
-                zone_free_bytes[other.zone] += max(0, int(free_bytes))
-        eligible = []
-        for pending in ordered:
-            zone = pending.group.zone
-            needed_bytes = int(
-                pending.group.result_bytes * len(pending.remaining)
-            )
-            if (
-                zone != replica.zone
-                and places[zone] >= len(pending.remaining)
-                and zone_free_bytes[zone] >= needed_bytes
-                and self._can_wait(pending.group, free_in_ms[zone], now_ms)
-            ):
-                places[zone] -= len(pending.remaining)
-                zone_free_bytes[zone] -= needed_bytes
-            else:
-                eligible.append(pending)
-        return eligible
-
-    def _overflow_groups(
-        self,
-        ordered: list[_PendingGroup],
-        replica: stage_replica.Replica,
-        replicas: list[stage_replica.Replica],
-    ) -> list[_PendingGroup]:
-        """Return groups that overflow the next calls of faster replicas."""
-        faster_count = sum(
-            other.slowness <= SLOW_FACTOR
-            for other in replicas
-            if other is not replica
-        )
-        places = faster_count * self._batching.max_items
-        overflow = []
-        for pending in ordered:
-            if places <= 0:
-                overflow.append(pending)
-            places -= len(pending.remaining)
-        return overflow
-
-    def _can_wait(
-        self, group: stage_groups.Group, wait_ms: float, now_ms: int
-    ) -> bool:
-        """Whether a group can wait for a full call.
-
-        It must still meet its objective, or end before it expires if the
-        objective is already out of reach.
-        """
-        end_ms = now_ms + wait_ms + self.call_ms(self._batching.max_items)
-        if now_ms + self.call_ms(group.size) > group.objective_ms:
-            return end_ms < group.expiry_ms
-        return end_ms < group.objective_ms
-
-    def _by_urgency(self, now_ms: int) -> list[_PendingGroup]:
+    def _by_urgency(self, now_ms: int) -> list[stage_groups.PendingGroup]:
         return sorted(
             self._pending.values(),
             key=lambda pending: self._urgency(
@@ -350,6 +311,7 @@
         end_ms = now_ms + self.call_ms(group.size)
         misses_objective = end_ms > group.objective_ms and not is_started
         return stage_groups.Urgency(
+            misses_objective and self._admission.puts_timely_first(now_ms),
             group.rank,
             misses_objective,
             not is_started,
@@ -358,17 +320,12 @@
         )
 
     def _take_items(
-        self, pending: _PendingGroup, count: int
+        self, pending: stage_groups.PendingGroup, count: int
     ) -> list[stage_groups.GroupItem]:
-        taken, pending.remaining = (
-            pending.remaining[:count],
-            pending.remaining[count:],
-        )
+        taken = pending.take(count)
         if not pending.remaining:
             del self._pending[pending.group.group_id]
-        return [
-            stage_groups.GroupItem(pending.group, index) for index in taken
-        ]
+        return taken
 
     def _expected_end_ms(
         self,
@@ -426,23 +383,10 @@
         return stage_forecast.capacity_per_ms(
             self._batching,
             [replica.pace(full_call_ms) for replica in replicas],
-            self._mean_result_bytes(group),
+            stage_groups.mean_result_bytes(self._pending.values(), group),
             self.residence_ms,
         )
 
-    def _mean_result_bytes(self, group: stage_groups.Group | None) -> float:
-        waiting = [
-            (pending.group, len(pending.remaining))
-            for pending in self._pending.values()
-        ]
-        if group is not None:
-            waiting.append((group, group.size))
-        item_count = sum(count for _, count in waiting)
-        total_bytes = sum(
-            other.result_bytes * count for other, count in waiting
-        )
-        return total_bytes / item_count if item_count else 0.0
-
     def _overtaking_per_ms(
         self, own_urgency: stage_groups.Urgency, now_ms: int
     ) -> float:
@@ -450,6 +394,7 @@
         return sum(
             rate.per_ms(now_ms)
             for rank, rate in self._arrivals.items()
-            if rank < own_urgency.rank
+            if own_urgency.yields
+            or rank < own_urgency.rank
             or (rank == own_urgency.rank and own_urgency.misses_objective)
         )
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -80,6 +80,11 @@
         """Return how soon a target accepts requests, 0 if one does now."""
         return self._selection.retry_after_ms(call)
 
+    def reports_pace(self, service: str) -> bool:
+        """Whether targets of a service report the pace of their machines."""
+        now_ms = self._clock.monotonic_ms()
+        return self._chooser.loads.is_paced(service, now_ms)
+
     def withheld_ms(self, call: calls.Call) -> float:
         """Return how long a prompt is withheld, 0 if it may be sent now."""
         return self._crashing_prompts.wait_ms(call.request.shared_part_ids)
