Test an instance beside callers outside the limits

Cause: nothing shows what an instance holds for callers that stop just short of the end, send far too much or never read.

Change: one table of forms, paths and addresses, on processes with memory_mb lowered to 100 and, for one case, 300 descriptors. Checked are only that the process lives, its peak memory (under memory_mb), its descriptors, and that an ordinary request is served while the crowd stays connected. The stand-in engines pad events as plain stand-ins pad answers.

--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -99,7 +99,14 @@
     return await test_forwarding.call(address, raw=raw.encode())
 
 
-def start(folder, name, store_address, ports=None, grace_period_s=8):
+def start(
+    folder,
+    name,
+    store_address,
+    ports=None,
+    grace_period_s=8,
+    memory_mb=300,
+):
     ports = ports or free_ports(4)
     addresses = [f'127.0.0.1:{port}' for port in ports]
     settings = {
@@ -127,6 +134,7 @@
             'budget_window_s': 10,
         },
         'caller_limits': {'header_bytes': 16_384, 'idle_timeout_ms': 15_000},
+        'memory_mb': memory_mb,
     }
     path = pathlib.Path(folder, f'{name}.json')
     path.write_text(json.dumps(settings))
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -120,7 +120,7 @@
     # Aborts the connection after this many events; 0 is before any answer.
     abort_after_events: int | None = None
     is_leaving: bool = False
-    padding_bytes: int = 0  # added to answers without events
+    padding_bytes: int = 0  # added to each answer, or each event
     # Prompt parts that crash an engine when it begins its answer.
     crashing_parts: set = attrs.field(factory=set)
     crash: object = None  # called to crash this target
@@ -201,11 +201,12 @@
         if self.crashing_parts.intersection(part_ids):
             await self.work(request)
             self.crash()
+        padding = ' ' * self.padding_bytes
         try:
             for number in range(1, 4):
                 await self.work(request)
                 await response.write(
-                    f'id: {number}\ndata: {attempt_id}\n\n'.encode()
+                    f'id: {number}\ndata: {attempt_id}{padding}\n\n'.encode()
                 )
                 if number == self.abort_after_events:
                     # Let the event arrive before the reset.
