Count what an instance holds for its peers, and bound it

Cause: connections, parsers, buffers and waiting requests were counted nowhere, so that crowds exceeded memory_mb; a body over 1 MiB got 413; the limits of the desired state were not read.

Change: forwarding/input_account/ counts all input from the first byte, and closes the connections with the least progress for what they hold. It applies the limits in force: 413, 431, 408, and 503 when nothing can be closed. Metrics pages are rendered at most every 100 ms, as a crowd that requested them stopped the event loop.

Ruled out: counting each chunk, which costs processor time for each caller.

Processor time: not measured.

--- a/sycamorebeam/forwarding/caller_bodies.py
+++ b/sycamorebeam/forwarding/caller_bodies.py
@@ -1,28 +1,33 @@
 """Reads the bodies of callers' requests, within the memory left for them."""
 
+from collections.abc import Callable
+
 import aiohttp
 from aiohttp import web
 
 from sycamorebeam.forwarding import request_memory
 from sycamorebeam.forwarding import requests
 
-MAX_BODY_BYTES = 1024 * 1024
 NO_MEMORY_RETRY_MS = 500.0  # requests in progress end within seconds
 
 
 async def read(
-    http: web.BaseRequest, share: request_memory.Share
+    http: web.BaseRequest,
+    share: request_memory.Share,
+    max_bytes: int,
+    make_room: Callable[[int], object],
 ) -> bytes | requests.Refusal:
     """Return the body, counted in ``share``, or why it is refused.
 
-    A body that is known to be too large is refused before it is read.
+    ``make_room`` is called with the size of a body that finds no memory. A
+    body that is known to be too large is refused before it is read.
     """
     size = http.content_length or 0
     parts: list[bytes] = []
     received = 0
     try:
         while True:
-            if size > MAX_BODY_BYTES:
+            if size > max_bytes:
                 return requests.Refusal(
                     status=413, reason='the body is too large'
                 )
@@ -34,6 +39,9 @@
             received += len(part)
             size = max(size, received)
     except request_memory.NoMemoryLeftError:
+        # Connections that have stopped sending hold it. They end in a later
+        # turn, so this request is refused.
+        make_room(size)
         return requests.unavailable(
             'no memory is left for the body', NO_MEMORY_RETRY_MS
         )
--- a/sycamorebeam/forwarding/frontend.py
+++ b/sycamorebeam/forwarding/frontend.py
@@ -13,6 +13,9 @@
 from sycamorebeam.forwarding import forwarder
 from sycamorebeam.forwarding import request_memory
 from sycamorebeam.forwarding import requests
+from sycamorebeam.forwarding.input_account import account as accounts
+from sycamorebeam.forwarding.input_account import caller_connections
+from sycamorebeam.forwarding.input_account import limits as caller_limits
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -37,10 +40,14 @@
     """Sends the answer to one caller over HTTP."""
 
     def __init__(
-        self, http: web.BaseRequest, should_close: Callable[[], bool]
+        self,
+        http: web.BaseRequest,
+        should_close: Callable[[], bool],
+        account: accounts.InputAccount | None = None,
     ) -> None:
         self._http = http
         self._should_close = should_close
+        self._account = account
         self.response: web.StreamResponse | None = None
 
     @property
@@ -53,20 +60,31 @@
         response = web.StreamResponse(status=head.status)
         _copy_headers(response, head)
         response.enable_chunked_encoding()
+        # Targets abort answers that aren't read for some seconds.
+        if self._account is not None and self._http.transport is not None:
+            self._http.transport.set_write_buffer_limits(
+                high=caller_connections.UNREAD_STREAM_BYTES
+            )
         await self._prepare(response)
 
     async def write(self, data: bytes) -> None:
         """Send a part of a streamed answer."""
         assert self.response is not None
+        if self._account is not None:
+            self._account.add(len(data))
         await self.response.write(data)
 
     async def end(self) -> None:
         """End a streamed answer as complete."""
         assert self.response is not None
+        if self._account is not None and self._http.transport is not None:
+            self._http.transport.set_write_buffer_limits()
         await self.response.write_eof()
 
     async def send_whole(self, head: requests.AnswerHead, body: bytes) -> None:
         """Send a complete answer of a target."""
+        if self._account is not None:
+            self._account.add(len(body))
         response = web.Response(status=head.status, body=body)
         _copy_headers(response, head)
         await self._prepare(response)
@@ -110,11 +128,15 @@
         request_forwarder: forwarder.Forwarder,
         decode: Decoder,
         memory: request_memory.RequestMemory,
+        account: accounts.InputAccount | None = None,
+        limits: Callable[[], caller_limits.Limits] = caller_limits.Limits,
     ) -> None:
         self._clock = clock
         self._forwarder = request_forwarder
         self._decode = decode
         self._memory = memory
+        self._account = account
+        self._limits = limits
         self._in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -159,7 +181,9 @@
                 self._idle.set()
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        reply = HttpReply(http, lambda: self._closes_connections)
+        reply = HttpReply(
+            http, lambda: self._closes_connections, self._account
+        )
         try:
             await self._answer(http, reply)
         except ConnectionError:
@@ -175,8 +199,11 @@
         if 'Expect' in http.headers and http.transport is not None:
             http.transport.write(CONTINUE)
         share = self._memory.share()
+        entry = caller_connections.entry_of(http)
+        if entry is not None:
+            entry.share = share
         try:
-            body = await caller_bodies.read(http, share)
+            body = await self._read_body(http, share)
             if isinstance(body, requests.Refusal):
                 telemetry.log_event(
                     'body_refused',
@@ -189,9 +216,32 @@
                 reply.close_afterwards()
                 await reply.refuse(body)
                 return
+            if entry is not None and self._account is not None:
+                entry.is_passed_on = True
+                self._account.add(accounts.PASSED_ON_BYTES)
             await self._answer_whole(http, body, arrived_ms, reply)
         finally:
             share.release()
+            if entry is not None:
+                entry.share = None
+                entry.is_passed_on = False
+                entry.served_requests += 1
+
+    async def _read_body(
+        self, http: web.BaseRequest, share: request_memory.Share
+    ) -> bytes | requests.Refusal:
+        account = self._account
+        if account is not None and account.is_full:
+            return requests.unavailable(
+                'no memory is left for the request',
+                caller_bodies.NO_MEMORY_RETRY_MS,
+            )
+        return await caller_bodies.read(
+            http,
+            share,
+            self._limits().body_bytes,
+            (lambda size: None) if account is None else account.make_room,
+        )
 
     async def _answer_whole(
         self,
--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -13,7 +13,6 @@
 from sycamorebeam import telemetry
 from sycamorebeam.forwarding import active_state
 from sycamorebeam.forwarding import blocked_parts
-from sycamorebeam.forwarding import caller_server
 from sycamorebeam.forwarding import crashing_prompts
 from sycamorebeam.forwarding import followers
 from sycamorebeam.forwarding import forwarder
@@ -40,10 +39,15 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
+from sycamorebeam.forwarding.input_account import caller_connections
+from sycamorebeam.forwarding.input_account import input_watch
+from sycamorebeam.forwarding.input_account import limits as caller_limits
+from sycamorebeam.forwarding.input_account import peer_connections
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 METRICS_CONTENT_TYPE = 'text/plain'
-KEEPALIVE_MARGIN_S = 1.0  # callers may reuse connections up to the limit
+# Rendering takes milliseconds, and anyone may request it at any rate.
+METRICS_INTERVAL_MS = 100
 
 
 class Instance:
@@ -127,6 +131,18 @@
             self._links,
             self._targets_interval_ms,
         )
+        self._input = input_watch.InputWatch(
+            self._clock,
+            adapter.client.memory,
+            caller_limits.LimitsInForce(
+                self._state,
+                caller_limits.Limits(
+                    header_bytes=settings.caller_limits.header_bytes,
+                    idle_timeout_ms=settings.caller_limits.idle_timeout_ms,
+                ),
+            ),
+            self._metrics,
+        )
         self._frontend = frontend.Frontend(
             self._clock,
             forwarder.Forwarder(
@@ -159,11 +175,15 @@
             ),
             adapter.decode_request,
             adapter.client.memory,
+            self._input.account,
+            self._input.limits,
         )
         self._store_recovery = store_outage.StoreRecovery()
         self._instances_follower = followers.InstancesFollower(
             self._platform, self._clock, self._instances, self._store_recovery
         )
+        self._rendered = b''
+        self._rendered_ms = -METRICS_INTERVAL_MS
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
@@ -213,6 +233,7 @@
             ).follow,
             'instances': self._instances_follower.follow,
             'stages': self._stage_owner.run_forever,
+            'input_watch': self._input.run_forever,
             'blocked_parts': self._crashing_prompts.load,
             'loop_watch': loop_watch.LoopWatch(
                 self._clock, self._metrics
@@ -223,30 +244,27 @@
             self._tasks.append(asyncio.create_task(supervised))
 
     async def _listen(self) -> None:
-        limits = self._settings.caller_limits
-        server = caller_server.CallerServer(
+        server = caller_connections.CountedServer(
             self._frontend.handle,
             handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
             read_bufsize=upstream.READ_BUFFER_BYTES,
-            keepalive_timeout=limits.idle_timeout_ms / 1000
-            + KEEPALIVE_MARGIN_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
+            **self._input.server_options,
         )
         addresses = self._settings.addresses
         await self._serve(server, addresses.callers)
-        readiness_server = caller_server.CallerServer(
-            self._handle_readiness, access_log=None
-        )
-        await self._serve(readiness_server, addresses.readiness)
-        metrics_server = caller_server.CallerServer(
-            self._handle_metrics, access_log=None
-        )
-        await self._serve(metrics_server, addresses.metrics)
+        for handle, address in (
+            (self._handle_readiness, addresses.readiness),
+            (self._handle_metrics, addresses.metrics),
+        ):
+            # Nothing is read of a body that is sent there.
+            server = caller_connections.CountedServer(
+                handle, lingering_time=0, **self._input.server_options
+            )
+            await self._serve(server, address)
         host, port = checking.split_address(addresses.peers)
-        await asyncio.start_server(self._links.accept, host, port)
+        await peer_connections.listen(
+            self._input.account, self._links.accept, host, port
+        )
 
     async def _serve(self, server: web.Server, address: str) -> None:
         runner = web.ServerRunner(server)
@@ -263,8 +281,12 @@
         return web.Response(status=503, text='not ready\n')
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._rendered_ms >= METRICS_INTERVAL_MS:
+            self._rendered_ms = now_ms
+            self._rendered = self._metrics.render()
         return web.Response(
-            body=self._metrics.render(), content_type=METRICS_CONTENT_TYPE
+            body=self._rendered, content_type=METRICS_CONTENT_TYPE
         )
 
     def _add_gauges(self) -> None:
--- a/sycamorebeam/forwarding/model.py
+++ b/sycamorebeam/forwarding/model.py
@@ -113,6 +113,16 @@
     allowed_regions: frozenset[str] | None = None
 
 
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Limits on what callers send; None where the operator sets none."""
+
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: int | None = None
+    idle_timeout_ms: int | None = None
+
+
 @attrs.frozen(kw_only=True)
 class DesiredState:
     """One complete version of the configuration set by the operator."""
@@ -122,6 +132,7 @@
     services: Mapping[str, Service]
     team_of_key: Mapping[str, Team]
     has_teams: bool
+    caller_limits: CallerLimits = CallerLimits()
 
 
 @attrs.frozen(kw_only=True)
--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -62,6 +62,9 @@
         self.target_crashes = self._counter(
             'target_crashes', 'Crashes of targets with unanswered prompts.'
         )
+        self.connections_closed = self._counter(
+            'connections_closed', 'Connections closed by a limit.', 'reason'
+        )
         self.repeats_denied = self._counter(
             'repeats_denied', 'Repeats beyond the retry budget.'
         )
--- a/sycamorebeam/forwarding/request_memory.py
+++ b/sycamorebeam/forwarding/request_memory.py
@@ -11,6 +11,9 @@
 # A request may keep more only as long as this share of what is free is more
 # than it keeps, so that large bodies leave room for those of others.
 MAX_FREE_SHARE = 0.25
+# While all others keep less than this share, a legal body of any size fits:
+# a quarter of what a machine of 160 MB has free is less than 4 MiB.
+MAX_CALM_SHARE = 1 / 8
 # Below this size a request only needs the memory to be free.
 SMALL_BYTES = 64 * 1024
 
@@ -32,6 +35,11 @@
     _memory: 'RequestMemory'
     _size: int = 0
 
+    @property
+    def size(self) -> int:
+        """How many bytes are kept."""
+        return self._size
+
     def resize(self, size: int) -> None:
         """Keep this many bytes. Raises NoMemoryLeftError."""
         if size > self._size:
@@ -50,6 +58,13 @@
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self.used_bytes = 0
+        # The largest legal body, which fits while little else is kept.
+        self.lone_bytes = 0
+
+    @property
+    def limit(self) -> int:
+        """How many bytes may be kept together."""
+        return self._limit
 
     def share(self) -> Share:
         """Return an empty share."""
@@ -59,8 +74,17 @@
         """Raise NoMemoryLeftError if a share may not grow."""
         free = self._limit - self.used_bytes - (new_size - old_size)
         if free < 0 or (
-            new_size > SMALL_BYTES and new_size > MAX_FREE_SHARE * free
+            new_size > SMALL_BYTES
+            and new_size > MAX_FREE_SHARE * free
+            and not self._is_alone(old_size, new_size)
         ):
             raise NoMemoryLeftError(
                 f'{new_size} bytes are too many with {free} left'
             )
+
+    def _is_alone(self, old_size: int, new_size: int) -> bool:
+        others = self.used_bytes - old_size
+        return (
+            new_size <= self.lone_bytes
+            and others <= MAX_CALM_SHARE * self._limit
+        )
--- a/sycamorebeam/peering/peer_stream.py
+++ b/sycamorebeam/peering/peer_stream.py
@@ -49,7 +49,9 @@
         self._reader = reader
         self._writer = writer
         self._unpacker = msgpack.Unpacker(
-            max_buffer_size=messages.MAX_MESSAGE_BYTES
+            max_buffer_size=messages.MAX_MESSAGE_BYTES,
+            # Its first buffer, 1 MB by default; it grows as needed.
+            read_size=READ_BYTES,
         )
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(
             MAX_QUEUED_MESSAGES if may_drop else MAX_QUEUED_MESSAGES_RELIABLE
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -34,6 +34,7 @@
             },
             team_of_key=_decode_teams(tenants or []),
             has_teams=tenants is not None,
+            caller_limits=_decode_limits(body.get('limits') or {}),
         )
     except (
         KeyError,
@@ -48,6 +49,20 @@
         ) from error
 
 
+def _decode_limits(item: dict[str, Any]) -> model.CallerLimits:
+    def positive(name: str) -> int | None:
+        # A limit that nothing could stay within counts as absent.
+        value = int(item.get(name) or 0)
+        return value if value > 0 else None
+
+    return model.CallerLimits(
+        max_header_bytes=positive('max_header_bytes'),
+        max_body_bytes=positive('max_body_bytes'),
+        header_timeout_ms=positive('header_timeout_ms'),
+        idle_timeout_ms=positive('idle_timeout_ms'),
+    )
+
+
 def _decode_route(item: dict[str, Any]) -> model.Route:
     return model.Route(
         name=item['name'],
