--- a/sycamorebeam/forwarding/prometheus_metrics.py
+++ b/sycamorebeam/forwarding/prometheus_metrics.py
@@ -65,6 +65,9 @@
         self.requests_without_target = self._counter(
             'requests_without_target', 'Requests for which no target was left.'
         )
+        self.connections_closed = self._counter(
+            'connections_closed', 'Connections closed by a limit.', 'reason'
+        )
         self.repeats_denied = self._counter(
             'repeats_denied', 'Repeats beyond the retry budget.'
         )
