Check a configuration before it is sent

Cause: a desired state was only decoded when it was in force, and decoding stops at the first fault without naming the field. Entries that never match and limits that contradict each other were not reported at all.

Change: `configuration check FILE` reads a catalogue file or a desired state, prints all findings with field and remedy, and with `--in-force` the differences by meaning. The checks are pure functions over the model that the instances use (RouteTable, region_filter, stage_forecast). Field names of the platform stay in platform/configuration_reader.py. The decoding of single entries in desired_state.py and the reading of a parsed catalogue file are public now; what they accept is unchanged. Keys and tokens are compared but not printed.

Ruled out: `catalogue check`, which exists with other exit codes; checks on the decoded DesiredState alone, where services and keys listed twice are lost; a JSON5 reader for desired states, since instances read plain JSON; digests of keys in the differences, since short keys could be guessed.

--- a/sycamorebeam/catalogue_file.py
+++ b/sycamorebeam/catalogue_file.py
@@ -24,10 +24,18 @@
     Raises SettingsError, which lists every problem of the file.
     """
     document = jsonc.load(path)
+    found, faults = read(document.value)
+    jsonc.raise_faults(document, faults, 'catalogue')
+    return found
+
+
+def read(
+    value: Any,
+) -> tuple[dict[str, catalogue.AnyEntry], list[checking.Fault]]:
+    """Return the valid entries of a parsed file by key, and its faults."""
     reader = _Reader()
-    reader.read(document.value)
-    jsonc.raise_faults(document, reader.faults, 'catalogue')
-    return reader.entries
+    reader.read(value)
+    return reader.entries, reader.faults
 
 
 class _Reader:
--- a/sycamorebeam/cli/main.py
+++ b/sycamorebeam/cli/main.py
@@ -6,6 +6,7 @@
 
 import sycamorebeam
 from sycamorebeam.cli import catalogue_commands
+from sycamorebeam.cli import configuration_commands
 from sycamorebeam.cli import history_commands
 from sycamorebeam.cli import output
 from sycamorebeam.cli import request_command
@@ -25,6 +26,7 @@
 )
 app.add_typer(settings_commands.app)
 app.add_typer(catalogue_commands.app)
+app.add_typer(configuration_commands.app)
 app.add_typer(standin_commands.app)
 app.command(epilog=output.EXIT_CODES)(run_command.run)
 app.command(epilog=output.EXIT_CODES)(request_command.request)
--- /dev/null
+++ b/sycamorebeam/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration before it is sent, and compares two versions."""
--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -6,7 +6,7 @@
 from sycamorebeam.platform import json_records
 
 BYTES_PER_MB = 1_000_000
-_KINDS = {
+KINDS = {
     'idempotent': model.Kind.IDEMPOTENT,
     'non_idempotent': model.Kind.NON_IDEMPOTENT,
     'streaming': model.Kind.STREAM,
@@ -27,10 +27,9 @@
         tenants = body.get('tenants')
         return model.DesiredState(
             version=int(body['version']),
-            routes=tuple(_decode_route(item) for item in body['routes']),
+            routes=tuple(decode_route(item) for item in body['routes']),
             services={
-                item['name']: _decode_service(item)
-                for item in body['services']
+                item['name']: decode_service(item) for item in body['services']
             },
             team_of_key=_decode_teams(tenants or []),
             has_teams=tenants is not None,
@@ -48,12 +47,13 @@
         ) from error
 
 
-def _decode_route(item: dict[str, Any]) -> model.Route:
+def decode_route(item: dict[str, Any]) -> model.Route:
+    """Return a route; raises as the conversions do."""
     return model.Route(
         name=item['name'],
         host=item['hostname'].lower(),
         path_prefix=item['path_prefix'],
-        kind=_KINDS[item['route_kind']],
+        kind=KINDS[item['route_kind']],
         timeout_ms=float(item['timeout_ms']),
         latency_objective_ms=float(item['target_latency_ms']),
         longest_pause_ms=float(item.get('gap_aim_ms') or 0),
@@ -94,7 +94,8 @@
     )
 
 
-def _decode_service(item: dict[str, Any]) -> model.Service:
+def decode_service(item: dict[str, Any]) -> model.Service:
+    """Return a service; raises as the conversions do."""
     return model.Service(
         name=item['name'],
         # 'segments' configures batching; it is not a list of segments.
@@ -138,11 +139,16 @@
 def _decode_teams(tenants: list[dict[str, Any]]) -> dict[str, model.Team]:
     teams = {}
     for item in tenants:
-        team = model.Team(
-            name=item['name'],
-            rank=item.get('priority'),
-            allowed_regions=_decode_regions(item),
-        )
+        team = decode_team(item)
         for key in item.get('api_keys') or ():
             teams[key] = team
     return teams
+
+
+def decode_team(item: dict[str, Any]) -> model.Team:
+    """Return a team without its keys; raises as the conversions do."""
+    return model.Team(
+        name=item['name'],
+        rank=item.get('priority'),
+        allowed_regions=_decode_regions(item),
+    )
