Ask the second placer while the first has no share of cold engines

Cause: a placer whose shares of all engines were used up, or which had just started and had none, answered that the prompt exceeds the memory of every engine. Requesters then refused the prompt with 503 and asked no other placer. The placer itself did not ask the second one for its own callers. Change: lack of memory is reported only if an engine with a share was considered, and a placer without a share goes on to the next one. Ruled out: sending beyond the rule; each instance still counts against its own share, and FleetTest (at most 17 requests a second) passes. Measured: the new test failed in 3 of 3 cases before and passes in all.

--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -73,7 +73,10 @@
             placer_ids = []
         for placer_id in placer_ids:
             if placer_id == self._instances.own_entry.instance_id:
-                break
+                if self._cold.preferred(candidates):
+                    break
+                # This instance has no share left; the next placer may.
+                continue
             link = await self._links.connect(placer_id)
             if link is None:
                 continue
@@ -267,9 +270,13 @@
                     now_ms,
                 )
                 target_id = '' if target is None else target.target_id
+                # Without a share left, another placer may have one.
+                lacks_memory = target is None and bool(
+                    self._cold.preferred(candidates)
+                )
                 inbound.stream.send(
                     placement_messages.PromptPlaced(
-                        call_id, target_id, target is None and bool(candidates)
+                        call_id, target_id, lacks_memory
                     )
                 )
             case placement_messages.PromptRead(attempt_id, service, loads):
--- a/tests/forwarding/test_cold_targets.py
+++ b/tests/forwarding/test_cold_targets.py
@@ -277,6 +277,22 @@
         self.assertEqual(503, response.status)
         self.assertIn('retry-after', response.headers)
 
+    @mock.patch.object(listed_ranks, 'START_MS', 0)
+    @ddt.data(0, 1, 2)
+    async def test_the_second_placer_is_asked_without_a_share(self, sender):
+        """Guards against 503 while the first placer has no share left."""
+        async with test_prompt_streams.fleet(
+            *['north'] * 3, cold_bounds=BOUNDS
+        ) as nodes:
+            for target in nodes[0].directory.usable('engine'):
+                while nodes[0].cold.take(target):
+                    pass
+            self.assertIsNotNone(
+                await nodes[sender].prompt_placer.place(
+                    'engine', test_prompt_streams.prompt('r0'), ()
+                )
+            )
+
     @mock.patch.object(listed_ranks, 'START_MS', 0)
     async def test_prompts_stay_within_the_shares_after_a_placer_is_lost(self):
         """The instances left must not each send as much as the placer."""
