Refuse late stage groups also while a service has no replica

Cause: the place of a refused caller is spaced by the service's capacity, which is 0 while no replica is usable, so that RetryPlaces.book divided by zero and the request ended by the exception instead of a refusal. Change: no place is kept then; the retry time is the expected excess. Ruled out: a limited replica, whose capacity is small but never 0. Measured: the new test raised ZeroDivisionError before and passes now.

--- a/sycamorebeam/forwarding/stage_admission/contention.py
+++ b/sycamorebeam/forwarding/stage_admission/contention.py
@@ -163,7 +163,8 @@
         self._counts.refused += 1
         limit_ms = group.accept_by_ms if group.is_retry else group.in_time_ms
         excess_ms = max(0.0, late_end_ms - limit_ms)
-        if not self._policy.keeps_retry_places:
+        if not self._policy.keeps_retry_places or not items_per_ms:
+            # Without a replica there is no capacity to promise.
             return excess_ms
         latest_ms = now_ms + MAX_RETRY_SHARE * (group.expiry_ms - now_ms)
         earliest_ms = min(latest_ms, now_ms + max(MIN_RETURN_MS, excess_ms))
--- a/tests/forwarding/test_stage_admission.py
+++ b/tests/forwarding/test_stage_admission.py
@@ -83,6 +83,13 @@
         result = queue.submit(group, replicas, 0)
         self.assertEqual(is_accepted, isinstance(result, stage_queue.Accepted))
 
+    def test_a_late_group_is_refused_while_there_is_no_replica(self):
+        """Guards against a division by zero while all replicas are gone."""
+        queue = new_queue(PACE)
+        queue.submit(build.group(0), fleet('a1'), 0)
+        result = queue.submit(build.group(1, in_time_ms=10), [], 0)
+        self.assertEqual(stage_queue.Rejected(310.0), result)
+
     @ddt.data(
         ('many wait', PACE, 6, {}, [0, 1, 2, 3, 4, 5]),
         ('few wait', PACE, 4, {}, []),
