Notify the placer of prompts that are cancelled while they are placed

Cause: a request whose caller leaves or whose deadline passes while it waits for its placement or for a permit ended before the code that removes it from the placer. Its tokens then counted against the engine's memory until the timeout of unread prompts, and after a permit's wait the requester's entry for the request stayed for good. Change: the link is recorded before the wait, and the removal also runs when the choice of the target is cancelled. Ruled out: another order of messages for requests that are not cancelled.

--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -80,15 +80,18 @@
             link = await self._links.connect(placer_id)
             if link is None:
                 continue
+            # Set before the wait, so that remove() notifies the placer also
+            # of a request that is cancelled meanwhile.
+            self._link_by_attempt[prompt.attempt_id] = link, service
             placed = await self._request_placement(
                 link, service, prompt, excluded
             )
-            if placed is not None and placed.lacks_memory:
-                return None
             for target in candidates:
                 if placed and target.target_id == placed.target_id:
-                    self._link_by_attempt[prompt.attempt_id] = link, service
                     return target
+            self._link_by_attempt.pop(prompt.attempt_id, None)
+            if placed is not None and placed.lacks_memory:
+                return None
             # The placer may have recorded the prompt nevertheless.
             link.send(placement_messages.PromptEnded(prompt.attempt_id))
         return self._place_locally(service, prompt, candidates, now_ms)
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -101,7 +101,11 @@
         ``results`` are those of the request's stages, produced for the zone
         of ``first_choice``; ``prepared`` holds them until they are read.
         """
-        target = await self._selection.choose(call, results, first_choice)
+        try:
+            target = await self._selection.choose(call, results, first_choice)
+        except asyncio.CancelledError:
+            self._prompt_placer.remove(call.request.attempt_id)
+            raise
         if target is None:
             return self._selection.without_target(call)
         wait_ms = self.withheld_ms(call)
--- a/tests/forwarding/test_prompt_streams.py
+++ b/tests/forwarding/test_prompt_streams.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import attrs
 import ddt
 
 from sycamorebeam import clocks
+from sycamorebeam.forwarding import peer_link
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_directory
@@ -146,6 +148,22 @@
             await asyncio.sleep(0.05)
             self.assertEqual(warm, await self.place(other, 'r2'))
 
+    async def test_a_prompt_cancelled_meanwhile_is_removed_by_the_placer(self):
+        """Guards against tokens counted for requests that have ended."""
+        async with fleet(*['north'] * 3) as nodes:
+            _, one, other = nodes
+            warm = await self.place(one, 'r0', own=50_000)
+            one.prompt_placer.remove('r0')
+            never = mock.Mock(side_effect=lambda _: asyncio.Event().wait())
+            with mock.patch.object(peer_link.Exchange, 'next', never):
+                task = asyncio.create_task(self.place(one, 'r1', own=50_000))
+                await asyncio.sleep(0.05)
+                task.cancel()
+                await asyncio.wait([task])
+            one.prompt_placer.remove('r1')
+            await asyncio.sleep(0.05)
+            self.assertEqual(warm, await self.place(other, 'r2'))
+
     async def test_nothing_is_placed_without_engines(self):
         async with fleet(*['north'] * 2) as nodes:
             chosen = await nodes[1].prompt_placer.place('none', prompt(), ())
