Accept any value of inference_engine that was accepted before

Cause: bounds of engines were read from every value of inference_engine, so that a value other than an object made the whole state undecodable, where its mere presence was enough before. Change: such a value states no bounds. Measured: the new case of the test raised UndecodableError before.

--- a/sycamorebeam/platform/desired_state.py
+++ b/sycamorebeam/platform/desired_state.py
@@ -106,8 +106,8 @@
     )
 
 
-def _decode_engine(item: dict[str, Any] | None) -> model.Engine | None:
-    if not item:
+def _decode_engine(item: Any) -> model.Engine | None:
+    if not item or not isinstance(item, dict):
         return None
     return model.Engine(
         slots=_decode_count(item.get('slots')),
--- a/tests/forwarding/test_platform_formats.py
+++ b/tests/forwarding/test_platform_formats.py
@@ -113,6 +113,7 @@
 
     @ddt.data(
         ({}, None),
+        (True, None),
         (
             {'slots': 16, 'kv_cache_tokens': 323_291},
             model.Engine(slots=16, kv_cache_tokens=323_291),
