Refuse a prompt at once if no engine has memory for it

Cause: a prompt that the placer refused for lack of memory was handled like a failed connection: the instance tried three more times, and each try ran all stages of the request again, just when engines are full. Change: where engines report a pace and one would still be tried next, the request is refused with 503 and a retry time. Ruled out: services without a pace, which keep the previous outcome. Measured: the new test's case with a pace got NotSent before and Limited now; the case without a pace is unchanged.

--- a/sycamorebeam/forwarding/calls.py
+++ b/sycamorebeam/forwarding/calls.py
@@ -103,9 +103,10 @@
 
 @attrs.frozen
 class Limited:
-    """Nothing was sent, since targets that may be cold got enough."""
+    """Nothing was sent, since no target may take another request now."""
 
     retry_after_ms: float
+    reason: str = 'targets may be cold'
 
 
 Outcome = Delivered | NotSent | Declined | Broken | Withheld | Limited
--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -204,10 +204,8 @@
                 )
             case calls.Withheld(retry_after_ms):
                 return await self._withhold(call, retry_after_ms)
-            case calls.Limited(retry_after_ms):
-                return await self._refuse_or_fail(
-                    call, 'targets may be cold', retry_after_ms
-                )
+            case calls.Limited(retry_after_ms, reason):
+                return await self._refuse_or_fail(call, reason, retry_after_ms)
             case calls.Broken(error, answer):
                 call.may_have_run = True
                 if call.may_send_again and self._take_retry(call):
--- a/sycamorebeam/forwarding/placement/target_selection.py
+++ b/sycamorebeam/forwarding/placement/target_selection.py
@@ -19,6 +19,10 @@
 from sycamorebeam.forwarding.cold_targets import cold_targets
 from sycamorebeam.forwarding.placement import plain_choice
 
+# Suggested to callers if a prompt fits into the memory of no engine. Engines
+# end several requests a second.
+NO_MEMORY_RETRY_MS = 300.0
+
 
 class TargetSelection:
     """Selects targets for the requests of one instance."""
@@ -110,6 +114,14 @@
         )
         if retry_after_ms > 0:
             return calls.Limited(retry_after_ms)
+        now_ms = self._clock.monotonic_ms()
+        if (
+            self._state.has_engine(call.service)
+            and self._chooser.loads.is_paced(call.service, now_ms)
+            and self.pick(call) is not None
+        ):
+            # Another try would run the stages again, for the same result.
+            return calls.Limited(NO_MEMORY_RETRY_MS, 'no engine has memory')
         return calls.NotSent('no target is left')
 
     def record_time(self, target: model.Target, latency_ms: float) -> None:
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -12,6 +12,7 @@
 
 import ddt
 
+from sycamorebeam.forwarding import calls
 from sycamorebeam.forwarding import membership
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import prometheus_metrics
@@ -24,6 +25,7 @@
 from sycamorebeam.forwarding.placement import placement_metrics
 from sycamorebeam.forwarding.placement import plain_choice
 from sycamorebeam.forwarding.placement import target_loads
+from sycamorebeam.forwarding.placement import target_selection
 from sycamorebeam.forwarding.placement import timed_placer
 from sycamorebeam.peering import placement_messages
 from tests import base
@@ -460,6 +462,33 @@
             placement_messages.PromptPlaced(7, target_id, lacks_memory)
         )
 
+    @ddt.data((True, calls.Limited), (False, calls.NotSent))
+    @ddt.unpack
+    def test_a_prompt_that_no_engine_has_memory_for_is_refused_at_once(
+        self, has_pace, outcome
+    ):
+        """Guards against running the stages again for the same result."""
+        if has_pace:
+            self.chooser.record_paced_load(
+                self.engines[0], report(100.0), self.clock.now_ms
+            )
+        selection = target_selection.TargetSelection(
+            self.clock,
+            mock.Mock(),
+            mock.Mock(usable=lambda service: self.engines),
+            self.chooser,
+            self.placer,
+            mock.Mock(refusing=lambda targets: set()),
+            mock.Mock(refusal_wait_ms=lambda *_: 0.0),
+        )
+        call = mock.Mock(
+            service='engine',
+            excluded=set(),
+            allowed_regions=None,
+            request=mock.Mock(session_part=None, attempt_id='r0'),
+        )
+        self.assertIsInstance(selection.without_target(call), outcome)
+
     @ddt.data(None, 9.3)
     def test_settings_are_valid_with_and_without_a_reuse_window(self, value):
         """Guards against a template whose optional section breaks JSON."""
