--- a/sycamorebeam/forwarding/region_prompt_placer.py
+++ b/sycamorebeam/forwarding/region_prompt_placer.py
@@ -73,19 +73,25 @@
             placer_ids = []
         for placer_id in placer_ids:
             if placer_id == self._instances.own_entry.instance_id:
-                break
+                if self._cold.preferred(candidates):
+                    break
+                # This instance has no share left; the next placer may.
+                continue
             link = await self._links.connect(placer_id)
             if link is None:
                 continue
+            # Set before the wait, so that remove() notifies the placer also
+            # of a request that is cancelled meanwhile.
+            self._link_by_attempt[prompt.attempt_id] = link, service
             placed = await self._request_placement(
                 link, service, prompt, excluded
             )
-            if placed is not None and placed.lacks_memory:
-                return None
             for target in candidates:
                 if placed and target.target_id == placed.target_id:
-                    self._link_by_attempt[prompt.attempt_id] = link, service
                     return target
+            self._link_by_attempt.pop(prompt.attempt_id, None)
+            if placed is not None and placed.lacks_memory:
+                return None
             # The placer may have recorded the prompt nevertheless.
             link.send(placement_messages.PromptEnded(prompt.attempt_id))
         return self._place_locally(service, prompt, candidates, now_ms)
@@ -267,9 +273,13 @@
                     now_ms,
                 )
                 target_id = '' if target is None else target.target_id
+                # Without a share left, another placer may have one.
+                lacks_memory = target is None and bool(
+                    self._cold.preferred(candidates)
+                )
                 inbound.stream.send(
                     placement_messages.PromptPlaced(
-                        call_id, target_id, target is None and bool(candidates)
+                        call_id, target_id, lacks_memory
                     )
                 )
             case placement_messages.PromptRead(attempt_id, service, loads):
