Check the zone of a target whose entry was removed before a send

Cause: the check right before a send looked the zone up by the target's id, so it passed for a target whose entry had been removed since the choice; a zone with a lone surrogate in its name could not be shared, which ended the task that follows the desired state. Change: the chosen target's own zone is checked; such names are packed. Ruled out: dropping records with such names. Measured: test_evacuation passes; neither case has a test of its own.

--- a/sycamorebeam/forwarding/send_checks.py
+++ b/sycamorebeam/forwarding/send_checks.py
@@ -10,7 +10,6 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.cold_targets import cold_targets
-from sycamorebeam.forwarding.evacuation import zone_checks
 
 
 class SendChecks:
@@ -43,7 +42,11 @@
                 self._clock.boottime_ms()
             ):
                 raise upstream.NotSentError('the desired state is too old')
-            zone_checks.check_zone(self._directory, target.target_id)
+            # The target's entry may have been removed meanwhile.
+            if self._directory.is_zone_evacuated(target.availability_zone):
+                raise upstream.NotSentError(
+                    f'the zone of {target.target_id} is evacuated'
+                )
             self._cold.check_send(target, call.chosen_ms)
             call.sends += 1
             call.sent_ms = self._clock.monotonic_ms()
--- a/sycamorebeam/forwarding/shared_rows.py
+++ b/sycamorebeam/forwarding/shared_rows.py
@@ -53,13 +53,22 @@
 
 
 def zones_row(zones: Iterable[str]) -> read_cache.Row:
-    """Return the row of all zones that the operator's records name."""
-    return read_cache.Row(ZONES_KEY, msgpack.packb(sorted(zones)))
+    """Return the row of all zones that the operator's records name.
+
+    Keys of records may have lone surrogates, which JSON allows.
+    """
+    return read_cache.Row(
+        ZONES_KEY, msgpack.packb(sorted(zones), unicode_errors='surrogatepass')
+    )
 
 
 def decode_zones(record: bytes | None) -> list[str] | None:
     """Return the zones in the record of their row, None without one."""
-    return None if record is None else list(msgpack.unpackb(record))
+    return (
+        None
+        if record is None
+        else list(msgpack.unpackb(record, unicode_errors='surrogatepass'))
+    )
 
 
 def targets_read(answer: Answer) -> followers.TargetsRead:
--- a/sycamorebeam/forwarding/target_directory.py
+++ b/sycamorebeam/forwarding/target_directory.py
@@ -71,6 +71,10 @@
         self._evacuated_zones = zones
         self._by_service = None
 
+    def is_zone_evacuated(self, zone: str) -> bool:
+        """Whether targets in a zone accept no requests."""
+        return zone in self._evacuated_zones
+
     def is_evacuated(self, target_id: str) -> bool:
         """Whether a known target is in an evacuated zone."""
         target = self._targets.get(target_id)
