Add load reports, evacuations and cold targets to the soak

Cause: the soak had none of the new parts, so faults that overlap with them were not tried.

Change: the targets are in two zones. A third series with a generator of its own changes the paces of the targets (which then report four load figures), evacuates a zone and turns engines cold during a burst. The fault and caller generators are unchanged, so seeds keep their sequences. Checked: an evacuated zone gets no work from 5 s after the record, except up to 6 s after a disturbance of the store, also in a phase without faults, in which the other zone must serve; and a cold engine gets at most cold_per_s x cold_overshoot + cold_tolerance requests in a second.

Limits: faults of all links and pauses count as disturbances of the store, so evacuations are checked strictly in the phase without faults.

Ruled out: drawing the new changes in the existing series, since that alters the faults of every seed.

--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -17,6 +17,7 @@
 START_TIMEOUT_S = 20
 POLL_S = 0.05
 PEERS_PORT = 2  # index of the port for other instances
+ZONES = ('a1', 'a2')  # the instances are in the first
 
 
 # Below the kernel's ephemeral ports, so that no connection or other server
@@ -99,7 +100,7 @@
     return await test_forwarding.call(address, raw=raw.encode())
 
 
-def start(folder, name, store_address, ports=None, grace_period_s=8):
+def start(folder, name, store_address, ports=None, grace_period_s=8, **bounds):
     ports = ports or free_ports(4)
     addresses = [f'127.0.0.1:{port}' for port in ports]
     settings = {
@@ -108,7 +109,7 @@
         'region': 'north',
         'cpu_cores': 0.5,
         'link_mbps': 1_000.0,
-        'zones': [{'name': 'a1', 'region': 'north'}],
+        'zones': [{'name': zone, 'region': 'north'} for zone in ZONES],
         'addresses': dict(
             zip(
                 ('callers', 'readiness', 'peers', 'metrics'),
@@ -125,6 +126,7 @@
             'retry_budget_ratio': 0.2,
             'retry_budget_extra': 50,
             'budget_window_s': 10,
+            **bounds,
         },
         'caller_limits': {'header_bytes': 16_384, 'idle_timeout_ms': 15_000},
     }
--- a/tests/forwarding/soak.py
+++ b/tests/forwarding/soak.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import random
 import signal
@@ -14,6 +15,7 @@
 
 import attrs
 
+from sycamorebeam.forwarding.cold_targets import listed_ranks
 from tests.forwarding import processes
 from tests.forwarding import standin
 from tests.forwarding import test_forwarding
@@ -31,6 +33,17 @@
 LINK_FAULTS = ('delay', 'silent', 'one_way', 'reset')
 MAX_REWRITE_DELAY_S = 1.5  # operator and targets take less than 2 s
 KEYS = ('k1', 'k2')
+PACES = (50.0, 100.0, 200.0, 400.0)
+BOUNDS = {'evacuation_ms': 5_000, 'cold_overshoot': 1.5, 'cold_tolerance': 5}
+EVACUATION_S = BOUNDS['evacuation_ms'] / 1000
+STORE_GRACE_S = 6.0  # allowed for evacuations after a store disturbance
+COLD_PER_S = 30.0  # with the bounds, 50 requests in a second
+MAX_COLD_REQUESTS = (
+    COLD_PER_S * BOUNDS['cold_overshoot'] + BOUNDS['cold_tolerance']
+)
+BURST_PER_INSTANCE = 50  # requests sent at once when engines turn cold
+
+start_process = functools.partial(processes.start, **BOUNDS)
 
 
 class FaultProxy:
@@ -108,6 +121,7 @@
         # Separate generators, so that a seed repeats its sequence of faults.
         self.caller_random = random.Random(f'{seed} callers')
         self.fault_random = random.Random(f'{seed} faults')
+        self.zone_random = random.Random(f'{seed} zones')
         self.platform = standin.StandinPlatform()
         self.instances = []
         self.proxies = []
@@ -115,6 +129,8 @@
         self.revoked_at_s = None
         self.draining_target = None
         self.reserved_indexes = set()
+        self.store_disturbances = []  # begin and end of each, in seconds
+        self.evacuations = []  # zone, begin and end of each
         self.problems = []
         self.log = []
         self._names = itertools.count(1)
@@ -130,12 +146,15 @@
                 ]
                 # Two concurrent series, so that faults overlap.
                 await asyncio.gather(
-                    self._inject(folder), self._inject(folder)
+                    self._inject(folder),
+                    self._inject(folder),
+                    self._change_zones(),
                 )
                 self._heal()
                 await self._check_recovery()
                 await self._check_limit()
                 await self._check_drained()
+                await self._check_evacuation()
                 for caller in callers:
                     caller.cancel()
                 await asyncio.gather(*callers, return_exceptions=True)
@@ -147,22 +166,25 @@
                     proxy.stop()
                 await self.platform.stop()
         self._check_answers()
+        self._check_evacuated_targets()
+        self._check_cold_targets()
         return self.problems
 
     async def _start(self, folder):
         await self.platform.start(
             [
                 standin.StandinTarget('e0', 'engine'),
-                standin.StandinTarget('e1', 'engine'),
+                standin.StandinTarget('e1', 'engine', zone='a2'),
                 standin.StandinTarget('p0', 'plain'),
-                standin.StandinTarget('p1', 'plain'),
+                standin.StandinTarget('p1', 'plain', zone='a2'),
                 standin.StandinTarget('d0', 'desk'),
-                standin.StandinTarget('d1', 'desk'),
+                standin.StandinTarget('d1', 'desk', zone='a2'),
             ]
         )
         for target in self.platform.targets:
             target.address = await self._proxy(target.address)
             self.platform.announce(target)
+        self.platform.cold_per_s = COLD_PER_S
         self.platform.configure(1, list(KEYS))
         for number in range(3):
             store = await self._proxy(self.platform.store_address)
@@ -170,10 +192,12 @@
             peers = f'127.0.0.1:{ports[processes.PEERS_PORT]}'
             self.platform.store.aliases[peers] = await self._proxy(peers)
             self.instances.append(
-                processes.start(folder, f'i{number}', store, ports)
+                start_process(folder, f'i{number}', store, ports)
             )
         for process in self.instances:
             await process.wait_ready()
+        # Before that, instances have no share of the engines' rate limits.
+        await asyncio.sleep(listed_ranks.START_MS / 1000)
 
     async def _proxy(self, address):
         proxy = FaultProxy(address)
@@ -226,7 +250,15 @@
                 )
             )
             self.log.append(fault.__name__)
+            begin_s = time.monotonic()
             await fault(folder)
+            if fault in (
+                self._fault_link,
+                self._pause,
+                self._store_away,
+                self._store_back_from_copy,
+            ):
+                self.store_disturbances.append((begin_s, time.monotonic()))
             await asyncio.sleep(self.fault_random.uniform(0.0, 1.0))
 
     def _heal(self):
@@ -300,7 +332,7 @@
 
     def _restart(self, folder, index):
         old = self.instances[index]
-        self.instances[index] = processes.start(
+        self.instances[index] = start_process(
             folder, old.name, old.store_address, old.ports
         )
 
@@ -332,6 +364,49 @@
             self.platform.configure(2, [KEYS[0]])
             self.revoked_at_s = time.monotonic()
 
+    async def _change_zones(self):
+        end_s = time.monotonic() + FAULT_PERIOD_S
+        while time.monotonic() < end_s:
+            change = self.zone_random.choice(
+                (self._change_pace, self._evacuate, self._turn_cold)
+            )
+            self.log.append(change.__name__)
+            await change()
+            await asyncio.sleep(self.zone_random.uniform(0.0, 1.0))
+        for target in self.platform.targets:
+            target.pace = 100.0
+
+    async def _change_pace(self):
+        for target in self.platform.targets:
+            target.pace = self.zone_random.choice(PACES)
+
+    async def _evacuate(self):
+        with self._evacuated(self.zone_random.choice(processes.ZONES)):
+            await asyncio.sleep(self.zone_random.uniform(1.0, 7.0))
+
+    @contextlib.contextmanager
+    def _evacuated(self, zone):
+        self.platform.store.put('keyed.op', f'evacuate/{zone}', {})
+        begin_s = time.monotonic()
+        yield
+        self.evacuations.append((zone, begin_s, time.monotonic()))
+        self.platform.store.put('keyed.op', f'evacuate/{zone}', None)
+
+    async def _turn_cold(self):
+        """Let engines turn cold during a burst of requests."""
+        names = self.zone_random.choice((('e0',), ('e1',), ('e0', 'e1')))
+        targets = [self._target(name) for name in names]
+        for target in targets:
+            target.turn_cold()
+            self.platform.announce(target)
+        burst = [
+            self._call(process, '/stream/x', KEYS[0])
+            for process in self.instances * BURST_PER_INSTANCE
+        ]
+        await asyncio.gather(asyncio.sleep(standin.COLD_START_S), *burst)
+        for target in targets:
+            self.platform.announce(target)
+
     async def _check_recovery(self):
         served = 0
         end_s = time.monotonic() + RECOVERY_S
@@ -380,6 +455,55 @@
                 f'{self.draining_target.target_id} got work late'
             )
 
+    async def _check_evacuation(self):
+        """Check that one zone serves while the other is evacuated."""
+        zone = self.zone_random.choice(processes.ZONES)
+        if self.draining_target is not None:
+            zone = self.draining_target.zone
+        with self._evacuated(zone):
+            await asyncio.gather(
+                asyncio.sleep(EVACUATION_S), self._turn_cold()
+            )
+            sent = [
+                await self._call(process, path, KEYS[0])
+                for process in self.instances * 3
+                for path in ('/stream/x', '/plain/x')
+            ]
+        if all(attempt.status != 200 for attempt in sent):
+            self.problems.append(f'not serving while {zone} is evacuated')
+
+    def _check_evacuated_targets(self):
+        for zone, begin_s, end_s in self.evacuations:
+            for target in self.platform.targets:
+                late_s = [
+                    at_s - begin_s
+                    for at_s in target.work_s
+                    if begin_s + EVACUATION_S < at_s < end_s
+                    and not any(
+                        disturbed_s <= at_s <= healed_s + STORE_GRACE_S
+                        for disturbed_s, healed_s in self.store_disturbances
+                    )
+                ]
+                if target.zone == zone and late_s:
+                    self.problems.append(
+                        f'{target.target_id} got work {late_s} s after the '
+                        f'evacuation of {zone}'
+                    )
+
+    def _check_cold_targets(self):
+        for target in self.platform.targets:
+            for begin_s, end_s in target.cold_periods:
+                counted = windows.largest(
+                    [at for at in target.arrivals_s if begin_s < at < end_s],
+                    window_s=1.0,
+                )
+                self.log.append(f'{target.target_id}:{counted}')
+                if counted > MAX_COLD_REQUESTS:
+                    self.problems.append(
+                        f'{target.target_id} got {counted} requests in a '
+                        'second while it was cold'
+                    )
+
     def _check_answers(self):
         runs = {}
         for target in self.platform.targets:
--- a/tests/forwarding/standin.py
+++ b/tests/forwarding/standin.py
@@ -18,6 +18,8 @@
 WAIT_STEP_S = 0.02
 CRASH_DOWN_S = 1.0  # how long an engine is down after a crash
 TARGETS_TOPIC = 'keyed.servers'
+COLD_START_S = 3.0  # how long a target is cold
+SLOTS = 8
 
 
 class StandinStore:
@@ -127,7 +129,14 @@
     crash: object = None  # called to crash this target
     # The rate that it accepts from all instances together; None is any.
     requests_per_s: float | None = None
+    # The reported pace, which also scales ``duration_ms``; None reports none.
+    pace: float | None = None
+    # Begin and end of each time in which it is cold.
+    cold_periods: list = attrs.field(factory=list)
+    state: str = 'ready'
+    running: int = 0
     arrivals_s: list = attrs.field(factory=list)
+    work_s: list = attrs.field(factory=list)  # of requests and stage calls
     requests_run: list = attrs.field(factory=list)
     stage_call_sizes: list = attrs.field(factory=list)
     # Parts of each prompt that arrived, with the time of its arrival.
@@ -139,12 +148,31 @@
 
     async def handle(self, request):
         self.arrivals_s.append(time.monotonic())
-        return await self.answer(request)
-
-    def limit_headers(self):
-        if self.requests_per_s is None:
-            return {}
-        return {'Server-Limit': str(self.requests_per_s)}
+        self.running += 1
+        try:
+            return await self.answer(request)
+        finally:
+            self.running -= 1
+
+    def work_duration_s(self):
+        return self.duration_ms / 1000 * (self.pace or 100) / 100
+
+    def turn_cold(self):
+        now_s = time.monotonic()
+        self.cold_periods.append((now_s, now_s + COLD_START_S))
+
+    def cold_remaining_ms(self):
+        ends_s = (end_s for _, end_s in self.cold_periods[-1:])
+        return 1000 * max(0.0, next(ends_s, 0.0) - time.monotonic())
+
+    def report_headers(self):
+        headers = {}
+        if self.requests_per_s is not None:
+            headers['Server-Limit'] = str(self.requests_per_s)
+        if self.pace is not None:
+            load = f'{self.running},0,{SLOTS},{self.pace}'
+            headers['X-Instance-Load'] = load
+        return headers
 
     async def answer(self, request):
         body = await request.read()
@@ -155,22 +183,23 @@
             return await self.run_stage(json.loads(body))
         if request.path.endswith('/stage-free'):
             self.held_results.difference_update(json.loads(body)['handles'])
-            return web.json_response({}, headers=self.limit_headers())
+            return web.json_response({}, headers=self.report_headers())
         return await self.run(request)
 
     async def run_stage(self, body):
         self.stage_call_sizes.append(len(body['entries']))
-        await asyncio.sleep(self.duration_ms / 1000)
+        self.work_s.append(time.monotonic())
+        await asyncio.sleep(self.work_duration_s())
         names = [f'{self.address}/{next(self._ids)}' for _ in body['entries']]
         self.held_results.update(names)
         return web.json_response(
             {'entries': [{'handle': name} for name in names]},
-            headers=self.limit_headers(),
+            headers=self.report_headers(),
         )
 
     async def work(self, request):
         """Work for ``duration_ms``, or until the connection is closed."""
-        for _ in range(int(self.duration_ms / 1000 / WAIT_STEP_S) + 1):
+        for _ in range(int(self.work_duration_s() / WAIT_STEP_S) + 1):
             if request.transport is None or request.transport.is_closing():
                 raise ConnectionResetError
             await asyncio.sleep(WAIT_STEP_S)
@@ -178,17 +207,18 @@
     async def run(self, request):
         attempt_id = request.headers['X-Attempt-Id']
         self.requests_run.append((attempt_id, dict(request.headers)))
+        self.work_s.append(time.monotonic())
         if self.abort_after_events == 0:
             request.transport.abort()
         headers = {
             'X-Attempt-Id': attempt_id,
             'X-Server-Signature': 's',
-            **self.limit_headers(),
+            **self.report_headers(),
         }
         if self.is_leaving:
             headers['Server-Leaving'] = '1'
         if 'X-Input-Items' not in request.headers:
-            await asyncio.sleep(self.duration_ms / 1000)
+            await asyncio.sleep(self.work_duration_s())
             padding = ' ' * self.padding_bytes
             return web.Response(
                 text=f'served {attempt_id}{padding}', headers=headers
@@ -225,6 +255,7 @@
         self.store = StandinStore()
         self.store_address = ''
         self.targets = []
+        self.cold_per_s = 0.0  # of engines
         self.crashes_s = []
         self._runners = {}
         self._tasks = set()
@@ -268,7 +299,8 @@
         await self._serve(target.handle, host, int(port))
         self.announce(target)
 
-    def announce(self, target, state='ready'):
+    def announce(self, target, state=None):
+        target.state = state or target.state
         self.store.put(
             TARGETS_TOPIC,
             target.target_id,
@@ -277,15 +309,16 @@
                 'address': target.address,
                 'zone': target.zone,
                 'version': 'v1',
-                'slots': 8,
-                'state': state,
-                'cold_remaining_ms': 0,
+                'slots': SLOTS,
+                'state': target.state,
+                'cold_remaining_ms': target.cold_remaining_ms(),
                 'born': 1,
             },
         )
 
     def configure(self, version, keys):
-        self.store.put('keyed.op', 'config', desired_state(version, keys))
+        state = desired_state(version, keys, self.cold_per_s)
+        self.store.put('keyed.op', 'config', state)
 
     async def _serve(self, handler, host='127.0.0.1', port=0):
         runner = web.ServerRunner(
@@ -298,7 +331,7 @@
         return address
 
 
-def desired_state(version, keys):
+def desired_state(version, keys, cold_per_s=0.0):
     """Return a state with a stream over one stage, and a plain route."""
     common = {
         'hostname': 'h.example',
@@ -332,7 +365,12 @@
             },
         ],
         'services': [
-            {'name': 'engine', 'inference_engine': {}},
+            {
+                'name': 'engine',
+                'inference_engine': {},
+                'cold_start_s': COLD_START_S if cold_per_s else 0.0,
+                'cold_per_s': cold_per_s,
+            },
             {'name': 'plain'},
             {
                 'name': 'desk',
