--- a/sycamorebeam/forwarding/forwarder.py
+++ b/sycamorebeam/forwarding/forwarder.py
@@ -13,10 +13,10 @@
 from sycamorebeam.forwarding import requests
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import routing
-from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_attempts
 from sycamorebeam.forwarding.stage_admission import engine_starts
+from sycamorebeam.forwarding.stage_calls import deadlines as stage_deadlines
 
 # Failed connections don't count as attempts, but each delays the caller.
 MAX_CONNECT_FAILURES = 4
--- a/sycamorebeam/forwarding/preparation.py
+++ b/sycamorebeam/forwarding/preparation.py
@@ -8,9 +8,9 @@
 from sycamorebeam import clocks
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import requests
-from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding.regions import region_filter
+from sycamorebeam.forwarding.stage_calls import deadlines as stage_deadlines
 
 # From a request to an engine to its first event, at usual load.
 ENGINE_START_MS = 150
--- /dev/null
+++ b/sycamorebeam/forwarding/stage_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the queues of stage services: calls, deadlines, eligible items."""
--- a/sycamorebeam/forwarding/stage_owner.py
+++ b/sycamorebeam/forwarding/stage_owner.py
@@ -15,7 +15,6 @@
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
 from sycamorebeam.forwarding import send_permits
-from sycamorebeam.forwarding import stage_call_results
 from sycamorebeam.forwarding import stage_freeing
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_queue
@@ -29,6 +28,7 @@
 from sycamorebeam.forwarding.regions import region_filter
 from sycamorebeam.forwarding.stage_admission import admission_reports
 from sycamorebeam.forwarding.stage_admission import policy as admission_policy
+from sycamorebeam.forwarding.stage_calls import call_results
 
 FREE_INTERVAL_MS = 500  # between freeing results if memory is not short
 TICK_MS = 30  # between checks of the queues
@@ -72,7 +72,7 @@
             self._start_calls,
         )
         self._waiting = waiting_groups.WaitingGroups()
-        self._call_results = stage_call_results.CallResults(
+        self._call_results = call_results.CallResults(
             clock, budgets, metrics, self._waiting, self.free
         )
         self._group_ids = itertools.count(1)
@@ -103,7 +103,7 @@
             future.set_result(
                 stages.Failure(
                     stages.FailureReason.NO_TARGET,
-                    stage_call_results.DECLINED_PAUSE_MS,
+                    call_results.DECLINED_PAUSE_MS,
                 )
             )
             return future
@@ -140,7 +140,7 @@
         if service is None:
             return stages.Failure(
                 stages.FailureReason.NO_TARGET,
-                stage_call_results.DECLINED_PAUSE_MS,
+                call_results.DECLINED_PAUSE_MS,
             )
         now_ms = self._clock.monotonic_ms()
         group = stage_groups.from_announcement(
--- a/sycamorebeam/forwarding/stage_queue.py
+++ b/sycamorebeam/forwarding/stage_queue.py
@@ -14,12 +14,12 @@
 from sycamorebeam.forwarding import announced_groups
 from sycamorebeam.forwarding import model
 from sycamorebeam.forwarding import rates
-from sycamorebeam.forwarding import stage_eligibility
 from sycamorebeam.forwarding import stage_forecast
 from sycamorebeam.forwarding import stage_groups
 from sycamorebeam.forwarding import stage_replica
 from sycamorebeam.forwarding.stage_admission import contention
 from sycamorebeam.forwarding.stage_admission import policy as admission_policy
+from sycamorebeam.forwarding.stage_calls import eligibility
 
 # A burst shows in the arrival rate within about a second.
 ARRIVAL_TIME_CONSTANT_MS = 1_500.0
@@ -251,7 +251,7 @@
     ) -> list[stage_groups.GroupItem]:
         """Remove and return the items of the next call of a free replica."""
         ordered = self._by_urgency(now_ms)
-        eligible = stage_eligibility.eligible_groups(
+        eligible = eligibility.eligible_groups(
             self._batching,
             ordered,
             replica,
--- a/sycamorebeam/forwarding/target_attempts.py
+++ b/sycamorebeam/forwarding/target_attempts.py
@@ -13,7 +13,6 @@
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import region_prompt_placer
 from sycamorebeam.forwarding import requests
-from sycamorebeam.forwarding import send_checks
 from sycamorebeam.forwarding import send_permits
 from sycamorebeam.forwarding import target_choice
 from sycamorebeam.forwarding import target_crashes
@@ -21,6 +20,7 @@
 from sycamorebeam.forwarding import target_feedback
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.cold_targets import cold_targets
+from sycamorebeam.forwarding.placement import send_checks
 from sycamorebeam.forwarding.placement import target_selection
 
 MIN_REMAINING_MS = 20  # no target can serve a request in less
--- a/tests/forwarding/contention.py
+++ b/tests/forwarding/contention.py
@@ -16,12 +16,12 @@
 from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
-from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding.stage_admission import engine_starts
+from sycamorebeam.forwarding.stage_calls import deadlines as stage_deadlines
 from tests.forwarding import build
 
 ZONES = ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
--- a/tests/forwarding/test_evacuation.py
+++ b/tests/forwarding/test_evacuation.py
@@ -6,12 +6,12 @@
 import ddt
 
 from sycamorebeam.forwarding import positions
-from sycamorebeam.forwarding import send_checks
 from sycamorebeam.forwarding import target_directory
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding.evacuation import evacuated_zones
 from sycamorebeam.forwarding.evacuation import zone_checks
 from sycamorebeam.forwarding.evacuation import zone_records
+from sycamorebeam.forwarding.placement import send_checks
 from tests import base
 from tests.forwarding import build
 from tests.forwarding import processes
--- a/tests/forwarding/test_stage_owner.py
+++ b/tests/forwarding/test_stage_owner.py
@@ -11,7 +11,6 @@
 from sycamorebeam.forwarding import preparation
 from sycamorebeam.forwarding import prometheus_metrics
 from sycamorebeam.forwarding import retry_budget
-from sycamorebeam.forwarding import stage_deadlines
 from sycamorebeam.forwarding import stage_owner
 from sycamorebeam.forwarding import stage_queue
 from sycamorebeam.forwarding import stages
@@ -19,6 +18,7 @@
 from sycamorebeam.forwarding import target_limits
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.forwarding import waiting_groups
+from sycamorebeam.forwarding.stage_calls import deadlines as stage_deadlines
 from tests import base
 from tests.forwarding import build
 
