Leave stage admission off unless the settings ask for it

Change: the setting stage_admission, false by default. Ruled out: the bound of cold targets as the cause.

--- a/sycamorebeam/forwarding/instance.py
+++ b/sycamorebeam/forwarding/instance.py
@@ -49,6 +49,7 @@
 from sycamorebeam.forwarding.input_account import peer_connections
 from sycamorebeam.forwarding.placement import placement_metrics
 from sycamorebeam.forwarding.placement import timed_placer
+from sycamorebeam.forwarding.stage_admission import policy as admission_policy
 
 MAX_TARGET_CONNECTIONS = 1_500  # below an instance's limit of file descriptors
 METRICS_CONTENT_TYPE = 'text/plain'
@@ -148,6 +149,7 @@
             settings.region_of_zone,
             self._feedback_handler,
             self._permits,
+            admission_policy.from_setting(settings.stage_admission),
         )
         self._stage_streams = stage_streams.StageStreams(
             self._instances, self._stage_owner, self._links
--- a/sycamorebeam/forwarding/instance_settings.py
+++ b/sycamorebeam/forwarding/instance_settings.py
@@ -90,6 +90,8 @@
     bounds: Bounds
     caller_limits: CallerLimits
     memory_mb: float = DEFAULT_MEMORY_MB
+    # See docs/design/stage-admission.md for why it is off.
+    stage_admission: bool = False
 
     @property
     def region_of_zone(self) -> dict[str, str]:
--- a/sycamorebeam/forwarding/stage_admission/policy.py
+++ b/sycamorebeam/forwarding/stage_admission/policy.py
@@ -25,3 +25,16 @@
     measures_engine_start: bool = True
     keeps_retry_places: bool = True
     saves_memory: bool = False
+
+
+def from_setting(is_enabled: bool) -> Policy:
+    """Return the decisions of a deployment that has them on or off."""
+    if is_enabled:
+        return Policy()
+    return Policy(
+        fills_calls=False,
+        puts_timely_first=False,
+        measures_engine_start=False,
+        keeps_retry_places=False,
+        saves_memory=False,
+    )
