--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import struct
@@ -30,7 +31,7 @@
 OPERATOR_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 START_TIMEOUT_S = 30
-IDLE_TIMEOUT_S = 60
+DESCRIPTORS = 4_100  # of each process, as on the users' machines
 STEP_S = 0.02
 
 Headers = Iterable[tuple[str, str]]
@@ -283,6 +284,10 @@
             return
         await self._run(head, body, writer)
 
+    def event(self, number: int, attempt_id: str) -> bytes:
+        """Return one event of a stream."""
+        return f'id: {number}\ndata: {attempt_id}\n\n'.encode()
+
     async def _run_stage(
         self, call: dict[str, Any], writer: asyncio.StreamWriter
     ) -> None:
@@ -333,7 +338,7 @@
         writer.write('\r\n'.join([*lines, '', '']).encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.work_s)
-            event = f'id: {number}\ndata: {attempt_id}\n\n'.encode()
+            event = self.event(number, attempt_id)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
         writer.write(b'0\r\n\r\n')
@@ -638,6 +643,11 @@
 def run(folder: str | pathlib.Path, case: Case) -> None:
     """Run a case; exit with 1 for a broken rule, 0 if it held, else 2."""
     record = Record()
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    allowed = DESCRIPTORS if hard == resource.RLIM_INFINITY else hard
+    resource.setrlimit(
+        resource.RLIMIT_NOFILE, (min(DESCRIPTORS, allowed), hard)
+    )
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add(f'trouble={has_trouble}')
 
