--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -31,6 +31,7 @@
 OPERATOR_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 START_TIMEOUT_S = 30
+RUN_S = 110
 DESCRIPTORS = 4_100  # of each process, as on the users' machines
 STEP_S = 0.02
 
@@ -653,8 +654,14 @@
 
     async def main() -> list[str]:
         site = Site(record)
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes also if the script itself is ended.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(RUN_S):
                 return await case(site, has_trouble)
         finally:
             await site.stop()
@@ -665,7 +672,8 @@
         for fault in faults:
             record.add(f'BROKEN {fault}')
         code = 1 if faults else 0
-    except (CouldNotRunError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Exit code 1 is for a broken rule only.
         record.add(f'could not run: {error!r}')
     record.add(f'exit={code}')
     record.write(folder)
