--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -366,6 +366,7 @@
                 'name': 'order',
                 'path_prefix': '/order/',
                 'route_kind': 'non_idempotent',
+                'timeout_ms': 5_189,
                 'service': 'ledger',
             },
             {
