--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -28,6 +28,7 @@
 KEY = 'k1'
 STAGE_RUN = '/sycamorebeam/stage-run'
 STAGE_FREE = '/sycamorebeam/stage-free'
+HEALTH_PATH = '/healthz'
 OPERATOR_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 START_TIMEOUT_S = 30
@@ -150,8 +151,8 @@
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
                 await self.handle(head, body, reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the caller has gone, or the stand-in stops
         finally:
             self._tasks.discard(task)
             writer.close()
@@ -194,9 +195,9 @@
                         {
                             'key': key,
                             'value': base64.b64encode(value).decode(),
-                            'offset': 0,
+                            'offset': offset,
                         }
-                        for key, value in dict(records).items()
+                        for offset, (key, value) in newest(records)
                         if value
                     ],
                     'has_more': False,
@@ -207,7 +208,8 @@
             answer = await self._read(records, fields)
         else:
             status = '404 Not Found'
-        writer.write(encode(f'HTTP/1.1 {status}', [], answer))
+        own = [('Store-Era', '1')]
+        writer.write(encode(f'HTTP/1.1 {status}', own, answer))
         await writer.drain()
 
     def _append(self, records: list[tuple[str, bytes]], body: bytes) -> None:
@@ -235,6 +237,14 @@
         return b''.join(parts)
 
 
+def newest(
+    records: list[tuple[str, bytes]],
+) -> list[tuple[int, tuple[str, bytes]]]:
+    """Return the newest record of each key, with its offset."""
+    last = {key: offset for offset, (key, _) in enumerate(records)}
+    return [(offset, records[offset]) for offset in sorted(last.values())]
+
+
 class Replica(Server):
     """A sound replica of a plain service, an engine or a stage."""
 
@@ -283,6 +293,17 @@
         if path == STAGE_FREE:
             writer.write(encode('HTTP/1.1 200 OK', [], b'{}'))
             return
+        if path == HEALTH_PATH:
+            own = [('X-Instance-Id', self.name)]
+            writer.write(encode('HTTP/1.1 200 OK', own))
+            return
+        if path.startswith('/sycamorebeam/'):
+            writer.write(encode('HTTP/1.1 404 Not Found', []))
+            return
+        if self.service == 'model' and not head.get('X-Input-Items'):
+            own = [('X-Not-Executed', '1')]
+            writer.write(encode('HTTP/1.1 400 Bad Request', own))
+            return
         await self._run(head, body, writer)
 
     def event(self, number: int, attempt_id: str) -> bytes:
@@ -313,6 +334,8 @@
             ('X-Attempt-Id', attempt_id),
             ('X-Server-Signature', f'{self.name}.{attempt_id}'),
         ]
+        if self.service == 'model':
+            own.append(('X-Weight-Versions', '1'))
         if self.events:
             await self._stream(own, attempt_id, writer)
         else:
@@ -425,7 +448,7 @@
 def _service(name: str) -> dict[str, Any]:
     return {
         'name': name,
-        'health_check_path': '/healthz',
+        'health_check_path': HEALTH_PATH,
         'connection_limit': 630,
         'protocol': 'h1',
         'tls': False,
@@ -452,6 +475,7 @@
         folder: str | pathlib.Path,
         store: 'Store',
         memory_mb: int = 300,
+        drain_timeout_ms: int = 2_500,
     ) -> None:
         ports = free_ports(4)
         parts = ('callers', 'readiness', 'peers', 'metrics')
@@ -463,11 +487,13 @@
         self._log_path = pathlib.Path(folder, f'{name}.log')
         self._settings_path = pathlib.Path(folder, f'{name}.json')
         self._settings_path.write_text(
-            json.dumps(self._settings(store, memory_mb))
+            json.dumps(self._settings(store, memory_mb, drain_timeout_ms))
         )
         self.process = None
 
-    def _settings(self, store: 'Store', memory_mb: int) -> dict[str, Any]:
+    def _settings(
+        self, store: 'Store', memory_mb: int, drain_timeout_ms: int
+    ) -> dict[str, Any]:
         return {
             'instance_id': self.name,
             'availability_zone': 'a1',
@@ -480,7 +506,7 @@
             'store': {'address': store.address},
             'bounds': {
                 'grace_period_s': 8,
-                'drain_timeout_ms': 2500,
+                'drain_timeout_ms': drain_timeout_ms,
                 'strict_revocation': True,
                 'revocation_ms': 5000,
                 'retry_budget_ratio': 0.2,
@@ -610,6 +636,7 @@
         self.store = Store()
         self.replicas = []
         self.instances = []
+        self.drain_timeout_ms = 2_500  # of Kovacik; Atlas has 4,000
         self.folder = tempfile.TemporaryDirectory(prefix='review-')
 
     async def start(
@@ -627,7 +654,13 @@
             self.store.put(SERVERS_TOPIC, replica.name, replica.entry())
         self.store.put(OPERATOR_TOPIC, 'config', desired_state(**limits))
         for name in instances:
-            instance = Instance(name, self.folder.name, self.store, memory_mb)
+            instance = Instance(
+                name,
+                self.folder.name,
+                self.store,
+                memory_mb,
+                self.drain_timeout_ms,
+            )
             self.instances.append(instance)
             instance.start()
         for instance in self.instances:
