Show that a reset beside an upload ends no answer of a target

They don't: the reset reaches the connection's protocol as an error, and Answer.chunks takes a body that only the end of the connection ends as broken then. No code is changed.

--- /dev/null
+++ b/tests/forwarding/test_broken_answers.py
@@ -0,0 +1,147 @@
+"""Tests of an instance as a process, with targets that answer brokenly.
+
+A caller gets such an answer neither as a success nor as a promise that its
+request has not run, and a request that may not repeat is sent only once.
+"""
+
+import asyncio
+import contextlib
+
+import ddt
+
+from tests import base
+from tests.forwarding import processes
+from tests.forwarding import standin
+from tests.forwarding import test_forwarding
+from tests.forwarding import wire
+
+BODY = b'served'
+STREAM = wire.event(1) + wire.event(2)
+TOP = b'HTTP/1.1 200 OK\r\n'
+SIGNED = b'X-Attempt-Id: %s\r\nX-Server-Signature: signed\r\n'
+LENGTH = b'Content-Length: %d\r\n'
+BODIES = {'plain': BODY, 'stream': STREAM}
+PARTS = {'plain': BODY[:-3], 'stream': wire.event(1)}
+UNKNOWN = 502  # promises nothing on whether the request has run
+CUT = 'cut'
+UPLOAD_BYTES = 3_000_000  # more than the socket buffers of loopback hold
+
+
+def answer(kind, top=TOP, fields=b'', length=LENGTH):
+    """Return an answer that is whole but for what the arguments say."""
+    body = BODIES[kind]
+    if b'%d' in length:
+        length = length % len(body)
+    return top + SIGNED + fields + length + b'\r\n' + body
+
+
+class BrokenTarget:
+    """Answers each request by the steps that its header names."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.arrivals = []
+
+    async def serve(self, reader, writer):
+        try:
+            top = await reader.readuntil(b'\r\n\r\n')
+            lines = top.decode().strip().split('\r\n')
+            headers = dict(line.lower().split(': ', 1) for line in lines[1:])
+            attempt_id = headers['x-attempt-id']
+            self.arrivals.append(attempt_id)
+            server = wire.ScriptedServer()
+            for step in self.answers[headers['x-answer']]:
+                if isinstance(step, bytes):
+                    step = step.replace(b'%s', attempt_id.encode())
+                await server.step(step, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+@ddt.ddt
+class BrokenAnswersTest(base.NetworkTestCase):
+    @contextlib.asynccontextmanager
+    async def instance(self, target):
+        platform = standin.StandinPlatform()
+        await platform.start([])
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        for service in ('plain', 'engine'):
+            listed = standin.StandinTarget(f'{service}0', service)
+            listed.address = f'127.0.0.1:{port}'
+            platform.announce(listed)
+        platform.configure(1, ['k1'])
+        process = processes.start(
+            self.make_temp_dir(), 'i0', platform.store_address
+        )
+        try:
+            await process.wait_ready()
+            yield process
+        finally:
+            process.popen.kill()
+            process.popen.wait()
+            server.close()
+            await platform.stop()
+
+    async def send(self, process, kind, name, body=b''):
+        return await test_forwarding.call(
+            process.callers_address,
+            raw=(
+                f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
+                f'X-Attempt-Id: {abs(hash(name))}\r\nX-Answer: {name}\r\n'
+                'X-Credential: k1\r\nX-Deadline-Ms: 4000\r\n'
+                'X-Chunks: 0\r\nX-Chunk-Key: k\r\n'
+                f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+            ).encode()
+            + body,
+        )
+
+    async def send_all(self, kind, answers, body=b''):
+        """Return the caller's response to each answer of the target.
+
+        Checks that no request was sent to a target twice.
+        """
+        target = BrokenTarget(
+            {
+                str(number): steps
+                for number, steps in enumerate(answers.values())
+            }
+        )
+        async with self.instance(target) as process:
+            responses = {
+                name: await self.send(process, kind, str(number), body)
+                for number, name in enumerate(answers)
+            }
+        self.assertEqual(len(answers), len(target.arrivals))
+        self.assertEqual(len(answers), len(set(target.arrivals)))
+        return responses
+
+    async def assert_never_whole(self, kind, answers, body=b''):
+        """Check that each is a failure, or a stream that is cut off."""
+        responses = await self.send_all(kind, answers, body)
+        outcomes = {
+            name: response.status if response.is_whole else CUT
+            for name, response in responses.items()
+        }
+        allowed = {UNKNOWN, CUT} if kind == 'stream' else {UNKNOWN}
+        broken = {k: v for k, v in outcomes.items() if v not in allowed}
+        self.assertEqual({}, broken)
+
+    @ddt.data('plain', 'stream')
+    async def test_a_reset_beside_an_upload_ends_no_answer(self, kind):
+        """Guards against a body without a length that is taken for whole."""
+        begin = TOP + SIGNED + b'\r\n'
+        part = PARTS[kind]
+        await self.assert_never_whole(
+            kind,
+            {
+                'at once': [begin + part, wire.RESET],
+                'in two pieces': [begin, part, wire.RESET],
+                'after a pause': [begin, 5, part, 20, wire.RESET],
+                'no part': [begin, wire.RESET],
+                'the upload is not read': [begin + part],
+            },
+            b'u' * UPLOAD_BYTES,
+        )
