Reject answers whose status line is not HTTP/1.1

Callers saw: a target in trouble answered with status 000, and the caller got that as its answer, signed and with the target's body. It got 099, 600, 999 and an unasked 101 in the same way, and as a 200 the answers of RTSP/1.0, HTTP/0.9 and HTTP/2.0 and those with control bytes in the reason. A 000 with X-Not-Executed was even told as not run (503).

Cause: aiohttp's parser takes any three digits for a status and several names of protocols, and everything behind it compares statuses with 300 or 500 only. What is no status of HTTP fell into "below 300, a success".

Change: the protocol that all connections to targets, stages, the store and other servers share checks each head, interim ones included, before aiohttp's parser sees it: HTTP/1.0 or 1.1, a status of 100 to 599 but no 101, a reason without control bytes. Anything else ends the connection as an answer that broke off, so the request may have run: a command gets 502 and isn't sent again, what may repeat goes to another target, a call of a stage counts as broken, a call of the store has an unknown outcome. The check of the parsed head alone was ruled out, as the name of the protocol and a blank before the first field are lost there.

--- a/sycamorebeam/clients/bounded.py
+++ b/sycamorebeam/clients/bounded.py
@@ -1,8 +1,8 @@
-"""HTTP connections that bound the bytes received outside of answer bodies.
+"""HTTP connections that accept only sound answers of a bounded overhead.
 
-A faulty server may send such bytes until the client closes: interim heads,
-empty lines, chunks that are nearly all framing. aiohttp would read them
-until the deadline.
+A faulty server may send bytes outside of bodies until the client closes:
+interim heads, empty lines, chunks that are nearly all framing. aiohttp would
+read them until the deadline. It also accepts heads that are not HTTP/1.1.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 from aiohttp import client_proto
 
 from sycamorebeam import telemetry
+from sycamorebeam.clients import answer_heads
 from sycamorebeam.clients import sliced_input
 
 # Heads with status 1xx in one answer; servers send one or a few.
@@ -23,16 +24,18 @@
 
 
 class BoundedProtocol(sliced_input.SlicedInput, client_proto.ResponseHandler):
-    """Aborts the connection when an answer has too much overhead."""
+    """Aborts the connection of a malformed answer or too much overhead."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._interim_heads = 0
+        self._heads = answer_heads.HeadChecker()
 
     def set_response_params(self, **params: Any) -> None:
-        """Reset the counters for the next answer on this connection."""
+        """Reset what was counted for the next answer on this connection."""
         self._start_message(None)
         self._interim_heads = 0
+        self._heads = answer_heads.HeadChecker()
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -49,13 +52,29 @@
     def _has_excess(self) -> bool:
         return super()._has_excess or self._interim_heads > MAX_INTERIM_HEADS
 
+    def _parse(self, data: bytes) -> None:
+        # Before it has a parser, aiohttp keeps the data and passes it here
+        # again once the request is sent.
+        if self._parser is not None:
+            try:
+                self._heads.feed(data)
+            except answer_heads.MalformedHeadError as error:
+                self._stop_parsing()
+                self._abort(error)
+                return
+        super()._parse(data)
+
     def _handle_excess(self) -> None:
+        self._abort(
+            ExcessOverheadError(
+                f'{self._overhead_bytes} bytes and {self._interim_heads} '
+                f'interim heads outside the body of {self.body_bytes} bytes'
+            )
+        )
+
+    def _abort(self, error: aiohttp.ClientError) -> None:
         if self.transport is None:
             return
-        error = ExcessOverheadError(
-            f'{self._overhead_bytes} bytes and {self._interim_heads} interim '
-            f'heads outside the body of {self.body_bytes} bytes'
-        )
         telemetry.log_event(
             'answer_aborted',
             'WARNING',
--- a/sycamorebeam/clients/sliced_input.py
+++ b/sycamorebeam/clients/sliced_input.py
@@ -153,7 +153,7 @@
         self._position = end
         if end >= len(self._unparsed):
             self._drop_unparsed()
-        super().data_received(data)
+        self._parse(data)
         self._note_new_message()
         body_bytes = self.body_bytes - self._counted_body_bytes
         self._counted_body_bytes += body_bytes
@@ -163,13 +163,21 @@
             max(0, overhead_bytes)
             + body_bytes / parse_turns.BODY_BYTES_PER_COST
         )
-        if self._has_excess:
+        if self._has_excess and not self._is_ended:
             self._end()
 
+    def _parse(self, data: bytes) -> None:
+        """Pass a slice on to aiohttp's parser."""
+        super().data_received(data)
+
     def _end(self) -> None:
+        self._stop_parsing()
+        self._handle_excess()
+
+    def _stop_parsing(self) -> None:
+        """Parse nothing more that this connection receives."""
         self._is_ended = True
         self._drop_unparsed()
-        self._handle_excess()
 
     def _keep(self, data: bytes) -> None:
         self._turns.unparsed_bytes += len(data) - len(self._unparsed)
--- /dev/null
+++ b/tests/forwarding/test_answer_heads.py
@@ -0,0 +1,178 @@
+"""Tests that each reader of answers rejects those that are not HTTP/1.1.
+
+A rejected answer says nothing on whether the request has taken effect.
+"""
+
+import itertools
+import json
+
+import ddt
+
+from sycamorebeam import clocks
+from sycamorebeam.clients import answer_heads
+from sycamorebeam.clients import exchanges
+from sycamorebeam.clients import http
+from sycamorebeam.clients import reasons
+from sycamorebeam.forwarding import stages
+from sycamorebeam.forwarding import upstream
+from sycamorebeam.platform import http_codec
+from sycamorebeam.platform import store_client
+from tests import base
+from tests.forwarding import build
+from tests.forwarding import test_forwarding
+from tests.forwarding import wire
+
+REJECTED = 'rejected'
+TOP = b'HTTP/1.1 200 OK\r\n'
+RESULTS = {'entries': [{'handle': '127.0.0.1:1/r'}]}
+PAGE = {'entries': [], 'has_more': False, 'end_offset': 7}
+ITEM = stages.TimedItem(stages.Work('id-1', 0, 'k', False, ()), 0, 1_000)
+
+
+async def read_target(address):
+    client = upstream.Upstream(1, build.request_memory())
+    try:
+        answer = await client.open(address, 'POST', '/', [], b'body')
+        try:
+            return await answer.read_body()
+        finally:
+            answer.close()
+    except upstream.BrokenError:
+        return REJECTED
+    finally:
+        await client.close()
+
+
+async def call_stage(address, *, frees=False):
+    client = upstream.Upstream(1, build.request_memory())
+    stage_client = http_codec.StageClient(client)
+    try:
+        if frees:
+            return await stage_client.free(address, ['r'])
+        return await stage_client.run(address, 't0', [ITEM])
+    except upstream.BrokenError:
+        return REJECTED
+    finally:
+        await client.close()
+
+
+async def free_results(address):
+    return await call_stage(address, frees=True)
+
+
+async def call_store(address, call):
+    client = store_client.StoreClient(address)
+    try:
+        return await call(client)
+    except store_client.StoreError:
+        return REJECTED
+    finally:
+        await client.close()
+
+
+async def read_records(address):
+    return await call_store(address, lambda client: client.read('t', 0))
+
+
+async def read_newest(address):
+    return await call_store(address, lambda client: client.read_newest('t'))
+
+
+async def append(address):
+    return await call_store(
+        address, lambda client: client.append('t', 'key', b'value')
+    )
+
+
+async def fetch(address):
+    """Call a target, the instance list or an engine on our own interface."""
+    clock = clocks.Clock()
+    client = http.HttpClient(clock, http.HttpLimits())
+    exchange = exchanges.Exchange(
+        method='POST',
+        address=address,
+        path='/',
+        deadline=clocks.deadline_in(clock, 2_000),
+        body=b'{}',
+    )
+    try:
+        reply = await client.fetch(exchange)
+    finally:
+        await client.close()
+    if isinstance(reply, exchanges.HttpFailure):
+        assert reply.sent
+        assert reply.reason is reasons.Reason.MALFORMED
+        return REJECTED
+    return reply
+
+
+# Each with the body of a sound answer.
+READERS = {
+    read_target: b'whole',
+    call_stage: json.dumps(RESULTS).encode(),
+    free_results: b'{}',
+    read_records: bytes(16),
+    read_newest: json.dumps(PAGE).encode(),
+    append: b'{"offset":0}',
+    fetch: b'{}',
+}
+MALFORMED = {
+    'a status out of range': [b'HTTP/1.1 000 OK\r\n', b''],
+    'another protocol': [b'RTSP/1.0 200 OK\r\n', b''],
+}
+
+
+@ddt.ddt
+class AnswerReadersTest(base.NetworkTestCase):
+    async def read(self, reader, top, fields, body):
+        length = b'Content-Length: %d\r\n' % len(body)
+        data = top + length + fields + b'\r\n' + body
+        async with wire.serving([data]) as served:
+            return await reader(served.address)
+
+    @ddt.data(*READERS)
+    async def test_sound_answers_are_read(self, reader):
+        result = await self.read(reader, TOP, b'', READERS[reader])
+        self.assertNotEqual(REJECTED, result)
+
+    @ddt.data(*itertools.product(READERS, MALFORMED))
+    @ddt.unpack
+    async def test_malformed_answers_are_rejected(self, reader, name):
+        top, fields = MALFORMED[name]
+        result = await self.read(reader, top, fields, READERS[reader])
+        self.assertEqual(REJECTED, result)
+
+    async def test_what_may_repeat_is_sent_to_another_target(self):
+        broken = [wire.answer(b'no', '000 No')]
+        async with (
+            wire.serving(broken) as first,
+            wire.serving(test_forwarding.OK) as second,
+            test_forwarding.running(
+                [first.address, second.address],
+                kind=test_forwarding.IDEMPOTENT,
+            ) as setup,
+        ):
+            for _ in range(4):
+                response = await test_forwarding.call(setup.address)
+                self.assertEqual(200, response.status)
+                self.assertEqual(b'served', response.body)
+
+
+@ddt.ddt
+class HeadCheckerTest(base.TestCase):
+    @ddt.data(1, 2, 3, 7, 1_000)
+    def test_heads_split_anywhere(self, size):
+        """Guards against an end of a head that is missed between reads."""
+        data = (
+            b'\r\n\r\nHTTP/1.1 103 Hints\nA: b\r\n\nHTTP/1.1 200 OK\r\n'
+            b'Content-Length: 99\r\n\r\nHTTP/1.1 000 No\r\n\r\n'
+        )
+        checker = answer_heads.HeadChecker()
+        for start in range(0, len(data), size):
+            checker.feed(data[start : start + size])
+        checker = answer_heads.HeadChecker()
+        with self.assertRaises(answer_heads.MalformedHeadError):
+            for start in range(0, len(data), size):
+                checker.feed(
+                    data.replace(b'200 OK', b'000 No')[start : start + size]
+                )
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -24,6 +24,7 @@
 PARTS = {'plain': BODY[:-3], 'stream': wire.event(1)}
 UNKNOWN = 502  # promises nothing on whether the request has run
 CUT = 'cut'
+STATUSES_OUT_OF_RANGE = ('000', '099', '600', '999')
 UPLOAD_BYTES = 3_000_000  # more than the socket buffers of loopback hold
 
 
@@ -129,6 +130,45 @@
         broken = {k: v for k, v in outcomes.items() if v not in allowed}
         self.assertEqual({}, broken)
 
+    @ddt.data('plain', 'stream')
+    async def test_a_status_line_that_is_not_http(self, kind):
+        """Guards against any three digits that are passed on as a status."""
+        tops = [
+            *(f'HTTP/1.1 {status} OK' for status in STATUSES_OUT_OF_RANGE),
+            'HTTP/1.1 101 Switching Protocols',
+            'HTTP/0.9 200 OK',
+            'HTTP/2.0 200 OK',
+            'RTSP/1.0 200 OK',
+            'HTTP/1.1 200 O\x01K',
+        ]
+        answers = {top: [answer(kind, f'{top}\r\n'.encode())] for top in tops}
+        answers['it says that it has not run'] = [
+            answer(kind, b'HTTP/1.1 000 No\r\n', b'X-Not-Executed: 1\r\n')
+        ]
+        await self.assert_never_whole(kind, answers)
+
+    @ddt.data('plain', 'stream')
+    async def test_unusual_answers_are_served(self, kind):
+        """Guards against checks that allow less than the protocol does."""
+        whole = answer(kind)
+        answers = {
+            'no reason': [answer(kind, b'HTTP/1.1 200\r\n')],
+            'an empty reason': [answer(kind, b'HTTP/1.1 200 \r\n')],
+            'a reason of other bytes': [
+                answer(kind, b'HTTP/1.1 200 Tr\xe8s\tbien\r\n')
+            ],
+            'HTTP/1.0': [answer(kind, b'HTTP/1.0 200 OK\r\n')],
+            'line feeds alone': [whole.replace(b'\r\n', b'\n')],
+            'empty lines before it': [b'\r\n\r\n' + whole],
+            'an interim head': [b'HTTP/1.1 103 Hints\r\nA: b\r\n\r\n' + whole],
+            'in pieces': [whole[:9], 5, whole[9:40], 5, whole[40:]],
+        }
+        responses = await self.send_all(kind, answers)
+        for name, response in responses.items():
+            self.assertEqual(200, response.status, name)
+            self.assertTrue(response.is_whole, name)
+            self.assertEqual(BODIES[kind], response.body, name)
+
     @ddt.data('plain', 'stream')
     async def test_a_reset_beside_an_upload_ends_no_answer(self, kind):
         """Guards against a body without a length that is taken for whole."""
