Reject answers whose header fields are not HTTP/1.1

Callers saw: an answer with "Connection : close" in its head was passed on with that line, one with "Content-Length : 6" or "Transfer-Encoding : chunked" with a body that the blank's line delimited, and one with a line that begins with a blank with that line added to the value before it, or, as the first line, obeyed. A control byte in a value became a 500 of the instance. Calls of stages, the store and our own interface took the same heads.

Cause: aiohttp's parser is lenient with answers. It takes a blank after the names that delimit a body or a connection, drops one before the first name, continues a value with the next line, and allows control bytes in values. Everything behind it compares names without the blank.

Change: the check of heads also checks each line of fields: a token, a colon, and a value without control bytes but tabs. A line that begins with a blank is rejected too; it once continued the value before it, and RFC 9112, 5.2 lets a gateway answer 502 for it. Such an answer counts as one that broke off, as with a malformed status line.

Already held before: control bytes, tabs and other odd bytes in names, blanks in the names of other fields, lines without a name or a colon; they stay in the tests. Names of all legal bytes, values with tabs and other bytes above 127 pass before and after.

--- a/sycamorebeam/clients/answer_heads.py
+++ b/sycamorebeam/clients/answer_heads.py
@@ -1,8 +1,9 @@
 """Checks the heads of answers against the grammar of HTTP/1.1 (RFC 9112).
 
-aiohttp parses answers leniently: any three digits are a status, and other
-protocols' names are accepted. A server in trouble may send such heads, and
-nothing that follows them can be relied on.
+aiohttp parses answers leniently: any three digits are a status, other
+protocols' names are accepted, and so are blanks in the names of some fields.
+A server in trouble may send such heads, and nothing that follows them can be
+relied on.
 """
 
 import re
@@ -20,6 +21,11 @@
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.[01] ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?'
 )
+# The name is a token. A line that begins with a blank, which once continued
+# the value before it, is none; a gateway may reject it (RFC 9112, 5.2).
+_FIELD_LINE = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*"
+)
 
 
 class MalformedHeadError(aiohttp.ClientError):
@@ -72,10 +78,13 @@
 
     Raises MalformedHeadError.
     """
-    status_line = head.replace(b'\r\n', b'\n').partition(b'\n')[0]
+    status_line, *fields, _, _ = head.replace(b'\r\n', b'\n').split(b'\n')
     match = _STATUS_LINE.fullmatch(status_line)
     if match is None or int(match[1]) == SWITCHING_PROTOCOLS:
         raise MalformedHeadError(f'status line {_quoted(status_line)}')
+    for line in fields:
+        if _FIELD_LINE.fullmatch(line) is None:
+            raise MalformedHeadError(f'field {_quoted(line)}')
     return int(match[1])
 
 
--- a/tests/forwarding/test_answer_heads.py
+++ b/tests/forwarding/test_answer_heads.py
@@ -119,6 +119,10 @@
 MALFORMED = {
     'a status out of range': [b'HTTP/1.1 000 OK\r\n', b''],
     'another protocol': [b'RTSP/1.0 200 OK\r\n', b''],
+    'a blank in a name': [TOP, b'Connection : close\r\n'],
+    'a control byte in a name': [TOP, b'X\x01A: b\r\n'],
+    'a control byte in a value': [TOP, b'X-A: b\x01\r\n'],
+    'a blank before a name': [TOP, b' X-A: b\r\n'],
 }
 
 
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -147,6 +147,30 @@
         ]
         await self.assert_never_whole(kind, answers)
 
+    @ddt.data('plain', 'stream')
+    async def test_fields_that_are_not_http(self, kind):
+        """Guards against names with blanks that are passed on or obeyed."""
+        body = BODIES[kind]
+        chunked = TOP + SIGNED + b'Transfer-Encoding%s: chunked\r\n\r\n'
+        chunked += wire.chunk(body) + wire.STREAM_END
+        lines = [
+            form.replace(b'#', odd)
+            for odd in (b' ', b'\t', b'\x01', b'\x0b', b'\x7f', b'\xa0')
+            for form in (b'X#A: b', b'X-A#: b', b'Connection#: close')
+        ]
+        lines += [b' X-A: b', b'\tX-A: b', b'X-A: b\x01', b': b', b'X-A']
+        answers = {
+            repr(line): [answer(kind, fields=line + b'\r\n')] for line in lines
+        }
+        for odd in (b' ', b'\t', b'\x01'):
+            name = repr(odd)
+            length = b'Content-Length' + odd + b': %d\r\n'
+            answers[f'length {name}'] = [answer(kind, length=length)]
+            answers[f'chunks {name}'] = [chunked.replace(b'%s:', odd + b':')]
+            first = TOP + odd + LENGTH % len(body) + SIGNED + b'\r\n' + body
+            answers[f'first {name}'] = [first]
+        await self.assert_never_whole(kind, answers)
+
     @ddt.data('plain', 'stream')
     async def test_unusual_answers_are_served(self, kind):
         """Guards against checks that allow less than the protocol does."""
@@ -161,6 +185,9 @@
             'line feeds alone': [whole.replace(b'\r\n', b'\n')],
             'empty lines before it': [b'\r\n\r\n' + whole],
             'an interim head': [b'HTTP/1.1 103 Hints\r\nA: b\r\n\r\n' + whole],
+            'names and values of all kinds': [
+                answer(kind, fields=b"x!#$%&'*+-.^_`|~9:\t\xe9 \t\r\nY:\r\n")
+            ],
             'in pieces': [whole[:9], 5, whole[9:40], 5, whole[40:]],
         }
         responses = await self.send_all(kind, answers)
