Reject answers that don't say for sure where their body ends

Callers saw: an answer with "Transfer-Encoding: gzip" came with the coded bytes as its body, one with a coding that nobody knows or an empty one with all bytes until the close, one with a Content-Length of 2**64 - 1 with an empty body, all as complete answers of the target. A part of a body with "Transfer-Encoding: identity" that was followed by a reset was a complete answer too.

Cause: aiohttp's parser decodes "chunked" as the last of any codings and reads any other answer until the close, without an error, while the header Transfer-Encoding is not passed on and tells our reader that not the close ends the body, so that its check for a reset was left out. A length of 2**64 - 1 is the parser's own mark of no length.

Change: the check of heads allows one length of up to 18 digits (and zeros), or the coding "chunked" in HTTP/1.1, or neither, which is the end of the connection; interim heads have no body (RFC 9112, 6.1 to 6.3). The check for both in the reader of targets is part of this one now. Such an answer counts as one that broke off.

Chunks with extensions and trailers, a coding in other letters, a length with zeros before it and bodies until the close are served before and after.

--- a/sycamorebeam/forwarding/upstream.py
+++ b/sycamorebeam/forwarding/upstream.py
@@ -209,11 +209,6 @@
             transport = exchange.transport
             exchange.release()
         protocol = transport and transport.get_protocol()
-        if {'Content-Length', 'Transfer-Encoding'} <= response.headers.keys():
-            response.close()
-            raise BrokenError(
-                f'{address}: both Content-Length and Transfer-Encoding'
-            )
         return Answer(response, protocol, self._memory.share())
 
     async def accepts_connections(self, address: str) -> bool:
--- a/tests/forwarding/test_answer_heads.py
+++ b/tests/forwarding/test_answer_heads.py
@@ -123,6 +123,8 @@
     'a control byte in a name': [TOP, b'X\x01A: b\r\n'],
     'a control byte in a value': [TOP, b'X-A: b\x01\r\n'],
     'a blank before a name': [TOP, b' X-A: b\r\n'],
+    'a coding beside a length': [TOP, b'Transfer-Encoding: identity\r\n'],
+    'two lengths': [TOP, b'Content-Length: 0\r\n'],
 }
 
 
@@ -161,6 +163,13 @@
                 self.assertEqual(200, response.status)
                 self.assertEqual(b'served', response.body)
 
+    @ddt.data(*READERS)
+    async def test_unknown_codings_are_rejected(self, reader):
+        """Guards against a coded body that is taken for the whole one."""
+        head = TOP + b'Transfer-Encoding: gzip\r\n\r\n'
+        async with wire.serving([head + READERS[reader]]) as served:
+            self.assertEqual(REJECTED, await reader(served.address))
+
 
 @ddt.ddt
 class HeadCheckerTest(base.TestCase):
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -171,6 +171,63 @@
             answers[f'first {name}'] = [first]
         await self.assert_never_whole(kind, answers)
 
+    @ddt.data('plain', 'stream')
+    async def test_bodies_that_nothing_delimits_for_sure(self, kind):
+        """Guards against codings and lengths that the parser passes over."""
+        body = BODIES[kind]
+        chunks = wire.chunk(body) + wire.STREAM_END
+        coded = [
+            b'gzip',
+            b'identity',
+            b'',
+            b'"chunked"',
+            b'xchunked',
+            b'chunked;a=b',
+            b'gzip, chunked',
+            b'chunked, gzip',
+            b'chunked, chunked',
+            b'chunked\r\nTransfer-Encoding: chunked',
+            b'chunked\r\nTransfer-Encoding: identity',
+            b'chunked\r\nContent-Length: %d' % len(body),
+        ]
+        answers = {
+            repr(codings): [
+                TOP + SIGNED + b'Transfer-Encoding: ' + codings,
+                b'\r\n\r\n' + (chunks if b'chunked' in codings else body),
+            ]
+            for codings in coded
+        }
+        for length in (b'', b'+9', b'0x9', b'9, 9', b'-9', b'9 9'):
+            answers[f'length {length!r}'] = [
+                answer(kind, length=b'Content-Length: ' + length + b'\r\n')
+            ]
+        answers['a length of 2**64 - 1'] = [
+            answer(kind, length=b'Content-Length: 18446744073709551615\r\n')
+        ]
+        answers['a length of many digits'] = [
+            answer(kind, length=b'Content-Length: ' + b'9' * 6_000 + b'\r\n')
+        ]
+        answers['two lengths'] = [
+            answer(kind, fields=b'Content-Length: 0\r\n')
+        ]
+        answers['chunks of HTTP/1.0'] = [
+            b'HTTP/1.0 200 OK\r\n'
+            + SIGNED
+            + b'Transfer-Encoding: chunked\r\n',
+            b'\r\n' + chunks,
+        ]
+        answers['an interim head with a body'] = [
+            b'HTTP/1.1 103 Hints\r\nContent-Length: 4\r\n\r\nhint',
+            answer(kind),
+        ]
+        answers['a part, a coding and a reset'] = [
+            TOP + SIGNED + b'Transfer-Encoding: identity\r\n\r\n',
+            PARTS[kind],
+            20,
+            wire.RESET,
+        ]
+        await self.assert_never_whole(kind, answers)
+
     @ddt.data('plain', 'stream')
     async def test_unusual_answers_are_served(self, kind):
         """Guards against checks that allow less than the protocol does."""
@@ -188,6 +245,15 @@
             'names and values of all kinds': [
                 answer(kind, fields=b"x!#$%&'*+-.^_`|~9:\t\xe9 \t\r\nY:\r\n")
             ],
+            'a length with zeros before it': [
+                answer(kind, length=b'content-length:\t00%d \r\n')
+            ],
+            'chunks with extensions and trailers': [
+                TOP + SIGNED + b'transfer-encoding:  Chunked \r\n\r\n',
+                b'%x;a=b\r\n' % len(BODIES[kind]) + BODIES[kind],
+                b'\r\n0\r\nA: b\r\n\r\n',
+            ],
+            'until the close': [TOP + SIGNED + b'\r\n' + BODIES[kind]],
             'in pieces': [whole[:9], 5, whole[9:40], 5, whole[40:]],
         }
         responses = await self.send_all(kind, answers)
