Reject a body without a length that ends with a reset, at every reader

Seen in tests, at the readers of the store and of our own interface: an answer without a length counted as complete when its connection was reset. A read of the store returned what had arrived, and an append was taken for acknowledged.

Cause: aiohttp takes any end of a connection as the end of a body without a length. The check for that was in the reader of targets alone, behind an error that only its connections kept.

Change: the protocol of all connections ends a body that has not ended with an error when the connection is lost with one. The reader of targets has no check of its own any more; it relied on the transport to know its protocol after the connection was lost. For the store the outcome of such a call is unknown, as after any lost answer.

Evidence: with a whole body, no length and a reset four of seven readers took the answer before (both reads and the append of the store, and the client of our own interface); all reject it now. A close instead of the reset ends the answer at all seven, before and after.

--- a/sycamorebeam/clients/bounded.py
+++ b/sycamorebeam/clients/bounded.py
@@ -23,8 +23,12 @@
     """An answer exceeds the limit on bytes or heads outside its body."""
 
 
+class ConnectionResetDuringBodyError(aiohttp.ClientPayloadError):
+    """The connection was lost with an error before the body had ended."""
+
+
 class BoundedProtocol(sliced_input.SlicedInput, client_proto.ResponseHandler):
-    """Aborts the connection of a malformed answer or too much overhead."""
+    """Ends answers that are malformed, reset or nearly all overhead."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -44,6 +48,23 @@
         self._interim_heads += 100 <= message.code < 200
         super().feed_data(data, size)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End a body that has not ended with an error, if there is one.
+
+        aiohttp takes any end of the connection as the end of a body without
+        a length, even if the connection was reset.
+        """
+        self._parse_rest()
+        if (
+            exc is not None
+            and self._payload is not None
+            and not self._payload.is_eof()
+        ):
+            self._payload.set_exception(
+                ConnectionResetDuringBodyError(f'connection lost: {exc!r}')
+            )
+        super().connection_lost(exc)
+
     def _note_new_message(self) -> None:
         # The heads before the body stay counted as its overhead.
         self._body = self._payload or self._body
--- a/sycamorebeam/clients/oneshot.py
+++ b/sycamorebeam/clients/oneshot.py
@@ -31,21 +31,6 @@
 )
 
 
-class ConnectionProtocol(bounded.BoundedProtocol):
-    """Keeps the error by which its connection was lost.
-
-    aiohttp takes the end of the connection as the end of an answer without
-    a length, even if the connection was reset.
-    """
-
-    connection_error: BaseException | None = None
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Store the error and continue as aiohttp does."""
-        self.connection_error = exc
-        super().connection_lost(exc)
-
-
 class HiddenRetryError(aiohttp.ClientConnectionError):
     """aiohttp tried to send an exchange a second time."""
 
@@ -57,9 +42,6 @@
     the second connect raises HiddenRetryError.
     """
 
-    def _new_protocol(self) -> ConnectionProtocol:
-        return ConnectionProtocol(self._loop)
-
     async def connect(
         self, req: Any, traces: Any, timeout: Any
     ) -> aiohttp.connector.Connection:
--- a/sycamorebeam/clients/sliced_input.py
+++ b/sycamorebeam/clients/sliced_input.py
@@ -64,10 +64,8 @@
             self._parse_in_turn()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Parse the rest, unless the connection is nearly all overhead."""
-        while self._can_parse and not self._is_heavy:
-            self._parse_slice()
-        self._drop_unparsed()
+        """Parse the rest and continue as aiohttp does."""
+        self._parse_rest()
         super().connection_lost(exc)
         # The body refers to this protocol, and would stay with it until a
         # garbage collection.
@@ -166,6 +164,12 @@
         if self._has_excess and not self._is_ended:
             self._end()
 
+    def _parse_rest(self) -> None:
+        """Parse the rest, unless the connection is nearly all overhead."""
+        while self._can_parse and not self._is_heavy:
+            self._parse_slice()
+        self._drop_unparsed()
+
     def _parse(self, data: bytes) -> None:
         """Pass a slice on to aiohttp's parser."""
         super().data_received(data)
--- a/sycamorebeam/forwarding/upstream.py
+++ b/sycamorebeam/forwarding/upstream.py
@@ -69,11 +69,9 @@
     def __init__(
         self,
         response: aiohttp.ClientResponse,
-        protocol: Any,
         share: request_memory.Share,
     ) -> None:
         self._response = response
-        self._protocol = protocol
         self._share = share
 
     @property
@@ -114,13 +112,6 @@
             raise BrokenError(
                 f'reading the answer failed: {error!r}'
             ) from error
-        if (
-            self.is_delimited_by_close
-            and self._protocol.connection_error is not None
-        ):
-            raise BrokenError(
-                f'connection reset: {self._protocol.connection_error!r}'
-            )
 
     def keep(self, size: int) -> None:
         """Count this many bytes as kept until the answer is closed.
@@ -206,10 +197,8 @@
         finally:
             oneshot.current_exchange.reset(token)
             # The connection's context refers to the exchange.
-            transport = exchange.transport
             exchange.release()
-        protocol = transport and transport.get_protocol()
-        return Answer(response, protocol, self._memory.share())
+        return Answer(response, self._memory.share())
 
     async def accepts_connections(self, address: str) -> bool:
         """Return whether a server accepts a new connection in time."""
