Check the answers of the log, and those that callers and the CLI read

Seen in tests: the clients of the log service, of callers and of the command line took a malformed head, a coded body and a body that ended with a reset as sound answers, as those of targets and the store did. An append to the log counted as done, a status page of an instance as its status.

Cause: they opened connections of aiohttp's own kind, without the checks that the product's protocol has.

Change: they use the same connector as the other clients. An append whose answer is rejected has an unknown outcome, a request of a caller counts as sent and lost, a read as failed.

--- a/sycamorebeam/cli/history_commands.py
+++ b/sycamorebeam/cli/history_commands.py
@@ -16,6 +16,7 @@
 from sycamorebeam import publishing
 from sycamorebeam.cli import log_access
 from sycamorebeam.cli import output
+from sycamorebeam.clients import bounded
 
 MAX_SHOWN_KEYS = 3
 
@@ -126,7 +127,9 @@
     """Return the offset in force at each instance, None where unknown."""
     if not addresses:
         return {}
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(
+        connector=bounded.BoundedConnector()
+    ) as session:
         in_force = await publishing.wait_until_in_force(
             session, clocks.Clock(), addresses, 0, timeout_ms=0
         )
--- a/sycamorebeam/cli/publish_command.py
+++ b/sycamorebeam/cli/publish_command.py
@@ -18,6 +18,7 @@
 from sycamorebeam.cli import log_access
 from sycamorebeam.cli import output
 from sycamorebeam.cli import publish_report
+from sycamorebeam.clients import bounded
 from sycamorebeam.clients import ports
 
 FileArgument = Annotated[
@@ -193,7 +194,9 @@
             return None
     if not wait_for:
         return None
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(
+        connector=bounded.BoundedConnector()
+    ) as session:
         return await publishing.wait_until_in_force(
             session, clocks.Clock(), wait_for, offset, wait_ms
         )
--- a/sycamorebeam/cli/status_command.py
+++ b/sycamorebeam/cli/status_command.py
@@ -9,6 +9,7 @@
 
 from sycamorebeam import errors
 from sycamorebeam.cli import output
+from sycamorebeam.clients import bounded
 
 TIMEOUT_S = 5
 STATUS_PATH = '/admin/status'
@@ -40,7 +41,9 @@
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                connector=bounded.BoundedConnector(), timeout=timeout
+            ) as session,
             session.get(f'http://{address}{STATUS_PATH}') as response,
         ):
             response.raise_for_status()
--- a/sycamorebeam/clients/caller.py
+++ b/sycamorebeam/clients/caller.py
@@ -11,6 +11,7 @@
 import attrs
 
 from sycamorebeam import errors
+from sycamorebeam.clients import bounded
 from sycamorebeam.clients import sse
 
 ANSWER_GRACE_MS = 5_000
@@ -89,7 +90,9 @@
     timeout = aiohttp.ClientTimeout(total=_timeout_ms(call) / 1000)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                connector=bounded.BoundedConnector(), timeout=timeout
+            ) as session,
             session.post(
                 f'http://{call.address}/v1/pipelines/{call.pipeline}/requests',
                 json={'input': call.input},
--- a/sycamorebeam/clients/log_client.py
+++ b/sycamorebeam/clients/log_client.py
@@ -11,6 +11,7 @@
 import attrs
 import msgpack
 
+from sycamorebeam.clients import bounded
 from sycamorebeam.clients import results
 
 MAX_RECORD_BYTES = 1_048_576
@@ -131,7 +132,7 @@
 
 
 def _new_session(connections: int) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = bounded.BoundedConnector(
         limit=connections, keepalive_timeout=KEEP_ALIVE_S
     )
     return aiohttp.ClientSession(
--- a/tests/forwarding/test_answer_readers.py
+++ b/tests/forwarding/test_answer_readers.py
@@ -7,12 +7,19 @@
 import json
 
 import ddt
+import msgpack
 
 from sycamorebeam import clocks
+from sycamorebeam import errors
+from sycamorebeam.cli import history_commands
+from sycamorebeam.cli import status_command
 from sycamorebeam.clients import answer_heads
+from sycamorebeam.clients import caller
 from sycamorebeam.clients import exchanges
 from sycamorebeam.clients import http
+from sycamorebeam.clients import log_client
 from sycamorebeam.clients import reasons
+from sycamorebeam.clients import results
 from sycamorebeam.forwarding import stages
 from sycamorebeam.forwarding import upstream
 from sycamorebeam.platform import http_codec
@@ -25,8 +32,11 @@
 REJECTED = 'rejected'
 UNRELIABLE = (reasons.Reason.MALFORMED, reasons.Reason.ENDED_EARLY)
 TOP = b'HTTP/1.1 200 OK\r\n'
+JSON = b'Content-Type: application/json\r\n'
 RESULTS = {'entries': [{'handle': '127.0.0.1:1/r'}]}
 PAGE = {'entries': [], 'has_more': False, 'end_offset': 7}
+LOG_PAGE = {'oldest': 0, 'next': 0, 'records': []}
+STATUS = {'catalogue': {'offset': 7}}
 ITEM = stages.TimedItem(stages.Work('id-1', 0, 'k', False, ()), 0, 1_000)
 
 
@@ -107,6 +117,54 @@
     return reply
 
 
+async def append_to_log(address):
+    client = log_client.new_log_client(address, 2_000)
+    try:
+        result = await client.append('stream', b'record')
+    finally:
+        await client.close()
+    return REJECTED if isinstance(result, results.AppendUnknown) else result
+
+
+async def read_log(address, *, has_records=True):
+    client = log_client.new_log_client(address, 2_000)
+    try:
+        result = await (
+            client.read('stream', 0)
+            if has_records
+            else client.bounds('stream')
+        )
+    finally:
+        await client.close()
+    return REJECTED if isinstance(result, results.LogUnavailable) else result
+
+
+async def read_log_bounds(address):
+    return await read_log(address, has_records=False)
+
+
+async def send_as_caller(address):
+    result = await caller.send(
+        caller.Call(address=address, pipeline='p', input={}, token='t')
+    )
+    if isinstance(result, caller.CallLost):
+        assert result.sent
+        return REJECTED
+    return result
+
+
+async def read_status(address):
+    try:
+        return await status_command.fetch_status(address)
+    except errors.PlatformError:
+        return REJECTED
+
+
+async def read_offset(address):
+    offsets = await history_commands._fetch_offsets([address])
+    return REJECTED if offsets[address] is None else offsets
+
+
 # Each with the body of a sound answer.
 READERS = {
     read_target: b'whole',
@@ -116,6 +174,12 @@
     read_newest: json.dumps(PAGE).encode(),
     append: b'{"offset":0}',
     fetch: b'{}',
+    append_to_log: msgpack.packb({'offset': 0}),
+    read_log: msgpack.packb(LOG_PAGE),
+    read_log_bounds: msgpack.packb(LOG_PAGE),
+    send_as_caller: b'{"output": {}}',
+    read_status: json.dumps(STATUS).encode(),
+    read_offset: json.dumps(STATUS).encode(),
 }
 MALFORMED = {
     'a status out of range': [b'HTTP/1.1 000 OK\r\n', b''],
@@ -133,7 +197,7 @@
 class AnswerReadersTest(base.NetworkTestCase):
     async def read(self, reader, top, fields, body):
         length = b'Content-Length: %d\r\n' % len(body)
-        data = top + length + fields + b'\r\n' + body
+        data = top + JSON + length + fields + b'\r\n' + body
         async with wire.serving([data]) as served:
             return await reader(served.address)
 
@@ -167,20 +231,20 @@
     @ddt.data(*READERS)
     async def test_unknown_codings_are_rejected(self, reader):
         """Guards against a coded body that is taken for the whole one."""
-        head = TOP + b'Transfer-Encoding: gzip\r\n\r\n'
+        head = TOP + JSON + b'Transfer-Encoding: gzip\r\n\r\n'
         async with wire.serving([head + READERS[reader]]) as served:
             self.assertEqual(REJECTED, await reader(served.address))
 
     @ddt.data(*READERS)
     async def test_a_reset_ends_no_answer(self, reader):
         """Guards against a body without a length that looks whole."""
-        steps = [TOP + b'\r\n' + READERS[reader], 20, wire.RESET]
+        steps = [TOP + JSON + b'\r\n' + READERS[reader], 20, wire.RESET]
         async with wire.serving(steps) as served:
             self.assertEqual(REJECTED, await reader(served.address))
 
     @ddt.data(*READERS)
     async def test_a_close_ends_an_answer(self, reader):
-        steps = [TOP + b'\r\n' + READERS[reader], 20]
+        steps = [TOP + JSON + b'\r\n' + READERS[reader], 20]
         async with wire.serving(steps) as served:
             self.assertNotEqual(REJECTED, await reader(served.address))
 
