Check each line of a head before the parser sees its end

Seen in a fuzzing trial of the new check: an answer with a line of one blank behind its status line was taken as sound by all readers, and its head was not checked at all. Callers could not get it, since a head that ends there names no request, but the store, stages and our own interface took it.

Cause: aiohttp's parser drops a blank in that place and takes the line for the empty one that ends a head. The check looked for that empty line first and for malformed lines after it, so it still waited for the end when the answer had been read.

Change: lines are checked one by one as they are complete, so the parser ends no head of which a line is unchecked, and a malformed line ends the answer without waiting for the rest of its head.

--- a/sycamorebeam/clients/answer_heads.py
+++ b/sycamorebeam/clients/answer_heads.py
@@ -16,15 +16,13 @@
 
 # RFC 9112 lets a recipient accept a single line feed as the end of a line,
 # skip empty lines before the status line, and ignore a missing reason.
-_EMPTY_LINES = re.compile(rb'(?:\r?\n)*')
-_HEAD_END = re.compile(rb'\n\r?\n')
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?'
 )
 # The name is a token. A line that begins with a blank, which once continued
 # the value before it, is none; a gateway may reject it (RFC 9112, 5.2).
 _FIELD_LINE = re.compile(
-    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*"
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)"
 )
 # aiohttp takes a length of 2**64 - 1 for none, and the body for empty.
 _LENGTH = re.compile(rb'0*[0-9]{1,18}')
@@ -37,95 +35,81 @@
 class HeadChecker:
     """Checks the heads of one answer, interim ones included.
 
-    It sees the bytes before aiohttp's parser, which drops what a check of
+    It sees each line before aiohttp's parser, which drops what a check of
     the parsed head would need.
     """
 
     def __init__(self) -> None:
-        self._unchecked = bytearray()
+        self._incomplete_line = b''
         self._has_ended = False
+        self._status: int | None = None
+        self._may_be_chunked = False
+        self._codings: list[bytes] = []
+        self._lengths: list[bytes] = []
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the head of the answer itself has ended."""
+        return self._has_ended
 
     def feed(self, data: bytes) -> None:
-        """Check the heads that ``data`` completes; bodies are ignored.
+        """Check the lines that ``data`` completes; bodies are ignored.
 
         Raises MalformedHeadError.
         """
         if self._has_ended:
             return
-        # The end of a head may begin with the last two bytes fed before.
-        searched = max(0, len(self._unchecked) - 2)
-        self._unchecked += data
-        while not self._has_ended:
-            searched = self._skip_empty_lines(searched)
-            end = _HEAD_END.search(self._unchecked, searched)
-            if end is None:
+        unchecked = self._incomplete_line + data
+        *lines, self._incomplete_line = unchecked.split(b'\n')
+        for line in lines:
+            self._check_line(line.removesuffix(b'\r'))
+            if self._has_ended:
+                self._incomplete_line = b''
                 return
-            head = bytes(self._unchecked[: end.end()])
-            del self._unchecked[: end.end()]
-            searched = 0
-            self._has_ended = check_head(head) >= 200
-        self._unchecked.clear()
-
-    def _skip_empty_lines(self, searched: int) -> int:
-        """Drop empty lines before a head; return where to search on."""
-        empty = _EMPTY_LINES.match(self._unchecked)
-        if empty is None or not empty.end():
-            return searched
-        del self._unchecked[: empty.end()]
-        return 0
 
+    def _check_line(self, line: bytes) -> None:
+        if self._status is None:
+            if line:
+                self._begin_head(line)
+        elif line:
+            self._check_field(line)
+        else:
+            self._check_framing(is_interim=self._status < 200)
+            self._has_ended = self._status >= 200
+            self._status = None
+
+    def _begin_head(self, line: bytes) -> None:
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
+            raise MalformedHeadError(f'status line {_quoted(line)}')
+        self._status = int(match[2])
+        self._may_be_chunked = match[1] == b'1'
+
+    def _check_field(self, line: bytes) -> None:
+        match = _FIELD_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedHeadError(f'field {_quoted(line)}')
+        name, value = match[1].lower(), match[2].strip(b' \t')
+        if name == b'transfer-encoding':
+            self._codings.append(value)
+        elif name == b'content-length':
+            self._lengths.append(value)
 
-def check_head(head: bytes) -> int:
-    """Return the status of a head, which ends with an empty line.
+    def _check_framing(self, *, is_interim: bool) -> None:
+        """Check that at most one field says where the body ends.
 
-    Raises MalformedHeadError.
-    """
-    status_line, *fields, _, _ = head.replace(b'\r\n', b'\n').split(b'\n')
-    match = _STATUS_LINE.fullmatch(status_line)
-    if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
-        raise MalformedHeadError(f'status line {_quoted(status_line)}')
-    for line in fields:
-        if _FIELD_LINE.fullmatch(line) is None:
-            raise MalformedHeadError(f'field {_quoted(line)}')
-    status = int(match[2])
-    is_interim = status < 200
-    _check_framing(
-        _values(fields, b'transfer-encoding'),
-        _values(fields, b'content-length'),
-        may_be_chunked=match[1] == b'1' and not is_interim,
-        may_have_length=not is_interim,
-    )
-    return status
-
-
-def _check_framing(
-    codings: list[bytes],
-    lengths: list[bytes],
-    *,
-    may_be_chunked: bool,
-    may_have_length: bool,
-) -> None:
-    """Check that at most one field says where the body ends.
-
-    Without any, the end of the connection does (RFC 9112, 6.3).
-    """
-    if len(codings) + len(lengths) > 1:
-        raise MalformedHeadError('more than one length or transfer coding')
-    for coding in codings:
-        if not may_be_chunked or coding.lower() != b'chunked':
-            raise MalformedHeadError(f'transfer coding {_quoted(coding)}')
-    for length in lengths:
-        if not may_have_length or _LENGTH.fullmatch(length) is None:
-            raise MalformedHeadError(f'length {_quoted(length)}')
-
-
-def _values(fields: list[bytes], name: bytes) -> list[bytes]:
-    """Return the values of the fields of one name, given in lower case."""
-    return [
-        value.strip(b' \t')
-        for field_name, _, value in (line.partition(b':') for line in fields)
-        if field_name.lower() == name
-    ]
+        Without any, the end of the connection does. Interim heads have no
+        body (RFC 9112, 6.3).
+        """
+        max_fields = 0 if is_interim else 1
+        if len(self._codings) + len(self._lengths) > max_fields:
+            raise MalformedHeadError('a length or transfer coding too many')
+        for coding in self._codings:
+            if not self._may_be_chunked or coding.lower() != b'chunked':
+                raise MalformedHeadError(f'transfer coding {_quoted(coding)}')
+        for length in self._lengths:
+            if _LENGTH.fullmatch(length) is None:
+                raise MalformedHeadError(f'length {_quoted(length)}')
 
 
 def _quoted(line: bytes) -> str:
--- a/tests/forwarding/test_answer_readers.py
+++ b/tests/forwarding/test_answer_readers.py
@@ -3,9 +3,14 @@
 A rejected answer says nothing on whether the request has taken effect.
 """
 
+import asyncio
 import itertools
 import json
+import random
+from unittest import mock
 
+from aiohttp import http_exceptions
+from aiohttp import http_parser
 import ddt
 import msgpack
 
@@ -192,6 +197,21 @@
     'two lengths': [TOP, b'Content-Length: 0\r\n'],
 }
 
+MUTATIONS = 5_000  # of each seed
+INSERTED = [
+    *(b'\r\n', b'\n', b'\r', b' ', b'\t', b'\x00', b'\x80', b':'),
+    *(b'\r\n\r\n', b'\n\n', b'\r\n\n', b'\n\r\n', b'X: a\r\n'),
+    *(b'Content-Length: 5\r\n', b'Transfer-Encoding: chunked\r\n'),
+    *(b'Connection: close\r\n', b'HTTP/1.1 103 E\r\n\r\n'),
+    *(b'HTTP/1.1 200 OK\r\n', b'HTTP/1.1 304 N\r\n\r\n', b'hello'),
+]
+MUTATED = [
+    b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nhello',
+    b'HTTP/1.1 103 E\r\nL: z\r\n\r\nHTTP/1.1 200 OK\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\n\r\nhello',
+]
+
 
 @ddt.ddt
 class AnswerReadersTest(base.NetworkTestCase):
@@ -235,6 +255,13 @@
         async with wire.serving([head + READERS[reader]]) as served:
             self.assertEqual(REJECTED, await reader(served.address))
 
+    @ddt.data(*READERS)
+    async def test_a_line_of_blanks_ends_no_head(self, reader):
+        """Guards against a head that the parser ends before the check."""
+        head = TOP + b' \r\n'
+        async with wire.serving([head + READERS[reader]]) as served:
+            self.assertEqual(REJECTED, await reader(served.address))
+
     @ddt.data(*READERS)
     async def test_a_reset_ends_no_answer(self, reader):
         """Guards against a body without a length that looks whole."""
@@ -267,3 +294,52 @@
                 checker.feed(
                     data.replace(b'200 OK', b'000 No')[start : start + size]
                 )
+
+    def mutate(self, rng):
+        data = bytearray(rng.choice(MUTATED))
+        for _ in range(rng.randint(1, 4)):
+            at = rng.randrange(len(data) + 1)
+            choice = rng.random()
+            if choice < 0.6:
+                data[at:at] = rng.choice(INSERTED)
+            elif choice < 0.8:
+                del data[at : at + rng.randint(1, 3)]
+            else:
+                data[at : at + 1] = bytes([rng.randrange(256)])
+        return bytes(data)
+
+    def parsed_heads(self, parser, data):
+        """Return how many heads of whole answers ``data`` completes."""
+        messages, _, _ = parser.feed_data(data)
+        return sum(message.code >= 200 for message, _ in messages)
+
+    @ddt.data(1, 2, 3)
+    async def test_the_parser_ends_no_head_before_the_check(self, seed):
+        """Guards against heads that a lenient parser ends unchecked."""
+        rng = random.Random(seed)
+        ended = 0
+        for _ in range(MUTATIONS):
+            data = self.mutate(rng)
+            step = rng.choice([1, 7, 2_048])
+            checker = answer_heads.HeadChecker()
+            parser = http_parser.HttpResponseParser(
+                mock.Mock(),
+                asyncio.get_running_loop(),
+                65_536,
+                read_until_eof=True,
+                auto_decompress=False,
+            )
+            parsed = 0
+            try:
+                for start in range(0, len(data), step):
+                    part = data[start : start + step]
+                    checker.feed(part)
+                    parsed += self.parsed_heads(parser, part)
+            except (
+                answer_heads.MalformedHeadError,
+                http_exceptions.HttpProcessingError,
+            ):
+                continue
+            self.assertEqual(checker.has_ended, parsed > 0, data)
+            ended += checker.has_ended
+        self.assertGreater(ended, MUTATIONS / 20)
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -91,7 +91,7 @@
             process.callers_address,
             raw=(
                 f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
-                f'X-Attempt-Id: {abs(hash(name))}\r\nX-Answer: {name}\r\n'
+                f'X-Attempt-Id: id-{name}\r\nX-Answer: {name}\r\n'
                 'X-Credential: k1\r\nX-Deadline-Ms: 4000\r\n'
                 'X-Chunks: 0\r\nX-Chunk-Key: k\r\n'
                 f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
@@ -115,8 +115,8 @@
                 name: await self.send(process, kind, str(number), body)
                 for number, name in enumerate(answers)
             }
-        self.assertEqual(len(answers), len(target.arrivals))
-        self.assertEqual(len(answers), len(set(target.arrivals)))
+        sent = [f'id-{number}' for number in range(len(answers))]
+        self.assertEqual(sent, target.arrivals)
         return responses
 
     async def assert_never_whole(self, kind, answers, body=b''):
@@ -158,7 +158,7 @@
             for odd in (b' ', b'\t', b'\x01', b'\x0b', b'\x7f', b'\xa0')
             for form in (b'X#A: b', b'X-A#: b', b'Connection#: close')
         ]
-        lines += [b' X-A: b', b'\tX-A: b', b'X-A: b\x01', b': b', b'X-A']
+        lines += [b' X-A: b', b'\tX-A: b', b'X-A: b\x01', b': b', b'X-A', b' ']
         answers = {
             repr(line): [answer(kind, fields=line + b'\r\n')] for line in lines
         }
