Share the set-up of tests with a process before one target

test_broken_answers and test_cut_answers started the same platform, target and instance. They share one set-up now, whose target has a small receive buffer, and the upload beside which a target resets has 4 MB instead of 3, so that a part of it is still unwritten in the instance.

--- a/tests/forwarding/processes.py
+++ b/tests/forwarding/processes.py
@@ -12,11 +12,13 @@
 
 import attrs
 
+from tests.forwarding import standin
 from tests.forwarding import test_forwarding
 
 START_TIMEOUT_S = 20
 POLL_S = 0.05
 PEERS_PORT = 2  # index of the port for other instances
+TARGET_BUFFER_BYTES = 16_384
 ZONES = ('a1', 'a2')  # the instances are in the first
 
 
@@ -163,6 +165,36 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def instance_before(folder, serve):
+    """Run an instance before one server, which ``serve`` answers for.
+
+    It is the only target of the plain service and the only engine.
+    """
+    platform = standin.StandinPlatform()
+    await platform.start([standin.StandinTarget('d0', 'desk')])
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, TARGET_BUFFER_BYTES
+    )
+    server = await asyncio.start_server(serve, sock=listener, backlog=512)
+    host, port = listener.getsockname()
+    for service in ('plain', 'engine'):
+        target = standin.StandinTarget(f'{service}0', service)
+        target.address = f'{host}:{port}'
+        platform.announce(target)
+    platform.configure(1, ['k1'])
+    process = start(folder, 'i0', platform.store_address)
+    try:
+        await process.wait_ready()
+        yield process
+    finally:
+        process.popen.kill()
+        process.popen.wait()
+        server.close()
+        await platform.stop()
+
+
 async def send(process, name, path='/stream/x', key='k1', prompt=None):
     prompt_line = '' if prompt is None else f'X-Prompt-Prefix: {prompt}\r\n'
     return await test_forwarding.call(
--- a/tests/forwarding/test_answer_readers.py
+++ b/tests/forwarding/test_answer_readers.py
@@ -59,21 +59,26 @@
         await client.close()
 
 
-async def call_stage(address, *, frees=False):
+async def call_stage(address, call):
     client = upstream.Upstream(1, build.request_memory())
-    stage_client = http_codec.StageClient(client)
     try:
-        if frees:
-            return await stage_client.free(address, ['r'])
-        return await stage_client.run(address, 't0', [ITEM])
+        return await call(http_codec.StageClient(client))
     except upstream.BrokenError:
         return REJECTED
     finally:
         await client.close()
 
 
+async def run_stage(address):
+    return await call_stage(
+        address, lambda client: client.run(address, 't0', [ITEM])
+    )
+
+
 async def free_results(address):
-    return await call_stage(address, frees=True)
+    return await call_stage(
+        address, lambda client: client.free(address, ['r'])
+    )
 
 
 async def call_store(address, call):
@@ -122,30 +127,30 @@
     return reply
 
 
-async def append_to_log(address):
+async def call_log(address, call):
     client = log_client.new_log_client(address, 2_000)
     try:
-        result = await client.append('stream', b'record')
+        result = await call(client)
     finally:
         await client.close()
-    return REJECTED if isinstance(result, results.AppendUnknown) else result
+    is_unknown = isinstance(
+        result, (results.AppendUnknown, results.LogUnavailable)
+    )
+    return REJECTED if is_unknown else result
 
 
-async def read_log(address, *, has_records=True):
-    client = log_client.new_log_client(address, 2_000)
-    try:
-        result = await (
-            client.read('stream', 0)
-            if has_records
-            else client.bounds('stream')
-        )
-    finally:
-        await client.close()
-    return REJECTED if isinstance(result, results.LogUnavailable) else result
+async def append_to_log(address):
+    return await call_log(
+        address, lambda client: client.append('stream', b'record')
+    )
+
+
+async def read_log(address):
+    return await call_log(address, lambda client: client.read('stream', 0))
 
 
 async def read_log_bounds(address):
-    return await read_log(address, has_records=False)
+    return await call_log(address, lambda client: client.bounds('stream'))
 
 
 async def send_as_caller(address):
@@ -173,7 +178,7 @@
 # Each with the body of a sound answer.
 READERS = {
     read_target: b'whole',
-    call_stage: json.dumps(RESULTS).encode(),
+    run_stage: json.dumps(RESULTS).encode(),
     free_results: b'{}',
     read_records: bytes(16),
     read_newest: json.dumps(PAGE).encode(),
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -5,13 +5,11 @@
 """
 
 import asyncio
-import contextlib
 
 import ddt
 
 from tests import base
 from tests.forwarding import processes
-from tests.forwarding import standin
 from tests.forwarding import test_forwarding
 from tests.forwarding import wire
 
@@ -25,7 +23,8 @@
 UNKNOWN = 502  # promises nothing on whether the request has run
 CUT = 'cut'
 STATUSES_OUT_OF_RANGE = ('000', '099', '600', '999')
-UPLOAD_BYTES = 3_000_000  # more than the socket buffers of loopback hold
+# More than the buffers of loopback hold, as targets have small ones.
+UPLOAD_BYTES = 4_000_000
 
 
 def answer(kind, top=TOP, fields=b'', length=LENGTH):
@@ -63,29 +62,6 @@
 
 @ddt.ddt
 class BrokenAnswersTest(base.NetworkTestCase):
-    @contextlib.asynccontextmanager
-    async def instance(self, target):
-        platform = standin.StandinPlatform()
-        await platform.start([])
-        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        for service in ('plain', 'engine'):
-            listed = standin.StandinTarget(f'{service}0', service)
-            listed.address = f'127.0.0.1:{port}'
-            platform.announce(listed)
-        platform.configure(1, ['k1'])
-        process = processes.start(
-            self.make_temp_dir(), 'i0', platform.store_address
-        )
-        try:
-            await process.wait_ready()
-            yield process
-        finally:
-            process.popen.kill()
-            process.popen.wait()
-            server.close()
-            await platform.stop()
-
     async def send(self, process, kind, name, body=b''):
         return await test_forwarding.call(
             process.callers_address,
@@ -110,7 +86,9 @@
                 for number, steps in enumerate(answers.values())
             }
         )
-        async with self.instance(target) as process:
+        async with processes.instance_before(
+            self.make_temp_dir(), target.serve
+        ) as process:
             responses = {
                 name: await self.send(process, kind, str(number), body)
                 for number, name in enumerate(answers)
--- a/tests/forwarding/test_cut_answers.py
+++ b/tests/forwarding/test_cut_answers.py
@@ -5,14 +5,12 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 
 import ddt
 
 from tests import base
 from tests.forwarding import processes
-from tests.forwarding import standin
 from tests.forwarding import test_forwarding
 from tests.forwarding import wire
 
@@ -71,9 +69,6 @@
 class CuttingTarget:
     """Cuts each answer where the header of its request says."""
 
-    def __init__(self):
-        self.address = ''
-
     async def serve(self, reader, writer):
         try:
             while True:
@@ -110,32 +105,6 @@
 
 @ddt.ddt
 class CutAnswersTest(base.NetworkTestCase):
-    @contextlib.asynccontextmanager
-    async def instance(self):
-        platform = standin.StandinPlatform()
-        await platform.start([standin.StandinTarget('d0', 'desk')])
-        cutting = CuttingTarget()
-        server = await asyncio.start_server(
-            cutting.serve, '127.0.0.1', 0, backlog=512
-        )
-        address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
-        for service in ('plain', 'engine'):
-            target = standin.StandinTarget(f'{service}0', service)
-            target.address = address
-            platform.announce(target)
-        platform.configure(1, ['k1'])
-        process = processes.start(
-            self.make_temp_dir(), 'i0', platform.store_address
-        )
-        try:
-            await process.wait_ready()
-            yield process
-        finally:
-            process.popen.kill()
-            process.popen.wait()
-            server.close()
-            await platform.stop()
-
     @ddt.data(
         *(('plain', name) for name in COMMAND_ANSWERS),
         *(('stream', name) for name in STREAM_ANSWERS),
@@ -159,7 +128,10 @@
                 )
 
         sent = list(cases(kind, name))
-        async with self.instance() as process:
+        folder = self.make_temp_dir()
+        async with processes.instance_before(
+            folder, CuttingTarget().serve
+        ) as process:
             responses = await asyncio.gather(
                 *(
                     send(process, number, cut)
