Say what a lost connection does to a body, and what was left open

Reading the change again: the docstring of connection_lost could be read as ending a body by an error of its own. No code is changed.

--- a/sycamorebeam/clients/bounded.py
+++ b/sycamorebeam/clients/bounded.py
@@ -49,7 +49,7 @@
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End a body that has not ended with an error, if there is one.
+        """Fail an unfinished body if the connection was lost with an error.
 
         aiohttp takes any end of the connection as the end of a body without
         a length, even if the connection was reset.
